Thin whole path: template, request and job through real daemons

Cause: nothing existed. Conclusion: the port and message classes are frozen from here, parts follow.

--- /dev/null
+++ b/poplarlb/__init__.py
@@ -0,0 +1,1 @@
+"""poplarlb: a scheduler for latency-critical services and batch work."""
--- /dev/null
+++ b/poplarlb/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination: state machines that decide, without input or output."""
--- /dev/null
+++ b/poplarlb/coordination/context.py
@@ -0,0 +1,32 @@
+"""What all state machines of one daemon may read."""
+
+import itertools
+
+from attrs import Factory, define
+
+from poplarlb.settings import Settings
+from poplarlb.state.models import Worker
+from poplarlb.state.templates import ConfigView
+
+
+@define
+class NodeContext:
+    """The daemon's settings, its view of the configuration, and the host list.
+
+    ``view_confirmed_ms`` is when the last read that confirmed the view was sent.
+    Only the machine that keeps a field may change it.
+    """
+
+    settings: Settings
+    view: ConfigView = ConfigView()
+    view_confirmed_ms: int = 0
+    workers: dict[str, Worker] = Factory(dict)
+    call_ids: itertools.count = Factory(lambda: itertools.count(1))
+
+    def next_call(self) -> int:
+        """Return a call id that this daemon has not used."""
+        return next(self.call_ids)
+
+    def view_is_fresh(self, now_ms: int) -> bool:
+        """Tell whether the view was confirmed recently enough to start tasks."""
+        return now_ms - self.view_confirmed_ms < self.settings.config.staleness_ms
--- /dev/null
+++ b/poplarlb/coordination/node.py
@@ -0,0 +1,301 @@
+"""The machine of a whole daemon: routes events to parts and calls to owners."""
+
+import collections
+import itertools
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.admission import Admission
+from poplarlb.coordination.budget import CallBudget
+from poplarlb.coordination.config import ConfigKeeper
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.effects import SendShard
+from poplarlb.coordination.journal import Journal
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import Ownership, ShardAcquired, ShardLost
+from poplarlb.coordination.router import choose_shard
+from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.protocol import api, messages, ports
+from poplarlb.settings import Settings
+from poplarlb.state.models import Reason
+
+FORWARD_TIMEOUT_MS = 5_000
+
+
+@frozen
+class _Forwarding:
+    """A call that another daemon answers for us."""
+
+    call_id: int
+    body: api.ApiBody
+    expires_ms: int
+
+
+@frozen
+class _ForwardedCall:
+    """A call that we answer for another daemon."""
+
+    member_id: str
+    their_call_id: int
+
+
+@define
+class Node:
+    """All state machines of one daemon behind one ``handle``."""
+
+    settings: Settings
+    own: Member
+    context: NodeContext = None
+    shards: ShardMap = None
+    membership: Membership = None
+    ownership: Ownership = None
+    config: ConfigKeeper = None
+    budget: CallBudget = None
+    hosts: dict[str, ShardHost] = Factory(dict)
+    delayed_calls: collections.deque[ports.StoreCall] = Factory(collections.deque)
+    forwarding: dict[int, _Forwarding] = Factory(dict)
+    forwarded: dict[int, _ForwardedCall] = Factory(dict)
+    next_hosts_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts."""
+        self.context = NodeContext(self.settings)
+        self.shards = ShardMap.from_settings(self.settings.shards)
+        self.membership = Membership(self.context, self.own)
+        self.ownership = Ownership(self.context, self.membership, self.shards)
+        self.config = ConfigKeeper(self.context)
+        self.budget = CallBudget(self.settings.store)
+
+    def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
+        """Take one event and return the commands to carry out."""
+        outputs = []
+        match event:
+            case ports.Tick():
+                outputs = self._tick(event, now_ms)
+            case ports.StoreReplied():
+                outputs = [
+                    *self.config.handle(event, now_ms),
+                    *self.membership.handle(event, now_ms),
+                    *self.ownership.handle(event, now_ms),
+                    *self._to_hosts(event, now_ms),
+                ]
+            case ports.WorkerReplied():
+                outputs = self._to_hosts(event, now_ms)
+            case ports.HostsListed(workers=workers):
+                self.context.workers = {item.worker_id: item for item in workers}
+            case ports.ApiRequested():
+                outputs = self._route(event, now_ms)
+            case ports.PeerReceived():
+                outputs = self._take_peer(event, now_ms)
+            case ports.ShutdownRequested():
+                outputs = [ports.Stopped()]
+        return self._resolve(outputs, now_ms)
+
+    def _tick(self, event: ports.Tick, now_ms: int) -> list:
+        outputs = [
+            *self.config.handle(event, now_ms),
+            *self.membership.handle(event, now_ms, self._own_summaries()),
+            *self.ownership.handle(event, now_ms),
+            *self._to_hosts(event, now_ms),
+            *self._expire_forwarding(now_ms),
+        ]
+        if now_ms >= self.next_hosts_ms:
+            self.next_hosts_ms = now_ms + self.settings.platform.hosts_period_ms
+            outputs.append(ports.ReadHosts())
+        delayed = list(self.delayed_calls)
+        self.delayed_calls.clear()
+        return [*delayed, *outputs]
+
+    def _to_hosts(self, event: ports.Event, now_ms: int) -> list:
+        return [
+            output
+            for host in self.hosts.values()
+            for output in host.handle(event, now_ms)
+        ]
+
+    def _resolve(self, outputs: list, now_ms: int) -> list[ports.Command]:
+        commands: list[ports.Command] = []
+        pending = collections.deque(outputs)
+        while pending:
+            output = pending.popleft()
+            match output:
+                case ShardAcquired():
+                    self._open_shard(output)
+                case ShardLost(shard=shard):
+                    self.hosts.pop(shard, None)
+                case SendShard(message=message):
+                    pending.extend(self._send_shard(message, now_ms))
+                case ports.StoreCall():
+                    commands.extend(self._spend(output, now_ms))
+                case ports.ApiAnswer():
+                    commands.extend(self._return_answer(output))
+                case _:
+                    commands.append(output)
+        return commands
+
+    def _spend(self, call: ports.StoreCall, now_ms: int) -> list[ports.Command]:
+        if self.budget.take(now_ms):
+            return [call]
+        self.delayed_calls.append(call)
+        return []
+
+    def _open_shard(self, acquired: ShardAcquired) -> None:
+        record = acquired.record
+        writer = f"{self.own.member_id}/{self.own.incarnation}"
+        journal = Journal(self.context, record.shard, writer, record.epoch)
+        self.hosts[record.shard] = ShardHost(
+            self.context,
+            self.shards,
+            record.shard,
+            record.epoch,
+            journal,
+            Admission(self.context, record.shard, record.epoch),
+        )
+
+    def _own_summaries(self) -> tuple[messages.ShardSummary, ...]:
+        found = (host.summary() for host in self.hosts.values())
+        return tuple(summary for summary in found if summary is not None)
+
+    def summaries(self) -> list[messages.ShardSummary]:
+        """Return the newest summary of each shard, our own included."""
+        heard = (
+            peer.heartbeat.summaries
+            for peer in self.membership.peers.values()
+            if peer.heartbeat is not None
+        )
+        return [*self._own_summaries(), *itertools.chain.from_iterable(heard)]
+
+    # --- calls and their owners ---------------------------------------------------
+
+    def _route(self, event: ports.ApiRequested, now_ms: int) -> list:
+        match event.body:
+            case api.ShowConfig() | api.ApplyTemplates() | api.SetZone():
+                return self.config.handle(event, now_ms)
+            case api.ShowStatus():
+                return [ports.ApiAnswer(event.call_id, self._status(now_ms))]
+        shard = self._shard_for(event.body)
+        return self._to_owner(event, shard, now_ms)
+
+    def _shard_for(self, body: api.ApiBody) -> str:
+        match body:
+            case api.SubmitTask(spec=spec):
+                return self.shards.home_of_task(spec.key)
+            case api.ShowTask(key=key) | api.CancelTask(key=key):
+                return self.shards.home_of_task(key)
+            case api.BeginKey() | api.FinishKey():
+                return self.shards.home_of_key(body.team, body.service, body.key)
+            case api.ListTasks(shard=shard) | api.Explain(shard=shard):
+                return shard
+            case api.FinishRequest(shard=shard):
+                return shard
+            case api.AdmitRequest(team=team, service=service):
+                return choose_shard(team, service, self.summaries())
+        return ""
+
+    def _to_owner(self, event: ports.ApiRequested, shard: str, now_ms: int) -> list:
+        if shard in self.hosts:
+            return self.hosts[shard].handle(event, now_ms)
+        record = self.ownership.owner_of(shard)
+        address = self.membership.address_of(record.owner) if record else ""
+        if not address:
+            fault = api.Fault("not_run", Reason.NO_OWNER, retry_after_ms=1_000)
+            return [ports.ApiAnswer(event.call_id, fault)]
+        call_id = self.context.next_call()
+        expires_ms = now_ms + FORWARD_TIMEOUT_MS
+        self.forwarding[call_id] = _Forwarding(event.call_id, event.body, expires_ms)
+        message = messages.Forward(call_id, shard, event.body)
+        return [ports.SendPeer(record.owner, address, message)]
+
+    def _expire_forwarding(self, now_ms: int) -> list:
+        expired = [
+            call_id
+            for call_id, item in self.forwarding.items()
+            if now_ms >= item.expires_ms
+        ]
+        fault = api.Fault("outcome_unknown", Reason.NO_OWNER, "the owner is silent")
+        return [
+            ports.ApiAnswer(self.forwarding.pop(call_id).call_id, fault)
+            for call_id in expired
+        ]
+
+    def _return_answer(self, answer: ports.ApiAnswer) -> list[ports.Command]:
+        origin = self.forwarded.pop(answer.call_id, None)
+        if origin is None:
+            return [answer]
+        address = self.membership.address_of(origin.member_id)
+        message = messages.Forwarded(origin.their_call_id, answer.result)
+        return [ports.SendPeer(origin.member_id, address, message)]
+
+    def _send_shard(self, message: messages.ShardMessage, now_ms: int) -> list:
+        if message.recipient in self.hosts:
+            event = ports.PeerReceived(self.own.member_id, message)
+            return self.hosts[message.recipient].handle(event, now_ms)
+        record = self.ownership.owner_of(message.recipient)
+        address = self.membership.address_of(record.owner) if record else ""
+        if not address:
+            return []
+        return [ports.SendPeer(record.owner, address, message)]
+
+    def _take_peer(self, event: ports.PeerReceived, now_ms: int) -> list:
+        match event.message:
+            case messages.Heartbeat():
+                return self.membership.handle(event, now_ms)
+            case messages.ShardMessage(recipient=shard) if shard in self.hosts:
+                return self.hosts[shard].handle(event, now_ms)
+            case messages.Forward(call_id=their_call, shard=shard, body=body):
+                return self._take_forward(event.sender, their_call, shard, body, now_ms)
+            case messages.Forwarded(call_id=call_id, result=result):
+                item = self.forwarding.pop(call_id, None)
+                return [ports.ApiAnswer(item.call_id, result)] if item else []
+        return []
+
+    def _take_forward(
+        self,
+        sender: str,
+        their_call: int,
+        shard: str,
+        body: api.ApiBody,
+        now_ms: int,
+    ) -> list:
+        call_id = self.context.next_call()
+        self.forwarded[call_id] = _ForwardedCall(sender, their_call)
+        if shard not in self.hosts:
+            fault = api.Fault("not_run", Reason.NO_OWNER, retry_after_ms=1_000)
+            return [ports.ApiAnswer(call_id, fault)]
+        return self.hosts[shard].handle(ports.ApiRequested(call_id, body), now_ms)
+
+    def _status(self, now_ms: int) -> api.Status:
+        members = [
+            api.MemberStatus(
+                peer.member.member_id,
+                peer.member.zone,
+                peer.member.api_address,
+                self.membership.answers(peer.member.member_id, now_ms),
+                peer.heartbeat.view_version if peer.heartbeat else 0,
+                now_ms - peer.heard_ms,
+            )
+            for peer in self.membership.peers.values()
+        ]
+        shards = [
+            api.ShardStatus(
+                shard,
+                record.owner if record else "",
+                record.epoch if record else 0,
+                "open" if self._is_open(shard) else "elsewhere",
+            )
+            for shard, record in (
+                (shard, self.ownership.owner_of(shard)) for shard in self.shards.shards
+            )
+        ]
+        return api.Status(
+            self.own.member_id,
+            self.context.view.version,
+            now_ms - self.context.view_confirmed_ms,
+            tuple(members),
+            tuple(shards),
+            tuple((e.zone, e.state.value) for e in self.context.view.zones),
+        )
+
+    def _is_open(self, shard: str) -> bool:
+        return shard in self.hosts and self.hosts[shard].open
--- /dev/null
+++ b/poplarlb/daemon.py
@@ -0,0 +1,57 @@
+"""``poplarlbd``: one daemon of the system."""
+
+import argparse
+import asyncio
+import signal
+import sys
+import threading
+
+from loguru import logger
+
+from poplarlb.exceptions import SettingsError
+from poplarlb.settings import Settings, load_settings
+from poplarlb.transport.callers import CallerServer
+from poplarlb.transport.runtime import Runtime
+
+EXIT_BAD_SETTINGS = 2
+
+
+def main() -> None:
+    """Read the settings and run until told to stop."""
+    parser = argparse.ArgumentParser("poplarlbd", description=__doc__)
+    parser.add_argument("--config", required=True, metavar="FILE.toml")
+    parser.add_argument("--check", action="store_true", help="only check the file")
+    arguments = parser.parse_args()
+    try:
+        settings = load_settings(arguments.config)
+    except SettingsError as error:
+        print(error.detail, file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    if arguments.check:
+        print("the settings are good")
+        return
+    run(settings)
+
+
+def run(settings: Settings) -> None:
+    """Run one daemon until its graceful shutdown has ended."""
+    logger.remove()
+    logger.add(sys.stderr, level=settings.logs.level, serialize=settings.logs.json)
+    runtime = Runtime(settings)
+    server = CallerServer(runtime)
+    thread = threading.Thread(target=server.serve, daemon=True)
+    thread.start()
+    logger.info("member {} serves on {}", settings.member_id, server.address)
+    asyncio.run(_run_until_signal(runtime, server))
+    server.stop()
+
+
+async def _run_until_signal(runtime: Runtime, server: CallerServer) -> None:
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, runtime.shut_down)
+    await runtime.run(server.address)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/poplarlb/exceptions.py
@@ -0,0 +1,92 @@
+"""The exceptions of poplarlb, each with a stable code and an HTTP status."""
+
+
+class PoplarlbError(Exception):
+    """The root of all errors that poplarlb raises on purpose.
+
+    :param detail: what went wrong, for a person.
+    """
+
+    code = "internal"
+    http_status = 500
+
+    def __init__(self, detail: str = "") -> None:
+        """Keep the detail beside the class's code."""
+        super().__init__(detail)
+        self.detail = detail
+
+
+class SettingsError(PoplarlbError):
+    """The settings file has faults; ``detail`` lists every one."""
+
+    code = "bad_settings"
+
+
+class BadRequestError(PoplarlbError):
+    """A caller's or operator's input is malformed."""
+
+    code = "bad_request"
+    http_status = 400
+
+
+class TooLargeError(PoplarlbError):
+    """A body, header or list is over its limit."""
+
+    code = "too_large"
+    http_status = 413
+
+
+class UnauthorizedError(PoplarlbError):
+    """The shared secret is missing or wrong."""
+
+    code = "unauthorized"
+    http_status = 401
+
+
+class NotFoundError(PoplarlbError):
+    """No such job, template, service or worker."""
+
+    code = "not_found"
+    http_status = 404
+
+
+class ConflictError(PoplarlbError):
+    """Another change won, or an id is in use for something else."""
+
+    code = "conflict"
+    http_status = 409
+
+
+class NotRunError(PoplarlbError):
+    """The work was refused and certainly has not run; it may be sent again."""
+
+    code = "not_run"
+    http_status = 503
+
+
+class OutcomeUnknownError(PoplarlbError):
+    """The work may or may not have run; it must not be repeated blindly."""
+
+    code = "outcome_unknown"
+    http_status = 502
+
+
+class ProtocolError(PoplarlbError):
+    """A message between daemons is malformed, too old or misdirected."""
+
+    code = "bad_message"
+    http_status = 400
+
+
+class StoreUnavailableError(PoplarlbError):
+    """The platform's store did not answer; the effect of a write is unknown."""
+
+    code = "store_unavailable"
+    http_status = 503
+
+
+class WorkerUnreachableError(PoplarlbError):
+    """A worker did not answer; the effect of the call is unknown."""
+
+    code = "worker_unreachable"
+    http_status = 503
--- /dev/null
+++ b/poplarlb/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol: typed messages between daemons, events, commands and codecs."""
--- /dev/null
+++ b/poplarlb/protocol/codec.py
@@ -0,0 +1,70 @@
+"""CBOR codec for every attrs class that crosses a socket or enters the store.
+
+Unions are tagged with the class's name under ``_type``.
+"""
+
+import typing
+
+import cattrs
+import cbor2
+from cattrs.strategies import configure_tagged_union
+
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import api, messages, ports
+
+TYPE_TAG = "_type"
+MAX_MESSAGE_BYTES = 1 << 20
+
+_UNIONS = (
+    api.ApiBody,
+    api.ApiResult,
+    messages.ShardBody,
+    messages.PeerMessage,
+    ports.WorkerOperation,
+)
+
+
+def make_converter(unions: tuple = _UNIONS) -> cattrs.Converter:
+    """Return a converter that knows the given unions of attrs classes."""
+    converter = cattrs.Converter(forbid_extra_keys=True)
+    for pass_through in (bytes, int, float, str, bool):
+        converter.register_structure_hook(pass_through, _make_checker(pass_through))
+    for union in unions:
+        configure_tagged_union(union, converter, tag_name=TYPE_TAG)
+    return converter
+
+
+def _make_checker(expected: type) -> typing.Callable:
+    accepted = (int, float) if expected is float else expected
+
+    def check(value: object, _: type) -> object:
+        if isinstance(value, bool) and expected is not bool:
+            raise TypeError(f"expected {expected.__name__}, not bool")
+        if not isinstance(value, accepted):
+            found = type(value).__name__
+            raise TypeError(f"expected {expected.__name__}, not {found}")
+        return value
+
+    return check
+
+
+_CONVERTER = make_converter()
+
+
+def encode(value: object, kind: object, converter: cattrs.Converter = _CONVERTER):
+    """Return the CBOR bytes of ``value``, an instance of ``kind``."""
+    return cbor2.dumps(converter.unstructure(value, kind))
+
+
+def decode(data: bytes, kind: object, converter: cattrs.Converter = _CONVERTER):
+    """Return the instance of ``kind`` that the CBOR bytes describe.
+
+    :raises ProtocolError: if the bytes are too many, cut short or describe
+        anything else.
+    """
+    if len(data) > MAX_MESSAGE_BYTES:
+        raise ProtocolError(f"{len(data)} bytes, at most {MAX_MESSAGE_BYTES} allowed")
+    try:
+        return converter.structure(cbor2.loads(data), kind)
+    except Exception as error:
+        raise ProtocolError(f"not a {kind}: {error}") from error
--- /dev/null
+++ b/poplarlb/settings.py
@@ -0,0 +1,250 @@
+"""The daemon's settings: read from TOML and checked whole."""
+
+import tomllib
+import typing
+
+import attrs
+from attrs import field, frozen
+
+from poplarlb.exceptions import SettingsError
+
+
+def _between(low: float, high: float) -> typing.Callable:
+    def check(instance: object, attribute: attrs.Attribute, value: float) -> None:
+        if not low <= value <= high:
+            raise ValueError(f"must be between {low} and {high}")
+
+    return check
+
+
+@frozen
+class StoreSettings:
+    """How to reach the platform's store, and this daemon's share of its rates."""
+
+    address: str = "127.0.0.1:2379"
+    prefix: str = "poplarlb/"
+    timeout_ms: int = field(default=2_000, validator=_between(50, 60_000))
+    calls_per_s: float = field(default=25.0, validator=_between(1, 2_000))
+    burst_calls: int = field(default=50, validator=_between(1, 4_000))
+
+
+@frozen
+class PlatformSettings:
+    """How to read the platform's list of hosts."""
+
+    hosts_address: str = "127.0.0.1:2380"
+    hosts_period_ms: int = field(default=1_000, validator=_between(100, 60_000))
+    worker_timeout_ms: int = field(default=3_000, validator=_between(50, 60_000))
+
+
+@frozen
+class MemberSettings:
+    """Membership and shard ownership."""
+
+    lease_s: int = field(default=6, validator=_between(2, 60))
+    heartbeat_ms: int = field(default=500, validator=_between(50, 10_000))
+    suspect_after_ms: int = field(default=2_500, validator=_between(100, 60_000))
+    registration_grace_ms: int = field(default=4_000, validator=_between(0, 60_000))
+    orphan_horizon_ms: int = field(
+        default=1_800_000, validator=_between(10_000, 7_200_000)
+    )
+
+
+@frozen
+class ShardSettings:
+    """The division of the deployment into shards; fixed for its life."""
+
+    zones: tuple[str, ...] = ()
+    shards_per_zone: int = field(default=1, validator=_between(1, 64))
+
+
+@frozen
+class JournalSettings:
+    """Group commit, ring and snapshots of a shard's journal."""
+
+    commit_period_ms: int = field(default=100, validator=_between(1, 5_000))
+    ring_slots: int = field(default=64, validator=_between(4, 4_096))
+    snapshot_every: int = field(default=32, validator=_between(1, 4_096))
+    snapshot_part_bytes: int = field(
+        default=400_000, validator=_between(1_000, 512_000)
+    )
+    entry_limit_bytes: int = field(default=400_000, validator=_between(1_000, 512_000))
+
+
+@frozen
+class TaskSettings:
+    """Leases, starts, and what is kept of ended tasks."""
+
+    lease_ms: int = field(default=30_000, validator=_between(500, 600_000))
+    renew_period_ms: int = field(default=10_000, validator=_between(100, 300_000))
+    clock_margin_ms: int = field(default=500, validator=_between(0, 10_000))
+    start_window_ms: int = field(default=2_000, validator=_between(100, 60_000))
+    retention_ms: int = field(default=86_400_000, validator=_between(0, 2_592_000_000))
+    ended_limit: int = field(default=2_000, validator=_between(0, 1_000_000))
+    queue_limit: int = field(default=20_000, validator=_between(1, 1_000_000))
+    decisions_kept: int = field(default=2_000, validator=_between(10, 100_000))
+    failures_allowed: int = field(default=3, validator=_between(1, 100))
+
+
+@frozen
+class ConfigSettings:
+    """How fresh the configuration must be."""
+
+    poll_period_ms: int = field(default=500, validator=_between(50, 10_000))
+    staleness_ms: int = field(default=2_000, validator=_between(200, 60_000))
+
+
+@frozen
+class PolicySettings:
+    """Placement, relief of breached services, and bad workers."""
+
+    eviction_budget_per_min: int = field(default=6, validator=_between(0, 1_000))
+    worker_cooldown_ms: int = field(default=30_000, validator=_between(0, 600_000))
+    quarantine_failures: int = field(default=3, validator=_between(1, 100))
+    quarantine_ms: int = field(default=60_000, validator=_between(100, 3_600_000))
+    harm_half_life_ms: int = field(
+        default=600_000, validator=_between(1_000, 86_400_000)
+    )
+
+
+@frozen
+class RequestSettings:
+    """Requests to services: limits, timeouts and retries."""
+
+    default_timeout_ms: int = field(default=10_000, validator=_between(10, 600_000))
+    body_limit_bytes: int = field(default=8 << 20, validator=_between(1_024, 1 << 30))
+    retry_share: float = field(default=0.1, validator=_between(0, 1))
+    key_body_limit_bytes: int = field(default=65_536, validator=_between(0, 1_000_000))
+
+
+@frozen
+class ApiSettings:
+    """The HTTP doors for callers and for operators."""
+
+    listen: str = "127.0.0.1:0"
+    operator_listen: str = ""
+    operator_secret: str = field(default="", repr=False)
+    threads: int = field(default=32, validator=_between(1, 512))
+    header_limit_bytes: int = field(default=65_536, validator=_between(1_024, 1 << 20))
+    requests_per_s: float = field(default=2_000, validator=_between(1, 1_000_000))
+    tls_certificate: str = ""
+    tls_key: str = ""
+
+
+@frozen
+class PeerSettings:
+    """The door for other daemons."""
+
+    listen: str = "127.0.0.1:0"
+    secret: str = field(default="", repr=False)
+    tls_certificate: str = ""
+    tls_key: str = ""
+    tls_authority: str = ""
+
+
+@frozen
+class LogSettings:
+    """Structured logs."""
+
+    level: str = "INFO"
+    json: bool = False
+
+
+@frozen
+class Settings:
+    """Everything that a daemon is told by its operators."""
+
+    member_id: str
+    zone: str
+    store: StoreSettings = StoreSettings()
+    platform: PlatformSettings = PlatformSettings()
+    members: MemberSettings = MemberSettings()
+    shards: ShardSettings = ShardSettings()
+    journal: JournalSettings = JournalSettings()
+    tasks: TaskSettings = TaskSettings()
+    config: ConfigSettings = ConfigSettings()
+    policy: PolicySettings = PolicySettings()
+    requests: RequestSettings = RequestSettings()
+    api: ApiSettings = ApiSettings()
+    peers: PeerSettings = PeerSettings()
+    logs: LogSettings = LogSettings()
+    tick_ms: int = field(default=50, validator=_between(5, 5_000))
+
+
+def load_settings(path: str) -> Settings:
+    """Return the settings in a TOML file.
+
+    :raises SettingsError: listing every fault of the file at once.
+    """
+    try:
+        with open(path, "rb") as file:
+            table = tomllib.load(file)
+    except OSError as error:
+        raise SettingsError(f"{path}: {error.strerror}") from error
+    except tomllib.TOMLDecodeError as error:
+        raise SettingsError(f"{path}: {error}") from error
+    return parse_settings(table)
+
+
+def parse_settings(table: dict) -> Settings:
+    """Return the settings in a parsed TOML table.
+
+    :raises SettingsError: listing every fault of the table at once.
+    """
+    faults: list[str] = []
+    settings = _build(Settings, table, "", faults)
+    if faults:
+        raise SettingsError("\n".join(faults))
+    return settings
+
+
+def _build(kind: type, table: dict, path: str, faults: list[str]) -> object:
+    fields = {item.name: item for item in attrs.fields(kind)}
+    for name in table.keys() - fields.keys():
+        allowed = ", ".join(sorted(fields))
+        faults.append(f"{path}{name}: unknown key; allowed: {allowed}")
+    values = {}
+    for name, item in fields.items():
+        if name in table:
+            _take(item, table[name], f"{path}{name}", values, faults)
+        elif item.default is attrs.NOTHING:
+            faults.append(f"{path}{name}: missing; required")
+    if faults:
+        return None
+    return kind(**values)
+
+
+def _take(
+    item: attrs.Attribute, value: object, path: str, values: dict, faults: list[str]
+) -> None:
+    if attrs.has(item.type):
+        if not isinstance(value, dict):
+            faults.append(f"{path} = {value!r}: must be a table")
+            return
+        values[item.name] = _build(item.type, value, f"{path}.", faults)
+        return
+    problem = _convert(item, value, values)
+    if problem:
+        shown = "(hidden)" if "secret" in path else repr(value)
+        faults.append(f"{path} = {shown}: {problem}")
+
+
+def _convert(item: attrs.Attribute, value: object, values: dict) -> str:
+    expected = item.type
+    if expected == tuple[str, ...]:
+        if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
+            return "must be a list of strings"
+        values[item.name] = tuple(value)
+        return ""
+    accepted = (int, float) if expected is float else expected
+    if not isinstance(value, accepted) or (
+        isinstance(value, bool) and expected is not bool
+    ):
+        return f"must be of type {expected.__name__}"
+    if item.validator is not None:
+        try:
+            item.validator(None, item, value)
+        except ValueError as error:
+            return str(error)
+    values[item.name] = value
+    return ""
--- /dev/null
+++ b/poplarlb/state/templates.py
@@ -0,0 +1,79 @@
+"""Effective configuration: what templates say once parameters are filled in."""
+
+from attrs import frozen
+
+from poplarlb.state.models import Resources, WorkClass, ZoneState
+
+
+@frozen
+class ServiceTemplate:
+    """A latency-critical service that a team protects."""
+
+    name: str
+    replicas: int
+    size: Resources
+    target_ms: int = 100
+    weight: float = 1.0
+    idempotent: bool = True
+    key_window_ms: int = 600_000
+    queue_limit: int = 256
+    durability: str = "two-daemons"
+
+
+@frozen
+class BatchTemplate:
+    """Defaults and limits for one kind of batch work of a team."""
+
+    name: str
+    work_class: WorkClass
+    size: Resources
+    run_time_ms: int = 60_000
+    max_wait_ms: int = 86_400_000
+    checkpointable: bool = True
+
+
+@frozen
+class TeamTemplate:
+    """All that operators configured for one team."""
+
+    team: str
+    zones: tuple[str, ...]
+    quota: Resources
+    weight: float = 1.0
+    services: tuple[ServiceTemplate, ...] = ()
+    batch: tuple[BatchTemplate, ...] = ()
+
+
+@frozen
+class ZoneEntry:
+    """The state of one availability zone and who set it."""
+
+    zone: str
+    state: ZoneState
+    changed_ms: int = 0
+    changed_by: str = ""
+
+
+@frozen
+class ConfigView:
+    """The whole effective configuration at one version; versions only grow."""
+
+    version: int = 0
+    teams: tuple[TeamTemplate, ...] = ()
+    zones: tuple[ZoneEntry, ...] = ()
+
+    def team(self, name: str) -> TeamTemplate | None:
+        """Return the team's template, or ``None``."""
+        return next((item for item in self.teams if item.team == name), None)
+
+    def service(self, team: str, name: str) -> ServiceTemplate | None:
+        """Return one service's template, or ``None``."""
+        found = self.team(team)
+        if found is None:
+            return None
+        return next((item for item in found.services if item.name == name), None)
+
+    def zone_allows_starts(self, zone: str) -> bool:
+        """Tell whether operators allow starts in the zone."""
+        state = next((e.state for e in self.zones if e.zone == zone), ZoneState.IN)
+        return state is ZoneState.IN
--- /dev/null
+++ b/poplarlb/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Transport: sockets towards callers, operators, daemons and the platform."""
--- /dev/null
+++ b/poplarlb/transport/peers.py
@@ -0,0 +1,144 @@
+"""Connections between daemons: websockets that carry CBOR messages."""
+
+import asyncio
+import collections
+import hmac
+from collections.abc import Callable
+
+import websockets
+from loguru import logger
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import codec
+from poplarlb.protocol.messages import PeerMessage
+from poplarlb.settings import PeerSettings
+
+PROTOCOL_VERSION = "poplarlb.1"
+SECRET_HEADER = "Poplarlb-Secret"
+MEMBER_HEADER = "Poplarlb-Member"
+QUEUE_LIMIT = 2_000
+RECONNECT_DELAY_S = 0.5
+
+
+class PeerTransport:
+    """Sends messages to other daemons and receives theirs.
+
+    A message is dropped if its connection is down or its queue full; senders
+    repeat what matters.
+
+    :param settings: listening address and shared secret.
+    :param member_id: this daemon's name.
+    :param receive: called with the sender's id and a message.
+    """
+
+    def __init__(
+        self,
+        settings: PeerSettings,
+        member_id: str,
+        receive: Callable[[str, PeerMessage], None],
+    ) -> None:
+        """Prepare; nothing is opened yet."""
+        self.settings = settings
+        self.member_id = member_id
+        self.receive = receive
+        self.queues: dict[str, asyncio.Queue[bytes]] = {}
+        self.senders: dict[str, asyncio.Task] = {}
+        self.rejected: collections.Counter[str] = collections.Counter()
+        self.sent_bytes = 0
+        self.server = None
+
+    async def start(self) -> str:
+        """Listen, and return the address that was bound."""
+        host, _, port = self.settings.listen.rpartition(":")
+        self.server = await serve(
+            self._accept,
+            host,
+            int(port),
+            max_size=codec.MAX_MESSAGE_BYTES,
+            subprotocols=[PROTOCOL_VERSION],
+            compression=None,
+        )
+        bound = self.server.sockets[0].getsockname()
+        return f"{bound[0]}:{bound[1]}"
+
+    async def stop(self) -> None:
+        """Close all connections."""
+        for task in self.senders.values():
+            task.cancel()
+        if self.server is not None:
+            self.server.close()
+
+    def send(self, address: str, message: PeerMessage) -> bool:
+        """Queue a message; tells whether there was room for it."""
+        if address not in self.queues:
+            self.queues[address] = asyncio.Queue(QUEUE_LIMIT)
+            self.senders[address] = asyncio.create_task(self._run_sender(address))
+        data = codec.encode(message, PeerMessage)
+        try:
+            self.queues[address].put_nowait(data)
+        except asyncio.QueueFull:
+            return False
+        self.sent_bytes += len(data)
+        return True
+
+    def forget(self, addresses: set[str]) -> None:
+        """Drop the connections to addresses that no member has any more."""
+        for address in addresses & self.senders.keys():
+            self.senders.pop(address).cancel()
+            del self.queues[address]
+
+    async def _run_sender(self, address: str) -> None:
+        headers = {
+            SECRET_HEADER: self.settings.secret,
+            MEMBER_HEADER: self.member_id,
+        }
+        queue = self.queues[address]
+        while True:
+            try:
+                async with connect(
+                    f"ws://{address}",
+                    subprotocols=[PROTOCOL_VERSION],
+                    additional_headers=headers,
+                    max_size=codec.MAX_MESSAGE_BYTES,
+                    compression=None,
+                    proxy=None,
+                ) as socket:
+                    while True:
+                        await socket.send(await queue.get())
+            except (OSError, websockets.WebSocketException, TimeoutError):
+                _empty(queue)
+                await asyncio.sleep(RECONNECT_DELAY_S)
+
+    async def _accept(self, socket: ServerConnection) -> None:
+        sender = socket.request.headers.get(MEMBER_HEADER, "")
+        secret = socket.request.headers.get(SECRET_HEADER, "")
+        if not sender or not _same_secret(secret, self.settings.secret):
+            self.rejected["unauthorized"] += 1
+            await socket.close(1008, "unauthorized")
+            return
+        try:
+            async for data in socket:
+                self._take(sender, data)
+        except websockets.WebSocketException as error:
+            logger.debug("connection from {} ended: {}", sender, error)
+
+    def _take(self, sender: str, data: bytes | str) -> None:
+        try:
+            if isinstance(data, str):
+                raise ProtocolError("a text frame")
+            message = codec.decode(data, PeerMessage)
+        except ProtocolError:
+            self.rejected["bad_message"] += 1
+            return
+        self.receive(sender, message)
+
+
+def _same_secret(given: str, expected: str) -> bool:
+    return hmac.compare_digest(given.encode(), expected.encode())
+
+
+def _empty(queue: asyncio.Queue[bytes]) -> None:
+    while not queue.empty():
+        queue.get_nowait()
--- /dev/null
+++ b/poplarlb/transport/platform.py
@@ -0,0 +1,67 @@
+"""The platform's host list and its workers' agents, over HTTP with CBOR."""
+
+import json
+
+import urllib3
+
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import codec, ports
+from poplarlb.settings import PlatformSettings
+from poplarlb.state.models import HostState, Resources, Worker
+
+
+class PlatformAdapter:
+    """Reads the host list and calls workers, blocking the calling thread.
+
+    :param settings: addresses, periods and timeouts.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        """Open a connection pool that keeps one connection to each worker."""
+        self.settings = settings
+        self.pool = urllib3.PoolManager(num_pools=2_000, maxsize=4, retries=False)
+
+    def read_hosts(self) -> ports.HostsListed | None:
+        """Return the host list, or ``None`` if it can't be read."""
+        url = f"http://{self.settings.hosts_address}/v1/hosts"
+        timeout_s = self.settings.worker_timeout_ms / 1000
+        try:
+            response = self.pool.request("GET", url, timeout=timeout_s)
+            if response.status != 200:
+                return None
+            items = json.loads(response.data)["hosts"]
+            return ports.HostsListed(tuple(_parse_host(item) for item in items))
+        except (urllib3.exceptions.HTTPError, KeyError, ValueError, TypeError):
+            return None
+
+    def call_worker(
+        self, address: str, batch: ports.WorkerBatch
+    ) -> ports.WorkerAnswer | ports.WorkerFailed:
+        """Send a batch; a missing answer is a ``WorkerFailed``."""
+        try:
+            response = self.pool.request(
+                "POST",
+                f"http://{address}/v1/batch",
+                body=codec.encode(batch, ports.WorkerBatch),
+                headers={"Content-Type": "application/cbor"},
+                timeout=self.settings.worker_timeout_ms / 1000,
+            )
+            if response.status != 200:
+                return ports.WorkerFailed(f"status {response.status}")
+            return codec.decode(response.data, ports.WorkerAnswer)
+        except (urllib3.exceptions.HTTPError, ProtocolError) as error:
+            return ports.WorkerFailed(f"{type(error).__name__}: {error}")
+
+
+def _parse_host(item: dict) -> Worker:
+    size = Resources(item["cpu_millis"], item["memory_mb"], item["accelerators"])
+    return Worker(
+        item["id"],
+        item["zone"],
+        item["rack"],
+        item["address"],
+        size,
+        item["slots"],
+        item["connections"],
+        HostState(item["state"]),
+    )
--- /dev/null
+++ b/poplarlb/transport/runtime.py
@@ -0,0 +1,155 @@
+"""Runs a daemon's machine on one asyncio loop and carries out its commands."""
+
+import asyncio
+import concurrent.futures
+import threading
+import time
+
+from loguru import logger
+
+from poplarlb.coordination.node import Node
+from poplarlb.coordination.sharding import Member
+from poplarlb.exceptions import NotRunError, OutcomeUnknownError
+from poplarlb.protocol import api, ports
+from poplarlb.settings import Settings
+from poplarlb.transport.peers import PeerTransport
+from poplarlb.transport.platform import PlatformAdapter
+from poplarlb.transport.store import StoreAdapter
+
+STORE_THREADS = 8
+WORKER_THREADS = 16
+ANSWER_TIMEOUT_S = 30.0
+
+
+def now_ms() -> int:
+    """Return the present instant in UTC milliseconds."""
+    return time.time_ns() // 1_000_000
+
+
+class Runtime:
+    """Owns the loop, the node and the adapters.
+
+    The node is touched by the loop's thread only. Pool threads carry out the
+    blocking calls; CherryPy's threads use ``ask``.
+
+    :param settings: the daemon's settings.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        """Create the adapters; nothing is opened yet."""
+        self.settings = settings
+        self.store = StoreAdapter(settings.store)
+        self.platform = PlatformAdapter(settings.platform)
+        self.store_pool = concurrent.futures.ThreadPoolExecutor(STORE_THREADS)
+        self.worker_pool = concurrent.futures.ThreadPoolExecutor(WORKER_THREADS)
+        self.peers = PeerTransport(settings.peers, settings.member_id, self._on_peer)
+        self.answers: dict[int, concurrent.futures.Future] = {}
+        self.node: Node | None = None
+        self.loop: asyncio.AbstractEventLoop | None = None
+        self.stopped: asyncio.Event | None = None
+        self.started = threading.Event()
+
+    async def run(self, api_address: str) -> None:
+        """Run until the node says that it has stopped."""
+        self.loop = asyncio.get_running_loop()
+        self.stopped = asyncio.Event()
+        peer_address = await self.peers.start()
+        own = Member(
+            self.settings.member_id,
+            self.settings.zone,
+            peer_address,
+            api_address,
+            now_ms(),
+        )
+        self.node = Node(self.settings, own)
+        self.started.set()
+        logger.info("member {} listens for peers on {}", own.member_id, peer_address)
+        ticker = asyncio.create_task(self._tick())
+        await self.stopped.wait()
+        ticker.cancel()
+        await self.peers.stop()
+        self.store_pool.shutdown(wait=False, cancel_futures=True)
+        self.worker_pool.shutdown(wait=False, cancel_futures=True)
+
+    def ask(self, body: api.ApiBody, timeout_s: float = ANSWER_TIMEOUT_S):
+        """Return the node's answer; called from CherryPy's threads.
+
+        :raises NotRunError: if the daemon has not started yet.
+        :raises OutcomeUnknownError: if no answer came in time.
+        """
+        if not self.started.is_set():
+            raise NotRunError("the daemon is starting")
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        self.loop.call_soon_threadsafe(self._begin, body, future)
+        try:
+            return future.result(timeout_s)
+        except concurrent.futures.TimeoutError as error:
+            raise OutcomeUnknownError("no answer in time") from error
+
+    def shut_down(self) -> None:
+        """Begin a graceful shutdown; may be called from any thread."""
+        event = ports.ShutdownRequested()
+        self.loop.call_soon_threadsafe(self.dispatch, event)
+
+    def dispatch(self, event: ports.Event) -> None:
+        """Hand an event to the node and carry out its commands."""
+        try:
+            commands = self.node.handle(event, now_ms())
+        except Exception:
+            logger.exception("an event of type {} failed", type(event).__name__)
+            return
+        for command in commands:
+            self._carry_out(command)
+
+    def _begin(self, body: api.ApiBody, future: concurrent.futures.Future) -> None:
+        call_id = self.node.context.next_call()
+        self.answers[call_id] = future
+        self.dispatch(ports.ApiRequested(call_id, body))
+
+    async def _tick(self) -> None:
+        while True:
+            self.dispatch(ports.Tick())
+            await asyncio.sleep(self.settings.tick_ms / 1000)
+
+    def _on_peer(self, sender: str, message) -> None:
+        self.dispatch(ports.PeerReceived(sender, message))
+
+    def _carry_out(self, command: ports.Command) -> None:
+        match command:
+            case ports.StoreCall():
+                self.store_pool.submit(self._call_store, command)
+            case ports.WorkerCall():
+                self.worker_pool.submit(self._call_worker, command)
+            case ports.SendPeer():
+                if not self.peers.send(command.address, command.message):
+                    self.loop.call_soon(
+                        self.dispatch, ports.PeerLost(command.member_id)
+                    )
+            case ports.ApiAnswer(call_id=call_id, result=result):
+                future = self.answers.pop(call_id, None)
+                if future is not None:
+                    future.set_result(result)
+            case ports.ReadHosts():
+                self.worker_pool.submit(self._read_hosts)
+            case ports.Stopped():
+                self.stopped.set()
+
+    def _call_store(self, call: ports.StoreCall) -> None:
+        result = self.store.execute(call.operation)
+        self._report(ports.StoreReplied(call.call_id, result))
+
+    def _call_worker(self, call: ports.WorkerCall) -> None:
+        result = self.platform.call_worker(call.address, call.batch)
+        self._report(ports.WorkerReplied(call.call_id, call.worker_id, result))
+
+    def _read_hosts(self) -> None:
+        listed = self.platform.read_hosts()
+        if listed is not None:
+            self._report(listed)
+
+    def _report(self, event: ports.Event) -> None:
+        try:
+            self.loop.call_soon_threadsafe(self.dispatch, event)
+        except RuntimeError:
+            # The loop closes while calls are in flight during a shutdown.
+            logger.debug("an answer came after the shutdown")
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""The tests of poplarlb; they mirror the package."""
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, for tests, the demo and benchmarks."""
--- /dev/null
+++ b/tests/standins/http.py
@@ -0,0 +1,80 @@
+"""A small threaded HTTP server for the stand-ins."""
+
+import json
+import threading
+from collections.abc import Callable
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+from attrs import frozen
+
+
+@frozen
+class Answer:
+    """What a stand-in answers; ``drop`` closes the connection without a word."""
+
+    status: int = 200
+    body: bytes = b""
+    content_type: str = "application/json"
+    drop: bool = False
+
+    @classmethod
+    def of(cls, value: object, status: int = 200) -> "Answer":
+        """Return a JSON answer."""
+        return cls(status, json.dumps(value).encode())
+
+
+Handler = Callable[[str, str, bytes, dict[str, str]], Answer]
+
+
+def serve(handler: Handler, host: str = "127.0.0.1", port: int = 0) -> "Server":
+    """Start a server on a thread of its own and return it."""
+    return Server(handler, host, port)
+
+
+class Server:
+    """A running server; ``handler(method, path, body, headers)`` answers."""
+
+    def __init__(self, handler: Handler, host: str, port: int) -> None:
+        """Bind and start."""
+
+        class Requests(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+            disable_nagle_algorithm = True
+
+            def answer(self) -> None:
+                length = int(self.headers.get("Content-Length", 0))
+                body = self.rfile.read(length)
+                headers = {k.lower(): v for k, v in self.headers.items()}
+                result = handler(self.command, self.path, body, headers)
+                if result.drop:
+                    self.close_connection = True
+                    return
+                self.send_response(result.status)
+                self.send_header("Content-Type", result.content_type)
+                self.send_header("Content-Length", str(len(result.body)))
+                self.end_headers()
+                self.wfile.write(result.body)
+
+            do_GET = do_POST = do_PUT = do_DELETE = do_PATCH = answer  # noqa: N815
+            do_HEAD = do_OPTIONS = answer  # noqa: N815
+
+            def log_message(self, *_: object) -> None:
+                pass
+
+        class Threaded(ThreadingHTTPServer):
+            daemon_threads = True
+            request_queue_size = 256
+
+            def handle_error(self, *_: object) -> None:
+                pass
+
+        self.http = Threaded((host, port), Requests)
+        bound = self.http.server_address
+        self.address = f"{bound[0]}:{bound[1]}"
+        self.thread = threading.Thread(target=self.http.serve_forever, daemon=True)
+        self.thread.start()
+
+    def stop(self) -> None:
+        """Stop listening."""
+        self.http.shutdown()
+        self.http.server_close()
--- /dev/null
+++ b/tests/test_daemon.py
@@ -0,0 +1,129 @@
+"""The whole path through real daemons over real sockets."""
+
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import unittest
+
+import urllib3
+
+from poplarlb.state.models import Resources
+from tests.standins.http import serve
+from tests.standins.platform import PlatformStandIn
+from tests.standins.store import StoreStandIn
+
+DAEMON = """
+member_id = "{name}"
+zone = "{zone}"
+[store]
+address = "{store}"
+[platform]
+hosts_address = "{hosts}"
+hosts_period_ms = 200
+[shards]
+zones = ["kochi", "thrissur"]
+[tasks]
+renew_period_ms = 300
+"""
+
+TEAM = {
+    "team": "dairy",
+    "zones": ["kochi", "thrissur"],
+    "quota": {"cpu_millis": 64_000, "memory_mb": 200_000, "accelerators": 0},
+    "services": [
+        {
+            "name": "orders",
+            "replicas": 2,
+            "size": {"cpu_millis": 2_000, "memory_mb": 1_000, "accelerators": 0},
+        }
+    ],
+}
+
+
+class DaemonTest(unittest.TestCase):
+    """A template is applied, a request answered, a job run."""
+
+    def setUp(self) -> None:
+        """Start the stand-ins and two daemons."""
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.store = StoreStandIn()
+        store = serve(self.store.answer)
+        self.addCleanup(store.stop)
+        self.platform = PlatformStandIn()
+        for zone in ("kochi", "thrissur"):
+            for number in range(2):
+                self.platform.add(zone, number, Resources(16_000, 60_000), 6)
+        self.addCleanup(self.platform.stop)
+        hosts = serve(self.platform.answer)
+        self.addCleanup(hosts.stop)
+        self.addresses = [
+            self.start(name, zone, store.address, hosts.address)
+            for name, zone in (("d1", "kochi"), ("d2", "thrissur"))
+        ]
+        self.http = urllib3.PoolManager(retries=False, timeout=20)
+
+    def start(self, name: str, zone: str, store: str, hosts: str) -> str:
+        """Start one daemon and return the address it serves on."""
+        path = pathlib.Path(self.folder.name, f"{name}.toml")
+        path.write_text(DAEMON.format(name=name, zone=zone, store=store, hosts=hosts))
+        log = pathlib.Path(self.folder.name, f"{name}.log")
+        with log.open("w") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", "poplarlb.daemon", "--config", str(path)],
+                stderr=output,
+            )
+        self.addCleanup(self.stop, process)
+        for _ in range(600):
+            for line in log.read_text().splitlines():
+                if "serves on" in line:
+                    return line.split()[-1]
+            time.sleep(0.05)
+        raise AssertionError("the daemon did not start")
+
+    def stop(self, process: subprocess.Popen) -> None:
+        """End a daemon."""
+        process.terminate()
+        process.wait(20)
+
+    def call(self, number: int, method: str, path: str, body: object = None):
+        """Return the status and the JSON answer of one daemon."""
+        data = None if body is None else json.dumps(body)
+        url = f"http://{self.addresses[number]}{path}"
+        answer = self.http.request(method, url, body=data)
+        return answer.status, json.loads(answer.data)
+
+    def wait(self, number: int, method: str, path: str, body: object, good) -> dict:
+        """Repeat a call until its answer is as wanted."""
+        for _ in range(300):
+            status, answer = self.call(number, method, path, body)
+            if good(status, answer):
+                return answer
+            time.sleep(0.1)
+        raise AssertionError(f"{method} {path}: {status} {answer}")
+
+    def test_template_request_and_job(self) -> None:
+        """The thin whole path."""
+        change = {
+            "change_id": "c1",
+            "operator": "asha",
+            "base_version": 0,
+            "teams": [TEAM],
+            "removed": [],
+        }
+        self.wait(0, "POST", "/v1/config", change, lambda s, a: a.get("version") == 1)
+        path = "/v1/services/dairy/orders/confirm"
+        for number in (0, 1):
+            answer = self.wait(number, "POST", path, {}, lambda s, a: s == 200)
+            self.assertEqual(answer["method"], "POST")
+        job = {"size": {"cpu_millis": 1_000, "memory_mb": 100}, "run_time_ms": 300}
+        self.wait(0, "PUT", "/v1/jobs/dairy/s1", job, lambda s, a: s == 200)
+        ended = self.wait(
+            1, "GET", "/v1/jobs/dairy/s1", None, lambda s, a: a.get("phase") == "ended"
+        )
+        self.assertEqual(ended["outcome"], "succeeded")
+        history = [row for row in self.platform._history() if row[2] == "dairy/s1"]
+        self.assertEqual([row[1] for row in history], ["start", "succeeded"])
