Configuration keeper: parts and head, changes settled by reading the head

Cause: a change was one large value, a lost answer stayed unknown, and a race told the loser nothing. Change: one part per team, then the head by compare-and-swap; the head remembers the last 32 changes by id; a daemon without the store takes the highest view of its peers without confirming it; parts that no head names are swept.

--- a/poplarlb/coordination/config.py
+++ b/poplarlb/coordination/config.py
@@ -1,113 +1,374 @@
 """The configuration: reading it, confirming it, and changing it."""
 
-from attrs import Factory, define, evolve
+import collections
+import contextlib
 
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.config_change import ChangeInProgress, Step
 from poplarlb.coordination.context import NodeContext
-from poplarlb.protocol import api, codec, ports
-from poplarlb.state.models import Reason, ZoneState
-from poplarlb.state.templates import ConfigView, ZoneEntry
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import api, codec, messages, ports
+from poplarlb.state.models import Reason
+from poplarlb.state.templates import ConfigHead, ConfigView, PartRef, TeamTemplate
+
+CHANGES_LIMIT = 32
+SINGLE_READS_LIMIT = 4
+VIEW_WANTED_PERIOD_MS = 1_000
+CHANGE_READ_PERIOD_MS = 100
+
+ConfigEvent = ports.Tick | ports.StoreReplied | ports.ApiRequested | ports.PeerReceived
+
+
+@frozen
+class PeerView:
+    """A live member and the version of the configuration that it reported."""
+
+    member_id: str
+    address: str
+    view_version: int
+
+
+@define
+class HeadRead:
+    """A read of the head, and then of the parts that this daemon lacks."""
+
+    sent_ms: int
+    head_call: int
+    head: ConfigHead | None = None
+    revision: int = 0
+    part_calls: set[int] = Factory(set)
 
 
 @define
 class ConfigKeeper:
     """Keeps the daemon's view and carries out operators' changes.
 
-    The view only moves to higher versions.
+    The view only moves to higher versions. Only a read of the store confirms it.
+
+    :param peer_address: where other daemons reach this one.
     """
 
     context: NodeContext
-    head_version: int = 0
-    read_call: int = 0
-    read_sent_ms: int = 0
+    peer_address: str = ""
+    head: ConfigHead = ConfigHead()
+    head_revision: int = 0
+    parts: dict[PartRef, TeamTemplate] = Factory(dict)
+    reading: HeadRead | None = None
     next_read_ms: int = 0
-    writes: dict[int, tuple[int, ConfigView]] = Factory(dict)
+    next_change_read_ms: int = 0
+    next_wanted_ms: int = 0
+    changes: collections.deque[ChangeInProgress] = Factory(collections.deque)
+    sweeps: dict[int, str] = Factory(dict)
+    peers: tuple[PeerView, ...] = ()
 
     def handle(
         self,
-        event: ports.Tick | ports.StoreReplied | ports.ApiRequested,
+        event: ConfigEvent,
         now_ms: int,
+        peers: tuple[PeerView, ...] | None = None,
     ) -> list[ports.Command]:
-        """Advance the view; returns store calls and answers."""
+        """Advance the view and the changes; returns calls, messages and answers.
+
+        :param peers: the live members; ``None`` keeps those named before.
+        """
+        if peers is not None:
+            self.peers = peers
         match event:
             case ports.Tick():
-                return self._read(now_ms)
+                return [
+                    *self._expire_changes(now_ms),
+                    *self._read(now_ms),
+                    *self._ask_peers(now_ms),
+                ]
             case ports.StoreReplied(call_id=call_id, result=result):
-                if call_id == self.read_call:
-                    return self._settle_read(result)
-                if call_id in self.writes:
-                    return self._settle_write(call_id, result, now_ms)
+                return self._settle(call_id, result, now_ms)
             case ports.ApiRequested(call_id=call_id, body=body):
                 return self._answer(call_id, body, now_ms)
+            case ports.PeerReceived(sender=sender, message=message):
+                return self._take_peer(sender, message)
         return []
 
-    def _key(self) -> str:
-        return self.context.settings.store.prefix + "config/head"
+    # --- reading ------------------------------------------------------------------
+
+    def _prefix(self) -> str:
+        return self.context.settings.store.prefix + "config/"
+
+    def _part_key(self, ref: PartRef) -> str:
+        return f"{self._prefix()}parts/{ref.team}/{ref.part}"
+
+    def _call(self, operation: ports.StoreOperation) -> ports.StoreCall:
+        return ports.StoreCall(self.context.next_call(), operation)
 
     def _read(self, now_ms: int) -> list[ports.Command]:
-        if now_ms < self.next_read_ms or self.read_call:
+        if self.reading is not None and not self._read_is_lost(now_ms):
+            return []
+        if now_ms < self.next_read_ms and not self._change_wants_read(now_ms):
             return []
         self.next_read_ms = now_ms + self.context.settings.config.poll_period_ms
-        self.read_call = self.context.next_call()
-        self.read_sent_ms = now_ms
-        read = ports.StoreRead(self._key(), self.head_version)
-        return [ports.StoreCall(self.read_call, read)]
+        self.next_change_read_ms = now_ms + CHANGE_READ_PERIOD_MS
+        call = self._call(ports.StoreRead(self._prefix() + "head", self.head_revision))
+        self.reading = HeadRead(now_ms, call.call_id)
+        return [call]
+
+    def _read_is_lost(self, now_ms: int) -> bool:
+        limit_ms = 3 * self.context.settings.store.timeout_ms
+        return now_ms - self.reading.sent_ms >= limit_ms
+
+    def _change_wants_read(self, now_ms: int) -> bool:
+        waits = bool(self.changes) and self.changes[0].step is Step.HEAD_READ
+        return waits and now_ms >= self.next_change_read_ms
+
+    def _settle(
+        self, call_id: int, result: ports.StoreResult, now_ms: int
+    ) -> list[ports.Command]:
+        reading = self.reading
+        if reading is not None and call_id == reading.head_call:
+            return self._settle_head(reading, result, now_ms)
+        if reading is not None and call_id in reading.part_calls:
+            return self._settle_part(reading, call_id, result, now_ms)
+        if self.changes and call_id in self.changes[0].calls:
+            return self._settle_change(call_id, result, now_ms)
+        if call_id in self.sweeps:
+            return self._settle_sweep(self.sweeps.pop(call_id), result)
+        return []
 
-    def _settle_read(self, result: ports.StoreResult) -> list[ports.Command]:
-        self.read_call = 0
+    def _settle_head(
+        self, reading: HeadRead, result: ports.StoreResult, now_ms: int
+    ) -> list[ports.Command]:
         if not isinstance(result, ports.StoreEntries):
+            self.reading = None
             return []
-        for entry in result.entries:
-            view = codec.decode(entry.value, ConfigView)
-            self._adopt(view, entry.version)
-        self.context.view_confirmed_ms = self.read_sent_ms
-        return []
+        entry = next(
+            (e for e in result.entries if e.key == self._prefix() + "head"), None
+        )
+        if entry is None or entry.version <= self.head_revision:
+            return self._finish_read(reading, now_ms)
+        try:
+            reading.head = codec.decode(entry.value, ConfigHead)
+        except ProtocolError:
+            self.reading = None
+            return []
+        reading.revision = entry.version
+        return self._read_parts(reading, now_ms)
 
-    def _adopt(self, view: ConfigView, head_version: int) -> None:
-        if view.version >= self.context.view.version:
+    def _read_parts(self, reading: HeadRead, now_ms: int) -> list[ports.Command]:
+        missing = [ref for ref in reading.head.parts if ref not in self.parts]
+        if not missing:
+            return self._finish_read(reading, now_ms)
+        keys = [self._part_key(ref) for ref in missing]
+        if len(keys) > SINGLE_READS_LIMIT:
+            keys = [self._prefix() + "parts/"]
+        calls = [self._call(ports.StoreRead(key)) for key in keys]
+        reading.part_calls = {call.call_id for call in calls}
+        return calls
+
+    def _settle_part(
+        self,
+        reading: HeadRead,
+        call_id: int,
+        result: ports.StoreResult,
+        now_ms: int,
+    ) -> list[ports.Command]:
+        reading.part_calls.discard(call_id)
+        if isinstance(result, ports.StoreEntries):
+            self._keep_parts(reading.head, result.entries)
+        if reading.part_calls:
+            return []
+        if any(ref not in self.parts for ref in reading.head.parts):
+            self.reading = None
+            return []
+        return self._finish_read(reading, now_ms)
+
+    def _keep_parts(
+        self, head: ConfigHead, entries: tuple[ports.StoreEntry, ...]
+    ) -> None:
+        refs = {self._part_key(ref): ref for ref in head.parts}
+        for entry in entries:
+            if entry.key not in refs:
+                continue
+            # An unreadable part counts as missing: the view stays unconfirmed.
+            with contextlib.suppress(ProtocolError):
+                template = codec.decode(entry.value, TeamTemplate)
+                self.parts[refs[entry.key]] = template
+
+    def _finish_read(self, reading: HeadRead, now_ms: int) -> list[ports.Command]:
+        self.reading = None
+        if reading.head is not None:
+            self._adopt(reading.head, reading.revision)
+        if self.context.view.version == self.head.version:
+            confirmed_ms = max(self.context.view_confirmed_ms, reading.sent_ms)
+            self.context.view_confirmed_ms = confirmed_ms
+        return self._judge_change(reading.sent_ms, now_ms)
+
+    def _adopt(self, head: ConfigHead, revision: int) -> None:
+        if revision <= self.head_revision:
+            return
+        self.head, self.head_revision = head, revision
+        self.parts = {ref: self.parts[ref] for ref in head.parts}
+        if head.version >= self.context.view.version:
+            teams = tuple(self.parts[ref] for ref in head.parts)
+            view = ConfigView(head.version, teams, head.zones, head.changes)
             self.context.view = view
-            self.head_version = head_version
+
+    # --- peers --------------------------------------------------------------------
+
+    def _ask_peers(self, now_ms: int) -> list[ports.Command]:
+        if now_ms < self.next_wanted_ms or self.context.view_is_fresh(now_ms):
+            return []
+        self.next_wanted_ms = now_ms + VIEW_WANTED_PERIOD_MS
+        wanted = messages.ViewWanted(self.peer_address)
+        newer = [p for p in self.peers if p.view_version > self.context.view.version]
+        if newer:
+            best = max(newer, key=lambda peer: peer.view_version)
+            return [ports.SendPeer(best.member_id, best.address, wanted)]
+        if self.context.view.version or self.peers:
+            return []
+        seeds = self.context.settings.peers.seeds
+        return [ports.SendPeer(seed, seed, wanted) for seed in seeds]
+
+    def _take_peer(
+        self, sender: str, message: messages.PeerMessage
+    ) -> list[ports.Command]:
+        match message:
+            case messages.ViewOffer(view=view):
+                if view.version > self.context.view.version:
+                    self.context.view = view
+            case messages.ViewWanted(reply_to=reply_to):
+                known = [p.address for p in self.peers if p.member_id == sender]
+                address = reply_to or next(iter(known), "")
+                if address and self.context.view.version:
+                    offer = messages.ViewOffer(self.context.view)
+                    return [ports.SendPeer(sender, address, offer)]
+        return []
+
+    # --- changes ------------------------------------------------------------------
 
     def _answer(
         self, call_id: int, body: api.ApiBody, now_ms: int
     ) -> list[ports.Command]:
-        view = self.context.view
         match body:
             case api.ShowConfig():
                 age_ms = now_ms - self.context.view_confirmed_ms
-                return [ports.ApiAnswer(call_id, api.ConfigShown(view, age_ms))]
-            case api.ApplyTemplates():
-                if body.base_version != view.version:
-                    fault = api.Fault(
-                        "conflict", Reason.TEMPLATE_CHANGED, f"now at {view.version}"
-                    )
+                shown = api.ConfigShown(self.context.view, age_ms)
+                return [ports.ApiAnswer(call_id, shown)]
+            case api.ApplyTemplates() | api.SetZone():
+                if len(self.changes) >= CHANGES_LIMIT:
+                    fault = api.Fault("not_run", Reason.RATE_LIMITED)
                     return [ports.ApiAnswer(call_id, fault)]
-                named = {item.team for item in body.teams} | set(body.removed)
-                kept = tuple(item for item in view.teams if item.team not in named)
-                return self._write(call_id, evolve(view, teams=kept + body.teams))
-            case api.SetZone(zone=zone, state=ZoneState() as state):
-                kept_zones = tuple(item for item in view.zones if item.zone != zone)
-                entry = ZoneEntry(zone, state, now_ms, body.operator)
-                return self._write(call_id, evolve(view, zones=(*kept_zones, entry)))
+                change = ChangeInProgress(call_id, body, now_ms, now_ms)
+                self.changes.append(change)
+                return self._read(now_ms)
         return []
 
-    def _write(self, call_id: int, view: ConfigView) -> list[ports.Command]:
-        view = evolve(view, version=self.context.view.version + 1)
-        store_call = self.context.next_call()
-        self.writes[store_call] = (call_id, view)
-        value = codec.encode(view, ConfigView)
-        write = ports.StoreWrite(self._key(), value, self.head_version)
-        return [ports.StoreCall(store_call, write)]
+    def _expire_changes(self, now_ms: int) -> list[ports.Command]:
+        expired = [change for change in self.changes if change.expired(now_ms)]
+        for change in expired:
+            self.changes.remove(change)
+        return [
+            ports.ApiAnswer(
+                change.call_id,
+                api.Fault(
+                    "outcome_unknown" if change.uncertain else "not_run",
+                    Reason.STORE_DOWN,
+                    "the store did not answer; repeat with the same change id",
+                ),
+            )
+            for change in expired
+        ]
+
+    def _judge_change(self, read_sent_ms: int, now_ms: int) -> list[ports.Command]:
+        if not self.changes:
+            return []
+        change = self.changes[0]
+        waits = change.step is Step.HEAD_READ
+        if not waits or read_sent_ms < change.read_after_ms:
+            return []
+        answer = change.judge(self.head, self.head_revision, now_ms)
+        if not isinstance(answer, api.Done):
+            return self._end_change(answer, now_ms)
+        if change.proposal.parts:
+            return self._write_parts(change)
+        return self._write_head(change)
 
-    def _settle_write(
-        self, store_call: int, result: ports.StoreResult, now_ms: int
+    def _write_parts(self, change: ChangeInProgress) -> list[ports.Command]:
+        calls = [
+            self._call(
+                ports.StoreWrite(
+                    self._part_key(ref), codec.encode(template, TeamTemplate), 0
+                )
+            )
+            for ref, template in change.proposal.parts
+        ]
+        change.step = Step.PARTS_WRITTEN
+        change.calls = {call.call_id for call in calls}
+        return calls
+
+    def _write_head(self, change: ChangeInProgress) -> list[ports.Command]:
+        proposal = change.proposal
+        value = codec.encode(proposal.head, ConfigHead)
+        key = self._prefix() + "head"
+        call = self._call(ports.StoreWrite(key, value, proposal.base_revision))
+        change.step = Step.HEAD_WRITTEN
+        change.calls = {call.call_id}
+        change.uncertain = True
+        return [call]
+
+    def _settle_change(
+        self, call_id: int, result: ports.StoreResult, now_ms: int
     ) -> list[ports.Command]:
-        call_id, view = self.writes.pop(store_call)
-        match result:
-            case ports.StoreWritten(applied=True, version=version):
-                self._adopt(view, version)
-                answer = api.ConfigChanged(view.version)
-            case ports.StoreWritten():
-                answer = api.Fault("conflict", Reason.TEMPLATE_CHANGED, "lost a race")
-            case _:
-                answer = api.Fault("outcome_unknown", Reason.STORE_DOWN)
-        return [ports.ApiAnswer(call_id, answer)]
+        change = self.changes[0]
+        change.calls.discard(call_id)
+        match change.step, result:
+            case Step.PARTS_WRITTEN, ports.StoreWritten():
+                # A part that exists already holds the same: its name has a digest.
+                return [] if change.calls else self._write_head(change)
+            case Step.HEAD_WRITTEN, ports.StoreWritten(applied=True, version=version):
+                self.parts.update(change.proposal.parts)
+                self._adopt(change.proposal.head, version)
+                answer = api.ConfigChanged(change.proposal.head.version)
+                return self._end_change(answer, now_ms)
+        change.read_again(now_ms)
+        return self._read(now_ms) if isinstance(result, ports.StoreWritten) else []
+
+    def _end_change(self, answer: api.ApiResult, now_ms: int) -> list[ports.Command]:
+        change = self.changes.popleft()
+        commands: list[ports.Command] = []
+        if isinstance(answer, api.ConfigChanged):
+            lagging = tuple(
+                sorted(
+                    peer.member_id
+                    for peer in self.peers
+                    if peer.view_version < answer.version
+                )
+            )
+            answer = api.ConfigChanged(answer.version, lagging)
+            commands.extend(self._begin_sweeps(change.body))
+        if self.changes:
+            commands.extend(self._read(now_ms))
+        return [ports.ApiAnswer(change.call_id, answer), *commands]
+
+    # --- removal of parts that no head names -----------------------------------------
+
+    def _begin_sweeps(self, body: api.ApiBody) -> list[ports.Command]:
+        if not isinstance(body, api.ApplyTemplates):
+            return []
+        teams = sorted({team.team for team in body.teams} | set(body.removed))
+        calls = []
+        for team in teams:
+            call = self._call(ports.StoreRead(f"{self._prefix()}parts/{team}/"))
+            self.sweeps[call.call_id] = team
+            calls.append(call)
+        return calls
+
+    def _settle_sweep(self, team: str, result: ports.StoreResult) -> list:
+        if not isinstance(result, ports.StoreEntries):
+            return []
+        named = {self._part_key(ref) for ref in self.head.parts}
+        # A part older than the head belongs to a change whose compare-and-swap has
+        # met that head and failed, so no later head can name it.
+        return [
+            self._call(ports.StoreDelete(entry.key, entry.version))
+            for entry in result.entries
+            if entry.key not in named and entry.version < self.head_revision
+        ]
--- /dev/null
+++ b/poplarlb/coordination/config_change.py
@@ -0,0 +1,188 @@
+"""One operator's change on its way into the configuration's head.
+
+A change reads the head, writes the parts it needs, and then replaces the head by
+compare-and-swap. It is over once the head tells its fate or its time has run out.
+"""
+
+import enum
+import hashlib
+
+from attrs import Factory, define, evolve, frozen
+
+from poplarlb.protocol import api, codec
+from poplarlb.state.models import Reason, ZoneState
+from poplarlb.state.templates import (
+    ChangeNote,
+    ConfigHead,
+    PartRef,
+    TeamTemplate,
+    ZoneEntry,
+)
+
+REMEMBERED_CHANGES = 32
+CHANGE_TIMEOUT_MS = 12_000
+DIGEST_BYTES = 4
+
+ConfigChange = api.ApplyTemplates | api.SetZone
+
+
+class Step(enum.Enum):
+    """What a change waits for."""
+
+    HEAD_READ = enum.auto()
+    PARTS_WRITTEN = enum.auto()
+    HEAD_WRITTEN = enum.auto()
+
+
+@frozen
+class Proposal:
+    """A head to write over the one at ``base_revision``, and its new parts."""
+
+    base: ConfigHead
+    base_revision: int
+    head: ConfigHead
+    parts: tuple[tuple[PartRef, TeamTemplate], ...] = ()
+
+
+@define
+class ChangeInProgress:
+    """A change that has not been answered.
+
+    ``read_after_ms`` is the earliest sending time of a read that tells its fate.
+    ``uncertain`` is set while a write of the head may still take effect.
+    """
+
+    call_id: int
+    body: ConfigChange
+    began_ms: int
+    read_after_ms: int
+    step: Step = Step.HEAD_READ
+    proposal: Proposal | None = None
+    calls: set[int] = Factory(set)
+    uncertain: bool = False
+
+    def expired(self, now_ms: int) -> bool:
+        """Tell whether the operator must be answered now."""
+        return now_ms - self.began_ms >= CHANGE_TIMEOUT_MS
+
+    def read_again(self, now_ms: int) -> None:
+        """Go back to reading the head."""
+        self.step = Step.HEAD_READ
+        self.read_after_ms = now_ms
+        self.calls.clear()
+
+    def judge(self, head: ConfigHead, revision: int, now_ms: int) -> api.ApiResult:
+        """Compare the change with a head read after it was last sent.
+
+        Returns the final answer, or ``Done`` after setting ``proposal``.
+        """
+        digest = digest_of(self.body)
+        note = head.find_change(self.body.change_id)
+        if note is not None and note.digest == digest:
+            return api.ConfigChanged(note.version)
+        if note is not None:
+            return api.Fault(
+                "conflict",
+                Reason.TEMPLATE_CHANGED,
+                f"change id {note.change_id} is in use: {describe(note)}",
+            )
+        if self.uncertain and self.proposal.base_revision == revision:
+            return api.Done()
+        if self.uncertain and not head.remembers_since(self.proposal.base.version):
+            return api.Fault(
+                "outcome_unknown",
+                Reason.TEMPLATE_CHANGED,
+                f"now at version {head.version}; too many changes since to tell",
+            )
+        self.uncertain = False
+        fault = check_base(self.body, head)
+        if fault is not None:
+            return fault
+        self.proposal = propose(self.body, head, revision, now_ms)
+        return api.Done()
+
+
+def check_base(body: ConfigChange, head: ConfigHead) -> api.Fault | None:
+    """Return a conflict if the operator edited another version than the head's."""
+    if isinstance(body, api.SetZone) or body.base_version == head.version:
+        return None
+    if not head.remembers_since(body.base_version):
+        return api.Fault(
+            "outcome_unknown",
+            Reason.TEMPLATE_CHANGED,
+            f"now at version {head.version}; version {body.base_version} is too old "
+            "to tell whether this change was applied: show the templates",
+        )
+    others = [note for note in head.changes if note.version > body.base_version]
+    told = "; ".join(describe(note) for note in others)
+    return api.Fault(
+        "conflict",
+        Reason.TEMPLATE_CHANGED,
+        f"now at version {head.version}, not {body.base_version}: {told}",
+    )
+
+
+def describe(note: ChangeNote) -> str:
+    """Return who changed what and when, for a person."""
+    return (
+        f"version {note.version} by {note.operator} at {note.at_ms} ms UTC "
+        f"({note.summary}, change {note.change_id})"
+    )
+
+
+def digest_of(body: ConfigChange) -> str:
+    """Return a short digest of all that a change asks for."""
+    data = codec.encode(body, type(body))
+    return hashlib.blake2b(data, digest_size=DIGEST_BYTES).hexdigest()
+
+
+def propose(
+    body: ConfigChange, head: ConfigHead, revision: int, now_ms: int
+) -> Proposal:
+    """Return the head, and the parts, that the change makes of ``head``."""
+    match body:
+        case api.SetZone(zone=zone, state=state):
+            changed = _with_zone(head, ZoneEntry(zone, state, now_ms, body.operator))
+            verb = "out" if state is ZoneState.OUT else "in"
+            summary = f"zone {zone} {verb}"
+            parts = ()
+        case api.ApplyTemplates(teams=teams, removed=removed):
+            name = f"{body.change_id}.{digest_of(body)}"
+            parts = tuple((PartRef(team.team, name), team) for team in teams)
+            changed = _with_parts(head, tuple(ref for ref, _ in parts), removed)
+            summary = _summarize(body)
+    note = ChangeNote(
+        body.change_id,
+        head.version + 1,
+        body.operator,
+        now_ms,
+        summary,
+        digest_of(body),
+    )
+    notes = (*head.changes, note)[-REMEMBERED_CHANGES:]
+    changed = evolve(changed, version=head.version + 1, changes=notes)
+    return Proposal(head, revision, changed, parts)
+
+
+def _with_zone(head: ConfigHead, entry: ZoneEntry) -> ConfigHead:
+    kept = tuple(item for item in head.zones if item.zone != entry.zone)
+    zones = sorted((*kept, entry), key=lambda item: item.zone)
+    return evolve(head, zones=tuple(zones))
+
+
+def _with_parts(
+    head: ConfigHead, refs: tuple[PartRef, ...], removed: tuple[str, ...]
+) -> ConfigHead:
+    named = {ref.team for ref in refs} | set(removed)
+    kept = tuple(ref for ref in head.parts if ref.team not in named)
+    parts = sorted((*kept, *refs), key=lambda ref: ref.team)
+    return evolve(head, parts=tuple(parts))
+
+
+def _summarize(body: api.ApplyTemplates) -> str:
+    applied = [team.team for team in body.teams]
+    removed = [f"-{team}" for team in body.removed]
+    names = [*applied, *removed]
+    shown = ", ".join(names[:3])
+    more = f" and {len(names) - 3} more" if len(names) > 3 else ""
+    return f"templates {shown}{more}"
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -7,7 +7,7 @@
 
 from poplarlb.coordination.admission import Admission
 from poplarlb.coordination.budget import CallBudget
-from poplarlb.coordination.config import ConfigKeeper
+from poplarlb.coordination.config import ConfigKeeper, PeerView
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import SendShard
 from poplarlb.coordination.journal import Journal
@@ -64,7 +64,7 @@
         self.shards = ShardMap.from_settings(self.settings.shards)
         self.membership = Membership(self.context, self.own)
         self.ownership = Ownership(self.context, self.membership, self.shards)
-        self.config = ConfigKeeper(self.context)
+        self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
@@ -94,7 +94,7 @@
 
     def _tick(self, event: ports.Tick, now_ms: int) -> list:
         outputs = [
-            *self.config.handle(event, now_ms),
+            *self.config.handle(event, now_ms, self._peer_views(now_ms)),
             *self.membership.handle(event, now_ms, self._own_summaries()),
             *self.ownership.handle(event, now_ms),
             *self._to_hosts(event, now_ms),
@@ -107,6 +107,13 @@
         self.delayed_calls.clear()
         return [*delayed, *outputs]
 
+    def _peer_views(self, now_ms: int) -> tuple[PeerView, ...]:
+        return tuple(
+            PeerView(name, peer.member.peer_address, peer.heartbeat.view_version)
+            for name, peer in self.membership.peers.items()
+            if peer.heartbeat is not None and self.membership.answers(name, now_ms)
+        )
+
     def _to_hosts(self, event: ports.Event, now_ms: int) -> list:
         return [
             output
@@ -241,6 +248,8 @@
         match event.message:
             case messages.Heartbeat():
                 return self.membership.handle(event, now_ms)
+            case messages.ViewWanted() | messages.ViewOffer():
+                return self.config.handle(event, now_ms)
             case messages.ShardMessage(recipient=shard) if shard in self.hosts:
                 return self.hosts[shard].handle(event, now_ms)
             case messages.Forward(call_id=their_call, shard=shard, body=body):
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -60,7 +60,12 @@
 
 @frozen
 class ViewWanted:
-    """Ask a peer for its configuration."""
+    """Ask a peer for its configuration.
+
+    ``reply_to`` is the asker's address, for a peer that doesn't know it yet.
+    """
+
+    reply_to: str = ""
 
 
 @frozen
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -137,6 +137,7 @@
 
     listen: str = "127.0.0.1:0"
     secret: str = field(default="", repr=False)
+    seeds: tuple[str, ...] = ()
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
--- a/poplarlb/state/templates.py
+++ b/poplarlb/state/templates.py
@@ -54,6 +54,47 @@
     changed_by: str = ""
 
 
+@frozen
+class ChangeNote:
+    """An operator's change as the configuration's head remembers it."""
+
+    change_id: str
+    version: int
+    operator: str
+    at_ms: int
+    summary: str
+    digest: str = ""
+
+
+@frozen
+class PartRef:
+    """Names the part that holds a team's template."""
+
+    team: str
+    part: str
+
+
+@frozen
+class ConfigHead:
+    """The one record that decides which templates and zone states are in force.
+
+    ``changes`` are the latest changes, oldest first; they settle lost answers.
+    """
+
+    version: int = 0
+    parts: tuple[PartRef, ...] = ()
+    zones: tuple[ZoneEntry, ...] = ()
+    changes: tuple[ChangeNote, ...] = ()
+
+    def find_change(self, change_id: str) -> ChangeNote | None:
+        """Return the note of a remembered change, or ``None``."""
+        return next((n for n in self.changes if n.change_id == change_id), None)
+
+    def remembers_since(self, version: int) -> bool:
+        """Tell whether every change after ``version`` is remembered."""
+        return self.version - version <= len(self.changes)
+
+
 @frozen
 class ConfigView:
     """The whole effective configuration at one version; versions only grow."""
@@ -61,6 +102,7 @@
     version: int = 0
     teams: tuple[TeamTemplate, ...] = ()
     zones: tuple[ZoneEntry, ...] = ()
+    changes: tuple[ChangeNote, ...] = ()
 
     def team(self, name: str) -> TeamTemplate | None:
         """Return the team's template, or ``None``."""
