--- /dev/null
+++ b/poplarlb/templates.py
@@ -0,0 +1,436 @@
+"""Team templates: from TOML files to the effective configuration of a team.
+
+A file may extend a base and fill in its parameters. It is checked whole, and every
+fault is told with its file, its line and what is allowed.
+"""
+
+import pathlib
+import re
+import tomllib
+import typing
+
+from attrs import Factory, define, frozen
+
+from poplarlb.exceptions import BadRequestError
+from poplarlb.state.models import Resources, WorkClass
+from poplarlb.state.templates import BatchTemplate, ServiceTemplate, TeamTemplate
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+NAME_RULE = "lower-case letters, digits and hyphens, at most 63"
+BASE_DEPTH_LIMIT = 8
+ITEMS_LIMIT = 100
+
+_HEADER = re.compile(r"^\s*\[\s*([\w\-. \"']+?)\s*\]\s*(#.*)?$")
+_KEY = re.compile(r"^\s*([\w\-.]+)\s*=")
+_PARAMETER = re.compile(r"\$\{([\w-]+)\}")
+
+
+@frozen
+class Number:
+    """A number between two bounds."""
+
+    low: float
+    high: float
+    whole: bool = True
+
+    def __str__(self) -> str:
+        """Describe what is allowed."""
+        kind = "a whole number" if self.whole else "a number"
+        return f"{kind} between {self.low} and {self.high}"
+
+    def allows(self, value: object) -> bool:
+        """Tell whether the value is allowed."""
+        kinds = int if self.whole else (int, float)
+        if isinstance(value, bool) or not isinstance(value, kinds):
+            return False
+        return self.low <= value <= self.high
+
+
+@frozen
+class Choice:
+    """One of some words."""
+
+    words: tuple[str, ...]
+
+    def __str__(self) -> str:
+        """Describe what is allowed."""
+        return "one of " + ", ".join(self.words)
+
+    def allows(self, value: object) -> bool:
+        """Tell whether the value is allowed."""
+        return value in self.words
+
+
+@frozen
+class Flag:
+    """True or false."""
+
+    def __str__(self) -> str:
+        """Describe what is allowed."""
+        return "true or false"
+
+    def allows(self, value: object) -> bool:
+        """Tell whether the value is allowed."""
+        return isinstance(value, bool)
+
+
+Rule = Number | Choice | Flag
+Rules = dict[str, Rule]
+
+SIZE_RULES: Rules = {
+    "cpu_millis": Number(1, 1_000_000),
+    "memory_mb": Number(1, 16_000_000),
+    "accelerators": Number(0, 64),
+}
+QUOTA_RULES: Rules = {
+    "cpu_millis": Number(0, 1_000_000_000),
+    "memory_mb": Number(0, 16_000_000_000),
+    "accelerators": Number(0, 100_000),
+}
+SERVICE_RULES: Rules = {
+    "replicas": Number(0, 1_000),
+    "target_ms": Number(1, 600_000),
+    "weight": Number(0.01, 1_000, whole=False),
+    "idempotent": Flag(),
+    "key_window_ms": Number(1_000, 86_400_000),
+    "queue_limit": Number(0, 100_000),
+    "durability": Choice(("memory", "two-daemons", "journal")),
+}
+BATCH_CLASSES = tuple(
+    kind.value for kind in WorkClass if kind is not WorkClass.LATENCY_CRITICAL
+)
+BATCH_RULES: Rules = {
+    "class": Choice(BATCH_CLASSES),
+    "run_time_ms": Number(0, 2_592_000_000),
+    "max_wait_ms": Number(0, 2_592_000_000),
+    "checkpointable": Flag(),
+}
+TEAM_RULES: Rules = {"weight": Number(0.01, 1_000, whole=False)}
+
+
+@frozen
+class TemplateFault:
+    """A value that is not allowed; ``path`` leads to it from the top."""
+
+    path: tuple[str, ...]
+    problem: str
+    allowed: str = ""
+
+    def __str__(self) -> str:
+        """Describe the fault on one line."""
+        allowed = f"; allowed: {self.allowed}" if self.allowed else ""
+        return f"{'.'.join(self.path) or 'file'}: {self.problem}{allowed}"
+
+
+@frozen
+class Origin:
+    """Where a value was written."""
+
+    file: str
+    line: int
+
+
+@frozen
+class EffectiveChange:
+    """A value that an apply would change; ``None`` means absent."""
+
+    path: str
+    old: object
+    new: object
+
+    def __str__(self) -> str:
+        """Describe the change on one line."""
+        if self.old is None:
+            return f"+ {self.path} = {self.new}"
+        if self.new is None:
+            return f"- {self.path} = {self.old}"
+        return f"~ {self.path} = {self.old} -> {self.new}"
+
+
+# --- checking -------------------------------------------------------------------
+
+
+def check_table(table: dict, zones: typing.Collection[str] = ()) -> list[TemplateFault]:
+    """Return every fault of a team's table; ``zones`` are those that exist."""
+    faults: list[TemplateFault] = []
+    known = {"team", "zones", "quota", "services", "batch", *TEAM_RULES}
+    _check_keys(table, known, (), faults)
+    _check_rules(table, TEAM_RULES, (), (), faults)
+    _check_name(table.get("team"), ("team",), faults)
+    _check_zones(table.get("zones"), zones, faults)
+    _check_group(table, "quota", QUOTA_RULES, tuple(QUOTA_RULES)[:2], (), faults)
+    for name, service in _items(table, "services", faults):
+        path = ("services", name)
+        _check_keys(service, {"size", *SERVICE_RULES}, path, faults)
+        _check_rules(service, SERVICE_RULES, ("replicas",), path, faults)
+        _check_group(service, "size", SIZE_RULES, tuple(SIZE_RULES)[:2], path, faults)
+    for name, batch in _items(table, "batch", faults):
+        path = ("batch", name)
+        _check_keys(batch, {"size", *BATCH_RULES}, path, faults)
+        _check_rules(batch, BATCH_RULES, ("class",), path, faults)
+        _check_group(batch, "size", SIZE_RULES, tuple(SIZE_RULES)[:2], path, faults)
+    return faults
+
+
+def check_team(
+    team: TeamTemplate, zones: typing.Collection[str] = ()
+) -> list[TemplateFault]:
+    """Return every fault of a template that came without a file."""
+    return check_table(to_table(team), zones)
+
+
+def _check_keys(table: dict, known: set[str], path: tuple, faults: list) -> None:
+    allowed = ", ".join(sorted(known))
+    for key in table.keys() - known:
+        faults.append(TemplateFault((*path, key), "unknown key", allowed))
+
+
+def _check_rules(
+    table: dict, rules: Rules, required: tuple, path: tuple, faults: list
+) -> None:
+    for key, rule in rules.items():
+        if key in table and not rule.allows(table[key]):
+            problem = f"{table[key]!r} is not allowed"
+            faults.append(TemplateFault((*path, key), problem, str(rule)))
+        if key not in table and key in required:
+            faults.append(TemplateFault((*path, key), "missing", str(rule)))
+
+
+def _check_group(
+    table: dict, name: str, rules: Rules, required: tuple, path: tuple, faults: list
+) -> None:
+    group = table.get(name, {})
+    if not isinstance(group, dict):
+        faults.append(TemplateFault((*path, name), "not a table", ", ".join(rules)))
+        return
+    _check_keys(group, set(rules), (*path, name), faults)
+    _check_rules(group, rules, required, (*path, name), faults)
+
+
+def _check_name(name: object, path: tuple, faults: list) -> None:
+    if not isinstance(name, str) or not NAME_PATTERN.fullmatch(name):
+        faults.append(TemplateFault(path, f"{name!r} is not a name", NAME_RULE))
+
+
+def _check_zones(value: object, known: typing.Collection[str], faults: list) -> None:
+    is_list = isinstance(value, list | tuple) and bool(value)
+    if not is_list or not all(isinstance(zone, str) for zone in value):
+        allowed = "a list of availability zones, at least one"
+        faults.append(TemplateFault(("zones",), f"{value!r} is not allowed", allowed))
+        return
+    if len(set(value)) != len(value):
+        faults.append(TemplateFault(("zones",), "a zone is named twice"))
+    unknown = [zone for zone in value if known and zone not in known]
+    for zone in unknown:
+        allowed = ", ".join(sorted(known))
+        faults.append(TemplateFault(("zones",), f"no zone {zone!r}", allowed))
+
+
+def _items(table: dict, name: str, faults: list) -> list[tuple[str, dict]]:
+    group = table.get(name, {})
+    if not isinstance(group, dict) or len(group) > ITEMS_LIMIT:
+        allowed = f"at most {ITEMS_LIMIT} tables"
+        faults.append(TemplateFault((name,), "not tables", allowed))
+        return []
+    for key, value in group.items():
+        _check_name(key, (name, key), faults)
+        if not isinstance(value, dict):
+            faults.append(TemplateFault((name, key), "not a table"))
+    return [(key, value) for key, value in group.items() if isinstance(value, dict)]
+
+
+# --- tables and templates ---------------------------------------------------------
+
+
+def to_table(team: TeamTemplate) -> dict:
+    """Return the table that describes a template in full."""
+    return {
+        "team": team.team,
+        "zones": list(team.zones),
+        "weight": team.weight,
+        "quota": _size_table(team.quota),
+        "services": {
+            item.name: {
+                **{key: getattr(item, key) for key in SERVICE_RULES},
+                "size": _size_table(item.size),
+            }
+            for item in team.services
+        },
+        "batch": {
+            item.name: {
+                **{k: getattr(item, k) for k in BATCH_RULES if k != "class"},
+                "class": item.work_class.value,
+                "size": _size_table(item.size),
+            }
+            for item in team.batch
+        },
+    }
+
+
+def _size_table(size: Resources) -> dict:
+    return {key: getattr(size, key) for key in SIZE_RULES}
+
+
+def build_team(table: dict) -> TeamTemplate:
+    """Return the template that a checked table describes."""
+    services = tuple(
+        ServiceTemplate(name=name, **{**item, "size": Resources(**item["size"])})
+        for name, item in sorted(table.get("services", {}).items())
+    )
+    return TeamTemplate(
+        table["team"],
+        tuple(table["zones"]),
+        Resources(**table["quota"]),
+        float(table.get("weight", 1.0)),
+        services,
+        tuple(_build_batch(*pair) for pair in sorted(table.get("batch", {}).items())),
+    )
+
+
+def _build_batch(name: str, item: dict) -> BatchTemplate:
+    rest = {key: value for key, value in item.items() if key not in ("class", "size")}
+    size = Resources(**item["size"])
+    return BatchTemplate(name, WorkClass(item["class"]), size, **rest)
+
+
+def diff_teams(
+    old: TeamTemplate | None, new: TeamTemplate | None
+) -> list[EffectiveChange]:
+    """Return every effective value that differs, in order of its path."""
+    before = _flatten(to_table(old)) if old else {}
+    after = _flatten(to_table(new)) if new else {}
+    name = (new or old).team if (new or old) else ""
+    return [
+        EffectiveChange(f"{name}.{path}", before.get(path), after.get(path))
+        for path in sorted(before.keys() | after.keys())
+        if before.get(path) != after.get(path)
+    ]
+
+
+def _flatten(table: dict, prefix: str = "") -> dict[str, object]:
+    flat: dict[str, object] = {}
+    for key, value in table.items():
+        if isinstance(value, dict):
+            flat.update(_flatten(value, f"{prefix}{key}."))
+        else:
+            flat[prefix + key] = value
+    return flat
+
+
+# --- files ----------------------------------------------------------------------
+
+
+@define
+class TemplateSource:
+    """A file merged over its bases, with the origin of each value."""
+
+    table: dict = Factory(dict)
+    origins: dict[tuple[str, ...], Origin] = Factory(dict)
+    faults: list[str] = Factory(list)
+
+    def line_of(self, path: tuple[str, ...]) -> str:
+        """Return ``file:line`` of a value, or of the nearest table around it."""
+        for length in range(len(path), -1, -1):
+            origin = self.origins.get(path[:length])
+            if origin is not None:
+                return f"{origin.file}:{origin.line}"
+        return "template"
+
+
+def load_team(path: str, zones: typing.Collection[str] = ()) -> TeamTemplate:
+    """Return the template in a TOML file.
+
+    :raises BadRequestError: listing every fault with its file and line.
+    """
+    source = TemplateSource()
+    _merge_file(pathlib.Path(path), source, 0)
+    if not source.faults:
+        _fill_parameters(source)
+        found = check_table(source.table, zones)
+        source.faults.extend(f"{source.line_of(f.path)}: {f}" for f in found)
+    if source.faults:
+        raise BadRequestError("\n".join(source.faults))
+    return build_team(source.table)
+
+
+def _merge_file(path: pathlib.Path, source: TemplateSource, depth: int) -> None:
+    if depth > BASE_DEPTH_LIMIT:
+        source.faults.append(f"{path}: more than {BASE_DEPTH_LIMIT} bases in a row")
+        return
+    try:
+        text = path.read_text(encoding="utf-8")
+        table = tomllib.loads(text)
+    except (OSError, UnicodeDecodeError) as error:
+        source.faults.append(f"{path}: can't be read: {error}")
+        return
+    except tomllib.TOMLDecodeError as error:
+        source.faults.append(f"{path}: {error}")
+        return
+    base = table.pop("extends", None)
+    if isinstance(base, str):
+        _merge_file(path.parent / base, source, depth + 1)
+    elif base is not None:
+        source.faults.append(f"{path}: extends: {base!r} is not a file's name")
+    _merge(source.table, table)
+    source.origins.update(_locate(text, str(path)))
+
+
+def _merge(below: dict, above: dict) -> None:
+    for key, value in above.items():
+        if isinstance(value, dict) and isinstance(below.get(key), dict):
+            _merge(below[key], value)
+        else:
+            below[key] = value
+
+
+def _locate(text: str, file: str) -> dict[tuple[str, ...], Origin]:
+    found = {(): Origin(file, 1)}
+    table: tuple[str, ...] = ()
+    for number, line in enumerate(text.splitlines(), 1):
+        header, key = _HEADER.match(line), _KEY.match(line)
+        if header:
+            table = _split_path(header[1])
+            found[table] = Origin(file, number)
+        elif key:
+            found[(*table, *_split_path(key[1]))] = Origin(file, number)
+    return found
+
+
+def _split_path(dotted: str) -> tuple[str, ...]:
+    return tuple(part.strip(" \"'") for part in dotted.split("."))
+
+
+def _fill_parameters(source: TemplateSource) -> None:
+    parameters = source.table.pop("parameters", {})
+    if not isinstance(parameters, dict):
+        source.faults.append(f"{source.line_of(('parameters',))}: not a table")
+        return
+    used: set[str] = set()
+    source.table = _substitute(source.table, (), parameters, used, source)
+    for name in sorted(parameters.keys() - used):
+        line = source.line_of(("parameters", name))
+        source.faults.append(f"{line}: parameters.{name}: nothing uses it")
+
+
+def _substitute(
+    value: object, path: tuple, parameters: dict, used: set, source: TemplateSource
+) -> object:
+    if isinstance(value, dict):
+        return {
+            key: _substitute(item, (*path, key), parameters, used, source)
+            for key, item in value.items()
+        }
+    if isinstance(value, list):
+        return [_substitute(i, path, parameters, used, source) for i in value]
+    if not isinstance(value, str):
+        return value
+    names = set(_PARAMETER.findall(value))
+    used.update(names)
+    for name in sorted(names - parameters.keys()):
+        allowed = ", ".join(sorted(parameters)) or "none is declared"
+        fault = TemplateFault(path, f"no parameter {name!r}", allowed)
+        source.faults.append(f"{source.line_of(path)}: {fault}")
+    whole = _PARAMETER.fullmatch(value)
+    if whole and whole[1] in parameters:
+        return parameters[whole[1]]
+    return _PARAMETER.sub(lambda m: str(parameters.get(m[1], m[0])), value)
--- a/tests/coordination/test_config.py
+++ b/tests/coordination/test_config.py
@@ -106,6 +106,7 @@
     refused: list[api.ApiBody] = Factory(list)
     bodies: list[api.ApiBody] = Factory(list)
     seen: list[int] = Factory(list)
+    revisions: dict[int, int] = Factory(dict)
     serial: int = 0
 
     def __attrs_post_init__(self) -> None:
@@ -161,6 +162,8 @@
         version = keeper.context.view.version
         assert version >= self.seen[number], "the view went back"
         self.seen[number] = version
+        assert keeper.head_revision >= self.revisions.get(id(keeper), 0), "older head"
+        self.revisions[id(keeper)] = keeper.head_revision
         confirmed_ms = keeper.context.view_confirmed_ms
         assert version >= self.store.version_at(confirmed_ms), "a false confirmation"
 
@@ -172,6 +175,7 @@
 
     def restart(self, number: int) -> None:
         """Replace a keeper by a newborn one; its operators hear nothing."""
+        self.revisions.pop(id(self.keepers[number]), None)
         self.keepers[number] = self.newborn()
         self.seen[number] = 0
         self.asked = {key: b for key, b in self.asked.items() if key[0] != number}
@@ -344,6 +348,50 @@
                 self.world.run(STEP_MS)
             self.assertLess(self.world.now_ms - asked_ms, IN_FORCE_MS)
 
+    def test_lost_answer_before_an_outage(self) -> None:
+        """A write that took effect unseen is told as unknown, and settled later."""
+        world = self.world
+        body = self.change("c1", 0, 1.0)
+        world.ask(0, body)
+        while not world.store.commits:
+            world.run(STEP_MS)
+        world.store.down = True
+        world.in_flight = []
+        world.run(15_000)
+        self.assertEqual(world.answers["c1"].code, "outcome_unknown")
+        world.store.down = False
+        world.ask(1, body)
+        world.run(2_000)
+        self.assertEqual(world.answers["c1"].version, 1)
+        self.assertEqual(len(world.store.commits), 1)
+
+    def test_outage_before_any_write(self) -> None:
+        """A change that was never sent is truly not run."""
+        self.world.store.down = True
+        self.world.ask(0, self.change("c1", 0, 1.0))
+        self.world.run(15_000)
+        self.assertEqual(self.world.answers["c1"].code, "not_run")
+
+    def test_newborn_without_store(self) -> None:
+        """A newborn takes its peers' view while the store is down, unconfirmed."""
+        world = self.world
+        world.ask(0, self.change("c1", 0, 1.0))
+        world.run(3_000)
+        world.store.down = True
+        world.restart(2)
+        world.run(3_000)
+        context = world.keepers[2].context
+        self.assertEqual(context.view.version, 1)
+        self.assertFalse(context.view_is_fresh(world.now_ms))
+
+    def test_reused_change_id(self) -> None:
+        """A change id can't be used for another change."""
+        self.world.ask(0, self.change("c1", 0, 1.0))
+        self.world.run(2_000)
+        self.world.ask(1, self.change("c1", 1, 2.0))
+        self.world.run(2_000)
+        self.assertEqual(self.world.answers["c1"].code, "conflict")
+
     def test_race_names_the_winner(self) -> None:
         """The loser learns the winning version and the other's change."""
         world = self.world
