--- /dev/null
+++ b/poplarlb/transport/operators.py
@@ -0,0 +1,310 @@
+"""The operators' HTTP door: configuration, zones, status and explanations.
+
+Served on an address of its own, or beside the callers' paths if none is set.
+"""
+
+import hmac
+import json
+import re
+import threading
+
+import cattrs
+import cherrypy
+from attrs import Factory, define, frozen
+from cheroot.wsgi import Server
+from loguru import logger
+
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.exceptions import (
+    BadRequestError,
+    NotFoundError,
+    PoplarlbError,
+    RateLimitedError,
+    TooLargeError,
+    UnauthorizedError,
+)
+from poplarlb.protocol import api, codec
+from poplarlb.state.models import TaskKey, ZoneState
+from poplarlb.templates import check_team
+from poplarlb.transport import tls, views
+from poplarlb.transport.runtime import Runtime, now_ms
+
+BODY_LIMIT_BYTES = 1 << 20
+TEAMS_LIMIT = 500
+SUBJECT_LIMIT = 200
+CALLS_PER_S = 100.0
+CALLS_BURST = 200.0
+SOCKET_TIMEOUT_S = 10
+SERVER_THREADS = 8
+CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
+OPERATOR_PATTERN = re.compile(r"[A-Za-z0-9._@+-]{1,64}")
+OPERATOR_PATHS = frozenset({"config", "zones", "status", "explain"})
+
+_CONVERTER = codec.make_converter(())
+
+
+@frozen
+class ZoneChange:
+    """The body of a zone's change."""
+
+    state: ZoneState
+    change_id: str
+    operator: str
+
+
+@define
+class RateLimit:
+    """A token bucket that may be used from any thread."""
+
+    rate_per_s: float = CALLS_PER_S
+    burst: float = CALLS_BURST
+    tokens: float = CALLS_BURST
+    filled_ms: int = 0
+    lock: threading.Lock = Factory(threading.Lock)
+
+    def take(self, at_ms: int) -> bool:
+        """Take one token; tells whether there was one."""
+        with self.lock:
+            gained = max(0, at_ms - self.filled_ms) * self.rate_per_s / 1000
+            self.tokens = min(self.burst, self.tokens + gained)
+            self.filled_ms = max(self.filled_ms, at_ms)
+            if self.tokens < 1:
+                return False
+            self.tokens -= 1
+            return True
+
+
+class OperatorRoutes:
+    """Answers the operators' paths below ``/v1``.
+
+    :param runtime: answers the calls.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        """Keep what every call needs."""
+        self.runtime = runtime
+        self.shards = ShardMap.from_settings(runtime.settings.shards)
+        self.limit = RateLimit()
+
+    def handles(self, path: tuple[str, ...]) -> bool:
+        """Tell whether a path is the operators'."""
+        return len(path) > 1 and path[0] == "v1" and path[1] in OPERATOR_PATHS
+
+    def route(self, method: str, path: tuple[str, ...]) -> bytes:
+        """Return the JSON answer to the present request.
+
+        :raises PoplarlbError: if the call is refused before it is carried out.
+        """
+        self._authorize()
+        if not self.limit.take(now_ms()):
+            raise RateLimitedError(f"over {CALLS_PER_S:.0f} calls a second")
+        match (method, *path[1:]):
+            case ("GET", "config"):
+                return self._answer(api.ShowConfig())
+            case ("POST", "config"):
+                return self._apply()
+            case ("GET", "zones"):
+                return self._answer(api.ShowConfig())
+            case ("PUT", "zones", zone):
+                return self._set_zone(zone)
+            case ("GET", "status"):
+                return self._answer(api.ShowStatus())
+            case ("GET", "explain", *subject) if subject:
+                return self._explain("/".join(subject))
+        raise NotFoundError(f"{method} /{'/'.join(path)}")
+
+    def _authorize(self) -> None:
+        secret = self.runtime.settings.api.operator_secret
+        if not secret:
+            return
+        given = cherrypy.request.headers.get("Authorization", "")
+        expected = f"Bearer {secret}"
+        if not hmac.compare_digest(given.encode(), expected.encode()):
+            raise UnauthorizedError("the operators' secret is missing or wrong")
+
+    def _answer(self, body: api.ApiBody) -> bytes:
+        result = self.runtime.ask(body)
+        cherrypy.response.status = views.status_of(result)
+        return to_bytes(views.to_json(result))
+
+    def _apply(self) -> bytes:
+        change = structure(read_table(), api.ApplyTemplates)
+        check_ids(change.change_id, change.operator)
+        if len(change.teams) > TEAMS_LIMIT:
+            raise BadRequestError(f"at most {TEAMS_LIMIT} teams in one change")
+        names = [team.team for team in change.teams]
+        faults = [
+            f"{team.team}: {fault}"
+            for team in change.teams
+            for fault in check_team(team, self.runtime.settings.shards.zones)
+        ]
+        faults += [f"{name}: named twice" for name in names if names.count(name) > 1]
+        if faults:
+            raise BadRequestError("\n".join(faults))
+        what = f"templates {', '.join(names)} removed {', '.join(change.removed)}"
+        return self._change(change, what)
+
+    def _set_zone(self, zone: str) -> bytes:
+        wanted = structure(read_table(), ZoneChange)
+        check_ids(wanted.change_id, wanted.operator)
+        known = self.runtime.settings.shards.zones
+        if zone not in known:
+            raise NotFoundError(f"no zone {zone!r}; there are {', '.join(known)}")
+        change = api.SetZone(wanted.change_id, wanted.operator, zone, wanted.state)
+        return self._change(change, f"zone {zone} {wanted.state.value}")
+
+    def _change(self, change: api.ApplyTemplates | api.SetZone, what: str) -> bytes:
+        result = self.runtime.ask(change)
+        outcome = result.code if isinstance(result, api.Fault) else "accepted"
+        logger.bind(operator=change.operator, change_id=change.change_id).info(
+            "operator {} change {}: {}: {}",
+            change.operator,
+            change.change_id,
+            what,
+            outcome,
+        )
+        cherrypy.response.status = views.status_of(result)
+        return to_bytes(views.to_json(result))
+
+    def _explain(self, subject: str) -> bytes:
+        if len(subject) > SUBJECT_LIMIT:
+            raise TooLargeError(f"a subject has at most {SUBJECT_LIMIT} characters")
+        task, shards = self._locate(subject)
+        results = self.runtime.ask_all([api.Explain(subject, s) for s in shards])
+        told = dict(zip(shards, results, strict=True))
+        decisions = [
+            {"shard": shard, **_CONVERTER.unstructure(decision)}
+            for shard, result in told.items()
+            if isinstance(result, api.Decisions)
+            for decision in result.decisions
+        ]
+        silent = [s for s, r in told.items() if not isinstance(r, api.Decisions)]
+        return to_bytes(
+            {
+                "subject": subject,
+                "task": views.to_json(task) if task else None,
+                "decisions": sorted(decisions, key=lambda item: item["at_ms"]),
+                "silent_shards": silent,
+            }
+        )
+
+    def _locate(self, subject: str) -> tuple[api.TaskView | None, list[str]]:
+        match subject.split("/"):
+            case ["job", team, task_id]:
+                key = TaskKey(team, task_id)
+                home = self.shards.home_of_task(key)
+                task = self.runtime.ask(api.ShowTask(key))
+                if not isinstance(task, api.TaskView):
+                    return None, [home]
+                placed = [attempt.shard for attempt in task.attempts]
+                return task, list(dict.fromkeys([home, *placed]))
+            case ["request", _] | ["worker", _]:
+                return None, list(self.shards.shards)
+        allowed = "job/TEAM/ID, request/ID or worker/ID"
+        raise BadRequestError(f"{subject!r} is not a subject; allowed: {allowed}")
+
+
+class OperatorDoor:
+    """The WSGI application on the operators' own address.
+
+    :param routes: answers the paths.
+    """
+
+    def __init__(self, routes: OperatorRoutes) -> None:
+        """Keep the routes."""
+        self.routes = routes
+
+    @cherrypy.expose
+    def default(self, *path: str, **_query: str) -> bytes:
+        """Answer any path."""
+        try:
+            return self.routes.route(cherrypy.request.method, path)
+        except PoplarlbError as error:
+            return fault_bytes(error)
+
+
+class OperatorServer:
+    """CherryPy on the operators' address.
+
+    :param runtime: answers the calls.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        """Bind the address."""
+        settings = runtime.settings.api
+        host, _, port = settings.operator_listen.rpartition(":")
+        door = OperatorDoor(OperatorRoutes(runtime))
+        application = cherrypy.Application(door, "")
+        self.server = Server((host, int(port)), application, SERVER_THREADS)
+        self.server.timeout = SOCKET_TIMEOUT_S
+        self.server.max_request_body_size = BODY_LIMIT_BYTES
+        self.server.max_request_header_size = settings.header_limit_bytes
+        self.server.ssl_adapter = tls.make_http_adapter(settings)
+        self.server.prepare()
+
+    @property
+    def address(self) -> str:
+        """The address that was bound."""
+        host, port = self.server.bind_addr[:2]
+        return f"{host}:{port}"
+
+    def serve(self) -> None:
+        """Serve until stopped; runs on a thread of its own."""
+        self.server.serve()
+
+    def stop(self) -> None:
+        """Stop accepting and wait for calls in flight."""
+        self.server.stop()
+
+
+def check_ids(change_id: str, operator: str) -> None:
+    """Check the names that an operator's change carries.
+
+    :raises BadRequestError: naming what is allowed.
+    """
+    if not CHANGE_ID_PATTERN.fullmatch(change_id):
+        raise BadRequestError(f"change_id: allowed: {CHANGE_ID_PATTERN.pattern}")
+    if not OPERATOR_PATTERN.fullmatch(operator):
+        raise BadRequestError(f"operator: allowed: {OPERATOR_PATTERN.pattern}")
+
+
+def read_table() -> dict:
+    """Return the JSON object in the present request's body.
+
+    :raises TooLargeError: if the body is over its limit.
+    :raises BadRequestError: if the body is not a JSON object.
+    """
+    data = cherrypy.request.body.read(BODY_LIMIT_BYTES + 1)
+    if len(data) > BODY_LIMIT_BYTES:
+        raise TooLargeError(f"a body has at most {BODY_LIMIT_BYTES} bytes")
+    try:
+        table = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise BadRequestError(f"not JSON: {error}") from error
+    if not isinstance(table, dict):
+        raise BadRequestError("not a JSON object")
+    return table
+
+
+def structure(table: dict, kind: type):
+    """Return the instance of ``kind`` that a JSON object describes.
+
+    :raises BadRequestError: listing every fault.
+    """
+    try:
+        return _CONVERTER.structure(table, kind)
+    except Exception as error:
+        faults = cattrs.transform_error(error)
+        raise BadRequestError("; ".join(faults)) from error
+
+
+def to_bytes(value: object) -> bytes:
+    """Return a JSON answer's body and set its content type."""
+    cherrypy.response.headers["Content-Type"] = "application/json"
+    return json.dumps(value).encode() + b"\n"
+
+
+def fault_bytes(error: PoplarlbError) -> bytes:
+    """Return an error's JSON answer and set its status."""
+    cherrypy.response.status = error.http_status
+    return to_bytes({"code": error.code, "detail": error.detail})
