Split the worker model out of its HTTP stand-in

Cause: the harness and the HTTP stand-in need the same worker behaviour. Conclusion: one model for both.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -125,5 +125,5 @@
             1, "GET", "/v1/jobs/dairy/s1", None, lambda s, a: a.get("phase") == "ended"
         )
         self.assertEqual(ended["outcome"], "succeeded")
-        history = [row for row in self.platform._history() if row[2] == "dairy/s1"]
-        self.assertEqual([row[1] for row in history], ["start", "succeeded"])
+        rows = [r for r in self.platform.history() if r.subject == "dairy/s1"]
+        self.assertEqual([row.what for row in rows], ["start", "succeeded"])
