--- /dev/null
+++ b/tests/harness/__init__.py
@@ -0,0 +1,1 @@
+"""A hand-held clock, a fake network and fakes of the platform, for whole nodes."""
--- /dev/null
+++ b/tests/harness/oracle.py
@@ -0,0 +1,204 @@
+"""Checks of the promises, from what workers, callers and operators saw alone."""
+
+import itertools
+
+from attrs import frozen
+
+from poplarlb.protocol import api
+from poplarlb.state.models import Resources, ZoneState
+from tests.harness.world import World
+
+ZONE_BOUND_MS = 3_000
+VIEW_BOUND_MS = 6_000
+OVER = ("succeeded", "failed", "stopped", "lapsed", "crashed")
+
+
+@frozen
+class Violation:
+    """A broken promise and what shows it."""
+
+    promise: str
+    detail: str
+
+
+def check_promises(world: World) -> list[Violation]:
+    """Return every violation in the run so far."""
+    return [
+        *check_one_place(world),
+        *check_capacity(world),
+        *check_resumes(world),
+        *check_zones(world),
+        *check_not_run(world),
+        *check_views(world),
+    ]
+
+
+def check_one_place(world: World) -> list[Violation]:
+    """No task runs in two places at once, and none after it succeeded."""
+    found = []
+    running: dict[str, object] = {}
+    done: set[str] = set()
+    # An end and a start at the same instant do not overlap.
+    rows = sorted(world.history(), key=lambda row: (row.at_ms, row.what == "start"))
+    for row in rows:
+        if row.what == "start":
+            if row.subject in running:
+                other = running[row.subject].worker_id
+                found.append(
+                    Violation(
+                        "one place at a time",
+                        f"{row.subject} #{row.attempt} at {row.worker_id} "
+                        f"while at {other}, {row.at_ms}",
+                    )
+                )
+            if row.subject in done:
+                detail = f"{row.subject} #{row.attempt} started after its success"
+                found.append(Violation("ended work never runs again", detail))
+            running[row.subject] = row
+        elif row.what in OVER:
+            current = running.get(row.subject)
+            if current is not None and current.worker_id == row.worker_id:
+                del running[row.subject]
+            if row.what == "succeeded":
+                done.add(row.subject)
+    return found
+
+
+def check_capacity(world: World) -> list[Violation]:
+    """No host is given more than it can hold."""
+    found = []
+    for model in world.workers.values():
+        held: dict[str, Resources] = {}
+        rows = sorted(model.history, key=lambda row: (row.at_ms, row.what == "start"))
+        for row in rows:
+            if row.what == "start":
+                held[row.subject] = row.reserved
+            elif row.what in OVER:
+                held.pop(row.subject, None)
+            total = Resources()
+            for reserved in held.values():
+                total = total.plus(reserved)
+            if not total.fits_in(model.worker.capacity):
+                detail = f"{row.worker_id} holds {total} at {row.at_ms}"
+                found.append(Violation("no host over its capacity", detail))
+    return found
+
+
+def check_resumes(world: World) -> list[Violation]:
+    """No attempt starts twice, and attempts only grow."""
+    found = []
+    latest: dict[str, int] = {}
+    for row in world.history():
+        if row.what != "start":
+            continue
+        if row.attempt <= latest.get(row.subject, 0):
+            detail = f"{row.subject} #{row.attempt} after #{latest[row.subject]}"
+            found.append(Violation("resumes exactly once", detail))
+        latest[row.subject] = row.attempt
+    return found
+
+
+def check_zones(world: World) -> list[Violation]:
+    """No start in a zone more than a few seconds after it was taken out."""
+    changes = [
+        (answer.at_ms, answer.asked_ms, answer.call.zone, answer.call.state)
+        for answer in world.answers
+        if isinstance(answer.call, api.SetZone)
+    ]
+    accepted = [
+        (answer.at_ms, answer.call.zone)
+        for answer in world.answers
+        if isinstance(answer.call, api.SetZone)
+        and answer.call.state is ZoneState.OUT
+        and isinstance(answer.result, api.ConfigChanged)
+    ]
+    found = []
+    for out_ms, zone in accepted:
+        later = [asked for _, asked, z, s in changes if z == zone and asked > out_ms]
+        end_ms = min(later, default=world.now_ms + 1)
+        starts = [
+            row
+            for row in world.history()
+            if row.what == "start"
+            and world.workers[row.worker_id].worker.zone == zone
+            and out_ms + ZONE_BOUND_MS < row.at_ms < end_ms
+        ]
+        found.extend(
+            Violation(
+                "no start in a zone that is out",
+                f"{row.subject} at {row.worker_id}, {row.at_ms - out_ms} ms after",
+            )
+            for row in starts
+        )
+    return found
+
+
+def check_not_run(world: World) -> list[Violation]:
+    """Work that was refused as not run has not run, unless asked for again."""
+    submits = [a for a in world.answers if isinstance(a.call, api.SubmitTask)]
+    by_subject = itertools.groupby(
+        sorted(submits, key=lambda a: a.call.spec.key), key=lambda a: a.call.spec.key
+    )
+    started = {row.subject for row in world.history() if row.what == "start"}
+    found = []
+    for key, group in by_subject:
+        results = [answer.result for answer in group]
+        refused = all(isinstance(r, api.Fault) and r.code == "not_run" for r in results)
+        subject = f"{key.team}/{key.task_id}"
+        if refused and subject in started:
+            found.append(Violation("not run is true", subject))
+    return found
+
+
+def check_views(world: World) -> list[Violation]:
+    """No daemon goes back to an older configuration."""
+    found = []
+    by_daemon: dict[tuple[str, int], int] = {}
+    for seen in world.views:
+        key = (seen.daemon, seen.incarnation)
+        if seen.version < by_daemon.get(key, 0):
+            detail = f"{seen.daemon} went back to {seen.version}"
+            found.append(Violation("configuration never reverts", detail))
+        by_daemon[key] = seen.version
+    return found
+
+
+def check_in_force(world: World, names: list[str]) -> list[Violation]:
+    """Every named daemon has each accepted version in force within the bound."""
+    accepted = [
+        (answer.at_ms, answer.result.version)
+        for answer in world.answers
+        if isinstance(answer.result, api.ConfigChanged)
+    ]
+    return [
+        Violation("in force within the bound", f"{version} late at {name}")
+        for (at_ms, version), name in itertools.product(accepted, names)
+        if at_ms + VIEW_BOUND_MS <= world.now_ms
+        and not any(
+            seen.daemon == name
+            and seen.version >= version
+            and seen.at_ms <= at_ms + VIEW_BOUND_MS
+            for seen in world.views
+        )
+    ]
+
+
+def check_finished(world: World) -> list[Violation]:
+    """After a quiet time, every accepted job has ended."""
+    accepted = {
+        answer.call.spec.key
+        for answer in world.answers
+        if isinstance(answer.call, api.SubmitTask)
+        and isinstance(answer.result, api.TaskView)
+    }
+    cancelled = {
+        answer.call.key
+        for answer in world.answers
+        if isinstance(answer.call, api.CancelTask)
+    }
+    over = {r.subject for r in world.history() if r.what in ("succeeded", "failed")}
+    return [
+        Violation("accepted work never vanishes", f"{key.team}/{key.task_id}")
+        for key in sorted(accepted - cancelled)
+        if f"{key.team}/{key.task_id}" not in over
+    ]
