--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 	$(BIN)/python -m examples.demo
 
 fuzz: $(VENV)/.installed
-	$(BIN)/python -m tests.fuzz $(SEED)
+	$(BIN)/python -m tests.fuzz $(SEED) $(COUNT)
 
 clean:
 	rm -rf $(VENV) build *.egg-info
