--- a/poplarlb/daemon.py
+++ b/poplarlb/daemon.py
@@ -9,8 +9,10 @@
 from loguru import logger
 
 from poplarlb.exceptions import SettingsError
+from poplarlb.logs import configure_logs
 from poplarlb.settings import Settings, load_settings
 from poplarlb.transport.callers import CallerServer
+from poplarlb.transport.operators import OperatorServer
 from poplarlb.transport.runtime import Runtime
 
 EXIT_BAD_SETTINGS = 2
@@ -35,15 +37,19 @@
 
 def run(settings: Settings) -> None:
     """Run one daemon until its graceful shutdown has ended."""
-    logger.remove()
-    logger.add(sys.stderr, level=settings.logs.level, serialize=settings.logs.json)
+    configure_logs(settings.logs, settings.member_id)
     runtime = Runtime(settings)
     server = CallerServer(runtime)
-    thread = threading.Thread(target=server.serve, daemon=True)
-    thread.start()
+    servers = [server]
+    if settings.api.operator_listen:
+        servers.append(OperatorServer(runtime))
+        logger.info("operators are served on {}", servers[-1].address)
+    for item in servers:
+        threading.Thread(target=item.serve, daemon=True).start()
     logger.info("member {} serves on {}", settings.member_id, server.address)
     asyncio.run(_run_until_signal(runtime, server))
-    server.stop()
+    for item in servers:
+        item.stop()
 
 
 async def _run_until_signal(runtime: Runtime, server: CallerServer) -> None:
--- a/poplarlb/exceptions.py
+++ b/poplarlb/exceptions.py
@@ -57,6 +57,13 @@
     http_status = 409
 
 
+class RateLimitedError(PoplarlbError):
+    """Too many calls; nothing was run, and it may be sent again later."""
+
+    code = "rate_limited"
+    http_status = 429
+
+
 class NotRunError(PoplarlbError):
     """The work was refused and certainly has not run; it may be sent again."""
 
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -9,12 +9,13 @@
 import cherrypy
 import urllib3
 from cherrypy.process.servers import ServerAdapter
-from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+from prometheus_client import CONTENT_TYPE_LATEST
 
 from poplarlb.exceptions import BadRequestError, PoplarlbError
 from poplarlb.protocol import api
-from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass, ZoneState
-from poplarlb.transport import views
+from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
+from poplarlb.transport import tls, views
+from poplarlb.transport.operators import OperatorRoutes
 from poplarlb.transport.runtime import Runtime, now_ms
 
 
@@ -33,6 +34,8 @@
     def __init__(self, runtime: Runtime) -> None:
         """Keep the runtime and open a pool towards endpoints."""
         self.runtime = runtime
+        separate = runtime.settings.api.operator_listen
+        self.operators = None if separate else OperatorRoutes(runtime)
         self.pool = urllib3.PoolManager(num_pools=2_000, maxsize=64, retries=False)
 
     @cherrypy.expose
@@ -52,7 +55,7 @@
     def metrics(self) -> bytes:
         """Return the metrics as Prometheus reads them."""
         cherrypy.response.headers["Content-Type"] = CONTENT_TYPE_LATEST
-        return generate_latest()
+        return self.runtime.metrics.render()
 
     @cherrypy.expose
     def default(self, *path: str, **query: str) -> bytes:
@@ -74,15 +77,8 @@
                 return self._answer(api.ShowTask(TaskKey(team, job_id)))
             case ("DELETE", "v1", "jobs", team, job_id):
                 return self._answer(api.CancelTask(TaskKey(team, job_id)))
-            case ("GET", "v1", "config"):
-                return self._answer(api.ShowConfig())
-            case ("POST", "v1", "config"):
-                change = views.parse_change(self._body())
-                return self._answer(change)
-            case ("PUT", "v1", "zones", zone):
-                return self._set_zone(zone)
-            case ("GET", "v1", "status"):
-                return self._answer(api.ShowStatus())
+        if self.operators is not None and self.operators.handles(path):
+            return self.operators.route(method, path)
         cherrypy.response.status = 404
         return _json({"code": "not_found", "detail": "/".join(path)})
 
@@ -107,12 +103,6 @@
         )
         return self._answer(api.SubmitTask(spec))
 
-    def _set_zone(self, zone: str) -> bytes:
-        body = self._body()
-        state = ZoneState(body["state"])
-        change = api.SetZone(body["change_id"], body["operator"], zone, state)
-        return self._answer(change)
-
     def _answer(self, body: api.ApiBody) -> bytes:
         result = self.runtime.ask(body)
         cherrypy.response.status = views.status_of(result)
@@ -171,6 +161,7 @@
         self.server = Server(
             (host, int(port)), application, numthreads=settings.threads
         )
+        self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
         self.adapter = ServerAdapter(cherrypy.engine, self.server)
 
--- a/poplarlb/transport/peers.py
+++ b/poplarlb/transport/peers.py
@@ -14,6 +14,7 @@
 from poplarlb.protocol import codec
 from poplarlb.protocol.messages import PeerMessage
 from poplarlb.settings import PeerSettings
+from poplarlb.transport import tls
 
 PROTOCOL_VERSION = "poplarlb.1"
 SECRET_HEADER = "Poplarlb-Secret"
@@ -59,6 +60,7 @@
             max_size=codec.MAX_MESSAGE_BYTES,
             subprotocols=[PROTOCOL_VERSION],
             compression=None,
+            ssl=tls.make_peer_server_context(self.settings),
         )
         bound = self.server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
@@ -95,10 +97,13 @@
             MEMBER_HEADER: self.member_id,
         }
         queue = self.queues[address]
+        context = tls.make_peer_client_context(self.settings)
+        scheme = "wss" if context else "ws"
         while True:
             try:
                 async with connect(
-                    f"ws://{address}",
+                    f"{scheme}://{address}",
+                    ssl=context,
                     subprotocols=[PROTOCOL_VERSION],
                     additional_headers=headers,
                     max_size=codec.MAX_MESSAGE_BYTES,
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -10,8 +10,10 @@
 from poplarlb.coordination.node import Node
 from poplarlb.coordination.sharding import Member
 from poplarlb.exceptions import NotRunError, OutcomeUnknownError
+from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
 from poplarlb.settings import Settings
+from poplarlb.transport.meter import Meter
 from poplarlb.transport.peers import PeerTransport
 from poplarlb.transport.platform import PlatformAdapter
 from poplarlb.transport.store import StoreAdapter
@@ -48,6 +50,8 @@
         self.loop: asyncio.AbstractEventLoop | None = None
         self.stopped: asyncio.Event | None = None
         self.started = threading.Event()
+        self.metrics = Metrics()
+        self.meter = Meter(self.metrics)
 
     async def run(self, api_address: str) -> None:
         """Run until the node says that it has stopped."""
@@ -62,6 +66,7 @@
             now_ms(),
         )
         self.node = Node(self.settings, own)
+        self.meter.watch(self.node, self.peers, now_ms)
         self.started.set()
         logger.info("member {} listens for peers on {}", own.member_id, peer_address)
         ticker = asyncio.create_task(self._tick())
@@ -77,12 +82,23 @@
         :raises NotRunError: if the daemon has not started yet.
         :raises OutcomeUnknownError: if no answer came in time.
         """
+        return self.ask_all([body], timeout_s)[0]
+
+    def ask_all(
+        self, bodies: list[api.ApiBody], timeout_s: float = ANSWER_TIMEOUT_S
+    ) -> list[api.ApiResult]:
+        """Return the node's answers to several calls made at once.
+
+        :raises NotRunError: if the daemon has not started yet.
+        :raises OutcomeUnknownError: if an answer did not come in time.
+        """
         if not self.started.is_set():
             raise NotRunError("the daemon is starting")
-        future: concurrent.futures.Future = concurrent.futures.Future()
-        self.loop.call_soon_threadsafe(self._begin, body, future)
+        futures = [concurrent.futures.Future() for _ in bodies]
+        for body, future in zip(bodies, futures, strict=True):
+            self.loop.call_soon_threadsafe(self._begin, body, future)
         try:
-            return future.result(timeout_s)
+            return [future.result(timeout_s) for future in futures]
         except concurrent.futures.TimeoutError as error:
             raise OutcomeUnknownError("no answer in time") from error
 
@@ -97,7 +113,9 @@
             commands = self.node.handle(event, now_ms())
         except Exception:
             logger.exception("an event of type {} failed", type(event).__name__)
+            self.metrics.count_failed_event(type(event).__name__)
             return
+        self.meter.note(event, commands)
         for command in commands:
             self._carry_out(command)
 
