--- a/tests/coordination/test_config.py
+++ b/tests/coordination/test_config.py
@@ -214,6 +214,14 @@
                 if self.frozen_until[number] <= self.now_ms:
                     self.handle(number, ports.Tick(), self.peers_of(number))
 
+    def run_until(self, reached) -> None:
+        """Let time pass until a condition holds."""
+        for _ in range(400):
+            if reached():
+                return
+            self.run(STEP_MS)
+        raise AssertionError("the condition was never reached")
+
     def peers_of(self, number: int) -> tuple[PeerView, ...]:
         """Return the other keepers, as heartbeats show them."""
         return tuple(
@@ -311,6 +319,18 @@
         self.run(self.random.choice((0, 100, 1_000, 4_000)))
 
 
+def is_sweep(thing) -> bool:
+    """Tell whether a store call reads all parts of one team."""
+    operation = getattr(thing, "operation", None)
+    return isinstance(operation, ports.StoreRead) and operation.prefix.endswith("a/")
+
+
+def writes_head(thing) -> bool:
+    """Tell whether a store call writes the head."""
+    operation = getattr(thing, "operation", None)
+    return isinstance(operation, ports.StoreWrite) and operation.key.endswith("head")
+
+
 class ConfigFuzzTest(unittest.TestCase):
     """Random changes, faults and restarts."""
 
@@ -342,10 +362,9 @@
             base = self.world.keepers[0].context.view.version
             self.world.ask(serial % 3, self.change(f"c{serial}", base, serial))
             asked_ms = self.world.now_ms
-            while len(self.world.accepted) <= serial:
-                self.world.run(STEP_MS)
-            while min(self.world.seen) < serial + 1:
-                self.world.run(STEP_MS)
+            number = serial + 1
+            self.world.run_until(lambda n=number: len(self.world.accepted) >= n)
+            self.world.run_until(lambda n=number: min(self.world.seen) >= n)
             self.assertLess(self.world.now_ms - asked_ms, IN_FORCE_MS)
 
     def test_lost_answer_before_an_outage(self) -> None:
@@ -353,8 +372,7 @@
         world = self.world
         body = self.change("c1", 0, 1.0)
         world.ask(0, body)
-        while not world.store.commits:
-            world.run(STEP_MS)
+        world.run_until(lambda: world.store.commits)
         world.store.down = True
         world.in_flight = []
         world.run(15_000)
@@ -392,6 +410,36 @@
         self.world.run(2_000)
         self.assertEqual(self.world.answers["c1"].code, "conflict")
 
+    def test_sweep_spares_a_part_not_yet_named(self) -> None:
+        """A sweep that meets another change's fresh part leaves it alone."""
+        world = self.world
+        world.ask(0, self.change("c1", 0, 1.0))
+        world.run_until(lambda: world.keepers[0].sweeps)
+        sweep = [item for item in world.in_flight if is_sweep(item.thing)]
+        world.in_flight = [i for i in world.in_flight if i not in sweep]
+        world.run(1_000)
+        world.ask(1, self.change("c2", 1, 2.0))
+        world.run_until(lambda: any(writes_head(i.thing) for i in world.in_flight))
+        head = [item for item in world.in_flight if writes_head(item.thing)]
+        world.in_flight = [i for i in world.in_flight if i not in head] + sweep
+        world.run(1_000)
+        world.in_flight += head
+        world.run(7_000)
+        self.assertEqual(world.answers["c2"].version, 2)
+        fresh = [k.context.view_is_fresh(world.now_ms) for k in world.keepers]
+        self.assertEqual(fresh, [True] * 3)
+
+    def test_zone_states_survive_the_codec(self) -> None:
+        """A zone that is back in allows starts at every keeper."""
+        for serial, state in enumerate((ZoneState.OUT, ZoneState.IN)):
+            self.world.ask(0, api.SetZone(f"z{serial}", "asha", "kochi", state))
+            self.world.run(2_000)
+            allowed = {
+                keeper.context.view.zone_allows_starts("kochi")
+                for keeper in self.world.keepers
+            }
+            self.assertEqual(allowed, {state is ZoneState.IN})
+
     def test_race_names_the_winner(self) -> None:
         """The loser learns the winning version and the other's change."""
         world = self.world
