--- /dev/null
+++ b/poplarlb/coordination/fairness.py
@@ -0,0 +1,136 @@
+"""The order of a shard's queue: class, age, and weighted fairness of teams."""
+
+import heapq
+from collections.abc import Iterable, Sequence
+
+from attrs import define
+
+from poplarlb.coordination.rooms import QueuedTask
+from poplarlb.settings import PolicySettings
+from poplarlb.state.models import Resources, WorkClass
+from poplarlb.state.templates import ConfigView
+
+OVERDUE_BAND = 2
+ORDINARY_BAND = 3
+BANDS = {
+    WorkClass.LATENCY_CRITICAL: 0,
+    WorkClass.URGENT: 1,
+    WorkClass.ORDINARY: ORDINARY_BAND,
+    WorkClass.PATIENT: 4,
+    WorkClass.LONG_LIVED: 5,
+}
+
+
+@define
+class TeamShare:
+    """The part of all quotas that a team uses, with the team's weight."""
+
+    weight: float
+    total: Resources
+    used: Resources
+
+    def value(self) -> float:
+        """Return the dominant share over the weight."""
+        used, total = self.used, self.total
+        dominant = max(
+            used.cpu_millis / max(1, total.cpu_millis),
+            used.memory_mb / max(1, total.memory_mb),
+            used.accelerators / max(1, total.accelerators),
+        )
+        return dominant / self.weight
+
+
+def order_by_band(
+    queued: Sequence[QueuedTask],
+    used_by_team: dict[str, Resources],
+    view: ConfigView,
+    settings: PolicySettings,
+    now_ms: int,
+) -> list[QueuedTask]:
+    """Return the tasks by band, and within a band by fairness between teams.
+
+    Overdue tasks go oldest first whatever their team, so that none starves.
+    """
+    limits = _wait_limits(view)
+    bands: dict[int, list[QueuedTask]] = {}
+    for task in sorted(queued, key=lambda item: (item.queued_ms, item.spec.key)):
+        band = _band(task, limits, settings, now_ms)
+        bands.setdefault(band, []).append(task)
+    shares = _team_shares({task.spec.key.team for task in queued}, used_by_team, view)
+    ordered: list[QueuedTask] = []
+    for band in sorted(bands):
+        tasks = bands[band]
+        ordered.extend(tasks if band == OVERDUE_BAND else _interleave(tasks, shares))
+    return ordered
+
+
+def is_overdue(
+    task: QueuedTask, view: ConfigView, settings: PolicySettings, now_ms: int
+) -> bool:
+    """Tell whether a task has waited past its limit."""
+    return _band(task, _wait_limits(view), settings, now_ms) == OVERDUE_BAND
+
+
+def _wait_limits(view: ConfigView) -> dict[tuple[str, str], int]:
+    return {
+        (team.team, kind.name): kind.max_wait_ms
+        for team in view.teams
+        for kind in team.batch
+    }
+
+
+def _band(
+    task: QueuedTask,
+    limits: dict[tuple[str, str], int],
+    settings: PolicySettings,
+    now_ms: int,
+) -> int:
+    spec = task.spec
+    band = BANDS[spec.work_class]
+    if band < OVERDUE_BAND:
+        return band
+    waited_ms = now_ms - task.queued_ms
+    own_limit_ms = limits.get((spec.key.team, spec.work_kind), settings.overdue_ms)
+    if waited_ms >= min(settings.overdue_ms, own_limit_ms):
+        return OVERDUE_BAND
+    return max(ORDINARY_BAND, band - waited_ms // settings.ageing_ms)
+
+
+def _team_shares(
+    teams: Iterable[str], used_by_team: dict[str, Resources], view: ConfigView
+) -> dict[str, TeamShare]:
+    total = Resources()
+    for template in view.teams:
+        total = total.plus(template.quota)
+    weights = {template.team: template.weight for template in view.teams}
+    return {
+        team: TeamShare(
+            max(0.001, weights.get(team, 1.0)),
+            total,
+            used_by_team.get(team, Resources()),
+        )
+        for team in teams
+    }
+
+
+def _interleave(
+    tasks: Sequence[QueuedTask], shares: dict[str, TeamShare]
+) -> list[QueuedTask]:
+    by_team: dict[str, list[QueuedTask]] = {}
+    for task in tasks:
+        by_team.setdefault(task.spec.key.team, []).append(task)
+    if len(by_team) == 1:
+        return list(tasks)
+    waiting = {team: iter(items) for team, items in by_team.items()}
+    heap = [(shares[team].value(), team) for team in by_team]
+    heapq.heapify(heap)
+    merged = []
+    while heap:
+        _, team = heapq.heappop(heap)
+        task = next(waiting[team], None)
+        if task is None:
+            continue
+        merged.append(task)
+        shares[team].used = shares[team].used.plus(task.spec.size)
+        heapq.heappush(heap, (shares[team].value(), team))
+    return merged
--- /dev/null
+++ b/poplarlb/coordination/interference.py
@@ -0,0 +1,247 @@
+"""How much batch work slows services down, learned from noisy latencies.
+
+The latency of a service at a worker is taken as
+
+    baseline x (1 + sum over kinds of harm[kind] x cpu share of the kind)
+
+A scalar Kalman filter with a diagonal covariance estimates the baseline of
+each service and the harm of each pair. Innovations are clipped, and variances
+grow with time, so that old knowledge fades.
+"""
+
+import bisect
+import collections
+import math
+import statistics
+from collections.abc import Sequence
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.rooms import (
+    PlacedTask,
+    WorkerRoom,
+    cpu_share,
+    kind_of,
+    service_of,
+)
+from poplarlb.settings import PolicySettings
+from poplarlb.state.models import TaskSpec, WorkerReport
+
+WINDOW_MS = 1_000
+WINDOW_SAMPLES_NEEDED = 5
+WINDOW_SAMPLES_KEPT = 128
+REPORT_REQUESTS_NEEDED = 10
+NOISE_OF_ONE = 0.5
+NOISE_FLOOR = 0.03
+PRIOR_DEVIATION = 1.0
+BASELINE_DRIFT_PER_S = 0.02
+CLIP_DEVIATIONS = 2.5
+HISTORY_KEPT = 64
+
+
+@frozen
+class Mixture:
+    """The batch work that ran at a worker from an instant on."""
+
+    since_ms: int
+    shares: tuple[tuple[str, float], ...] = ()
+
+
+@define
+class Estimate:
+    """A mean with its variance and the instant of the last update."""
+
+    mean: float
+    variance: float
+    at_ms: int
+
+    def confidence(self) -> float:
+        """Return 0 for a mere prior, up to 1 for a settled estimate."""
+        return max(0.0, 1 - self.variance / PRIOR_DEVIATION**2)
+
+
+@define
+class MixtureHistory:
+    """What ran at one worker lately, so that late measurements find their cause."""
+
+    mixtures: collections.deque[Mixture] = Factory(
+        lambda: collections.deque(maxlen=HISTORY_KEPT)
+    )
+
+    def note(self, shares: tuple[tuple[str, float], ...], now_ms: int) -> None:
+        """Record a mixture if it differs from the last."""
+        if not self.mixtures or self.mixtures[-1].shares != shares:
+            self.mixtures.append(Mixture(now_ms, shares))
+
+    def at(self, instant_ms: int) -> Mixture | None:
+        """Return the mixture at an instant; ``None`` before the first."""
+        starts = [mixture.since_ms for mixture in self.mixtures]
+        position = bisect.bisect_right(starts, instant_ms)
+        return self.mixtures[position - 1] if position else None
+
+
+@define
+class LatencyWindow:
+    """The latencies that the owner saw for one service at one worker."""
+
+    since_ms: int
+    samples: list[float] = Factory(list)
+
+
+def mixture_of(room: WorkerRoom) -> tuple[tuple[str, float], ...]:
+    """Return the processor share of each kind of batch work that runs."""
+    shares: dict[str, float] = {}
+    for task in room.tasks:
+        if task.running and not task.spec.service:
+            kind = kind_of(task.spec)
+            shares[kind] = shares.get(kind, 0.0) + cpu_share(task, room.worker)
+    return tuple(sorted(shares.items()))
+
+
+@define
+class HarmTable:
+    """Estimates of the harm that kinds of batch work do to services."""
+
+    settings: PolicySettings
+    pairs: dict[tuple[str, str], Estimate] = Factory(dict)
+    baselines: dict[str, Estimate] = Factory(dict)
+    histories: dict[str, MixtureHistory] = Factory(dict)
+    windows: dict[tuple[str, str], LatencyWindow] = Factory(dict)
+
+    def added(self, service: str, spec: TaskSpec, share: float) -> float:
+        """Return the slowdown that a task adds to a service, at least 0.
+
+        :param share: the task's part of the worker's processors.
+        """
+        return share * self.harm(service, kind_of(spec))
+
+    def harm(self, service: str, kind: str) -> float:
+        """Return the expected slowdown by a whole worker's worth of a kind."""
+        pair = self.pairs.get((service, kind))
+        if pair is None:
+            return self.settings.harm_prior
+        return max(0.0, pair.mean)
+
+    def confidence(self, service: str, kind: str) -> float:
+        """Return how settled a pair's harm is, from 0 to 1."""
+        pair = self.pairs.get((service, kind))
+        return pair.confidence() if pair else 0.0
+
+    def slowdown(self, service: str, room: WorkerRoom) -> float:
+        """Return the expected slowdown of a service at a worker, at least 1."""
+        return 1.0 + sum(
+            self.added(service, task.spec, cpu_share(task, room.worker))
+            for task in room.tasks
+            if task.running and not task.spec.service
+        )
+
+    def note_room(self, room: WorkerRoom, now_ms: int) -> None:
+        """Record what runs at a worker now."""
+        history = self.histories.setdefault(room.worker.worker_id, MixtureHistory())
+        history.note(mixture_of(room), now_ms)
+
+    def note_report(self, report: WorkerReport, tasks: Sequence[PlacedTask]) -> None:
+        """Learn from the latencies in a lagging report."""
+        names = {
+            task.spec.service: service_of(task.spec)
+            for task in tasks
+            if task.spec.service
+        }
+        for latency in report.service_latency_ms:
+            service = names.get(latency.service)
+            if service is None or latency.requests < REPORT_REQUESTS_NEEDED:
+                continue
+            self._learn(
+                service,
+                report.worker_id,
+                latency.p50_ms,
+                latency.requests,
+                report.measured_ms,
+            )
+
+    def note_latency(
+        self, service: str, worker_id: str, latency_ms: float, now_ms: int
+    ) -> None:
+        """Collect a request's latency; full windows are learned from."""
+        window = self.windows.get((service, worker_id))
+        if window is None:
+            window = LatencyWindow(now_ms)
+            self.windows[service, worker_id] = window
+        if now_ms - window.since_ms >= WINDOW_MS:
+            self._close(service, worker_id, window, now_ms)
+        if len(window.samples) < WINDOW_SAMPLES_KEPT:
+            window.samples.append(latency_ms)
+
+    def _close(
+        self, service: str, worker_id: str, window: LatencyWindow, now_ms: int
+    ) -> None:
+        if len(window.samples) < WINDOW_SAMPLES_NEEDED:
+            if now_ms - window.since_ms < 10 * WINDOW_MS:
+                return
+        else:
+            median = statistics.median(window.samples)
+            count = len(window.samples)
+            self._learn(service, worker_id, median, count, window.since_ms)
+        window.since_ms = now_ms
+        window.samples.clear()
+
+    def _learn(
+        self, service: str, worker_id: str, latency_ms: float, count: int, at_ms: int
+    ) -> None:
+        history = self.histories.get(worker_id)
+        mixture = history.at(at_ms) if history else None
+        if mixture is None or latency_ms <= 0:
+            return
+        baseline = self.baselines.get(service)
+        if baseline is None:
+            self.baselines[service] = Estimate(math.log(latency_ms), 0.25, at_ms)
+            return
+        noise = NOISE_FLOOR**2 + NOISE_OF_ONE**2 / count
+        pairs = [(self._pair(service, kind, at_ms), x) for kind, x in mixture.shares]
+        expected = max(1.0, 1.0 + sum(pair.mean * x for pair, x in pairs))
+        self._update_baseline(baseline, latency_ms / expected, noise, at_ms)
+        if pairs:
+            ratio = latency_ms / math.exp(baseline.mean)
+            self._update_pairs(pairs, ratio, noise)
+
+    def _pair(self, service: str, kind: str, at_ms: int) -> Estimate:
+        """Return a pair's estimate, with its variance grown since the last."""
+        pair = self.pairs.get((service, kind))
+        if pair is None:
+            pair = Estimate(self.settings.harm_prior, PRIOR_DEVIATION**2, at_ms)
+            self.pairs[service, kind] = pair
+        passed_ms = max(0, at_ms - pair.at_ms)
+        fade = 0.5 ** (passed_ms / self.settings.harm_half_life_ms)
+        prior = PRIOR_DEVIATION**2
+        pair.variance = prior - (prior - pair.variance) * fade
+        pair.at_ms = max(pair.at_ms, at_ms)
+        return pair
+
+    def _update_baseline(
+        self, baseline: Estimate, unharmed_ms: float, noise: float, at_ms: int
+    ) -> None:
+        passed_s = max(0, at_ms - baseline.at_ms) / 1000
+        baseline.variance += BASELINE_DRIFT_PER_S**2 * passed_s
+        baseline.at_ms = max(baseline.at_ms, at_ms)
+        total = baseline.variance + noise
+        gain = baseline.variance / total
+        residual = math.log(unharmed_ms) - baseline.mean
+        baseline.mean += gain * _clip(residual, total)
+        baseline.variance *= 1 - gain
+
+    def _update_pairs(
+        self, pairs: list[tuple[Estimate, float]], ratio: float, noise: float
+    ) -> None:
+        expected = 1.0 + sum(pair.mean * share for pair, share in pairs)
+        noise *= max(1.0, expected) ** 2
+        total = noise + sum(pair.variance * share**2 for pair, share in pairs)
+        residual = _clip(ratio - expected, total)
+        for pair, share in pairs:
+            gain = pair.variance * share / total
+            pair.mean = max(0.0, pair.mean + gain * residual)
+            pair.variance *= 1 - gain * share
+
+
+def _clip(residual: float, variance: float) -> float:
+    limit = CLIP_DEVIATIONS * math.sqrt(variance)
+    return max(-limit, min(limit, residual))
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -105,6 +105,22 @@
     harm_half_life_ms: int = field(
         default=600_000, validator=_between(1_000, 86_400_000)
     )
+    ageing_ms: int = field(default=600_000, validator=_between(1_000, 86_400_000))
+    overdue_ms: int = field(default=3_600_000, validator=_between(1_000, 86_400_000))
+    held_ms: int = field(default=30_000, validator=_between(0, 600_000))
+    harm_weight: float = field(default=1.0, validator=_between(0, 1_000))
+    harm_prior: float = field(default=0.3, validator=_between(0, 100))
+    spread_weight: float = field(default=0.5, validator=_between(0, 1_000))
+    fragmentation_weight: float = field(default=0.2, validator=_between(0, 1_000))
+    accelerator_weight: float = field(default=2.0, validator=_between(0, 1_000))
+    learned_quantile: float = field(default=0.9, validator=_between(0.5, 1))
+    relief_period_ms: int = field(default=1_000, validator=_between(50, 60_000))
+    breach_share: float = field(default=0.05, validator=_between(0, 1))
+    breach_window_ms: int = field(default=10_000, validator=_between(500, 600_000))
+    clear_ms: int = field(default=20_000, validator=_between(500, 3_600_000))
+    throttle_wait_ms: int = field(default=5_000, validator=_between(100, 600_000))
+    throttle_percent: int = field(default=25, validator=_between(1, 100))
+    quarantine_share: float = field(default=0.25, validator=_between(0, 1))
 
 
 @frozen
