Quota: a shard answers a recall with what it holds

Cause: a random walk found a share lost for good. A shard lowered its share under the serial at which the authority had granted more, its owner died, and the later recall looked to the new owner like the answer to its own message. Change: with nothing to return, a shard tells what it holds; the authority's answer then shows the difference, and the shard returns it. Four planted faults are each caught in 60 walks.

--- a/poplarlb/coordination/quota.py
+++ b/poplarlb/coordination/quota.py
@@ -145,7 +145,8 @@
 
         An answer with the serial already held is a recall, or shows that the
         authority counts more than this shard holds; an older one shows that it
-        may not have heard of a lower share.
+        may not have heard of a lower share. With nothing to return, the shard
+        tells what it holds, so that the authority's count can be compared.
         """
         effects = Effects()
         team = answer.team
@@ -168,15 +169,17 @@
         now_ms: int,
         effects: Effects,
     ) -> None:
-        wish = self.wishes.get(answer.team)
-        if answer.share == held.amount:
-            if wish and wish.serial == held.serial:
-                del self.wishes[answer.team]
-            return
-        is_recall = answer.share.fits_in(held.amount)
-        if is_recall and held.amount.fits_in(answer.share.larger(used)):
+        team = answer.team
+        wish = self.wishes.get(team)
+        if answer.share == held.amount and wish and wish.serial == held.serial:
+            del self.wishes[team]
             return
-        self._lower(answer.team, answer.share, used, now_ms, effects)
+        counts_more = not answer.share.fits_in(held.amount)
+        has_unused = not held.amount.fits_in(answer.share.larger(used))
+        if counts_more or has_unused:
+            self._lower(team, answer.share, used, now_ms, effects)
+        elif wish is None:
+            self._send(team, Wish(held.serial, held.amount, now_ms), effects)
 
     def tick(
         self, used_by_team: dict[str, Resources], view: ConfigView, now_ms: int
--- /dev/null
+++ b/tests/coordination/test_quota.py
@@ -0,0 +1,291 @@
+"""Team quotas hold across shards whatever happens to messages and owners."""
+
+import copy
+import random
+import unittest
+from unittest import mock
+
+from attrs import Factory, define
+
+from poplarlb.coordination import quota
+from poplarlb.coordination.effects import Effects
+from poplarlb.coordination.quota import QuotaAuthority, QuotaLedger
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.protocol.messages import QuotaShare, QuotaWanted, ShardMessage
+from poplarlb.state.models import Resources
+from poplarlb.state.quota import QuotaTable
+from poplarlb.state.templates import ConfigView, TeamTemplate
+
+TEAM = "dairy"
+SHARDS = ShardMap(("kochi/0", "thrissur/0", "kollam/0"))
+HOME = SHARDS.home_of_team(TEAM)
+QUOTA = Resources(10_000, 50_000, 2)
+STEPS = 300
+
+
+def view_of(amount: Resources, version: int = 1) -> ConfigView:
+    """Return a view in which the team has the quota."""
+    return ConfigView(version, (TeamTemplate(TEAM, (), amount),))
+
+
+@define
+class Shard:
+    """A shard with its journal: staged work is lost when its owner dies."""
+
+    name: str
+    epoch: int = 1
+    saved: QuotaTable = Factory(QuotaTable)
+    saved_used: Resources = Resources()
+    used: Resources = Resources()
+    staged: list = Factory(list)
+    authority: QuotaAuthority | None = None
+    ledger: QuotaLedger | None = None
+
+    def recover(self) -> None:
+        """Begin as a new owner, from what is durable."""
+        table = copy.deepcopy(self.saved)
+        self.epoch += 1
+        self.staged = []
+        self.used = self.saved_used
+        self.authority = QuotaAuthority(self.name, self.epoch, table)
+        self.ledger = QuotaLedger(self.name, self.epoch, table, SHARDS)
+
+    def stage(self, item: Effects | Resources) -> None:
+        """Add effects, or a change of what is used, to the journal."""
+        self.staged.append(item)
+
+    def commit(self) -> list[ShardMessage]:
+        """Make the staged work durable; returns the messages it frees."""
+        messages = []
+        for item in self.staged:
+            if isinstance(item, Resources):
+                self.saved_used = self.saved_used.plus(item)
+                continue
+            for change in item.changes:
+                self.saved.apply(change)
+            messages.extend(command.message for command in item.after_commit)
+        self.staged = []
+        return messages
+
+
+@define
+class Walk:
+    """A random walk over three shards and a network that loses and repeats."""
+
+    random: random.Random
+    view: ConfigView = view_of(QUOTA)
+    now_ms: int = 0
+    shards: dict[str, Shard] = Factory(
+        lambda: {name: Shard(name) for name in SHARDS.shards}
+    )
+    network: list[ShardMessage] = Factory(list)
+    loss: float = 0.2
+
+    def run(self, steps: int = STEPS) -> None:
+        """Take random steps, checking after each."""
+        for shard in self.shards.values():
+            shard.recover()
+        for _ in range(steps):
+            self.step()
+            self.check()
+
+    def step(self) -> None:
+        """Take one random step."""
+        self.now_ms += self.random.randrange(400)
+        shard = self.random.choice(list(self.shards.values()))
+        kind = self.random.randrange(12)
+        if kind < 2:
+            self.start(shard)
+        elif kind < 3:
+            if self.random.random() < 0.3:
+                self.end(shard)
+        elif kind < 6:
+            self.deliver()
+        elif kind < 8:
+            self.tick(shard)
+        elif kind < 11 or self.random.random() < 0.6:
+            self.network.extend(shard.commit())
+        else:
+            shard.recover()
+
+    def start(self, shard: Shard, extra: Resources | None = None) -> bool:
+        """Try to start a task."""
+        if extra is None:
+            cpu = self.random.choice((1_000, 4_000, 5_000))
+            extra = Resources(cpu, cpu * 4, self.random.randrange(2))
+        allowed = shard.ledger.may_use(TEAM, shard.used, extra, self.view)
+        if allowed:
+            shard.used = shard.used.plus(extra)
+            shard.stage(extra)
+        return allowed
+
+    def start_in_time(self, shard: Shard, extra: Resources) -> bool:
+        """Try again while the shards exchange messages."""
+        for _ in range(10):
+            if self.start(shard, extra):
+                return True
+            self.settle(6)
+        return False
+
+    def end(self, shard: Shard) -> None:
+        """End everything that a shard runs."""
+        shard.stage(Resources().minus(shard.used))
+        shard.used = Resources()
+
+    def tick(self, shard: Shard) -> None:
+        """Let time pass at a shard."""
+        used = {TEAM: shard.used}
+        shard.stage(shard.ledger.tick(used, self.view, self.now_ms))
+        shard.stage(shard.authority.tick(self.view, self.now_ms))
+
+    def deliver(self) -> None:
+        """Lose, deliver or repeat any message in flight."""
+        if not self.network:
+            return
+        message = self.random.choice(self.network)
+        if self.random.random() < 0.7:
+            self.network.remove(message)
+        if self.random.random() >= self.loss:
+            self.take(message)
+
+    def take(self, message: ShardMessage) -> None:
+        """Hand a message to its shard."""
+        shard = self.shards[message.recipient]
+        match message.body:
+            case QuotaWanted() as wanted:
+                effects = shard.authority.handle(
+                    message.sender, wanted, self.view, self.now_ms
+                )
+            case QuotaShare() as answer:
+                effects = shard.ledger.handle(
+                    answer, shard.used, self.view, self.now_ms
+                )
+        shard.stage(effects)
+
+    def settle(self, rounds: int = 60) -> None:
+        """Run without loss until all is quiet."""
+        for _ in range(rounds):
+            self.now_ms += 100
+            for shard in self.shards.values():
+                self.tick(shard)
+                self.network.extend(shard.commit())
+            flying, self.network = self.network, []
+            for message in flying:
+                self.take(message)
+            self.check()
+
+    def total_used(self) -> Resources:
+        """Return what all shards use durably."""
+        total = Resources()
+        for shard in self.shards.values():
+            total = total.plus(shard.saved_used)
+        return total
+
+    def check(self) -> None:
+        """Check that use is within the quota and shares within what was granted."""
+        if not self.total_used().fits_in(QUOTA):
+            raise AssertionError(f"{self.total_used()} used of {QUOTA}")
+        granted = self.shards[HOME].saved
+        for name, shard in self.shards.items():
+            limit = granted.granted_to(TEAM, name).amount
+            if not shard.saved.held(TEAM).amount.fits_in(limit):
+                raise AssertionError(f"{name} holds more than was granted")
+
+
+def violations(count: int) -> int:
+    """Return how many of some walks break the oracle."""
+    broken = 0
+    for seed in range(count):
+        try:
+            Walk(random.Random(seed)).run()
+        except AssertionError:
+            broken += 1
+    return broken
+
+
+class QuotaWalkTest(unittest.TestCase):
+    """Random walks with lost, repeated and reordered messages and deaths."""
+
+    def test_never_above_quota(self) -> None:
+        """No walk uses more than the quota."""
+        self.assertEqual(violations(250), 0)
+
+    def test_needy_shard_gets_idle_share(self) -> None:
+        """Once messages pass again, a shard may use all that others leave."""
+        for seed in range(20):
+            walk = Walk(random.Random(seed))
+            walk.run(120)
+            for shard in walk.shards.values():
+                walk.end(shard)
+            needy = walk.shards[SHARDS.shards[seed % 3]]
+            self.assertTrue(walk.start_in_time(needy, QUOTA), seed)
+
+    def test_lower_quota_stops_starts(self) -> None:
+        """After a cut nothing starts above it, and nothing is taken away."""
+        walk = Walk(random.Random(1))
+        walk.run(0)
+        busy = walk.shards[SHARDS.shards[0]]
+        self.assertTrue(walk.start_in_time(busy, Resources(6_000, 1_000)))
+        walk.view = view_of(Resources(4_000, 50_000, 2), 2)
+        for shard in walk.shards.values():
+            self.assertFalse(walk.start(shard, Resources(500, 0)))
+        walk.settle()
+        self.assertEqual(busy.ledger.table.held(TEAM).amount.cpu_millis, 6_000)
+        for shard in walk.shards.values():
+            self.assertFalse(walk.start(shard, Resources(500, 0)))
+        walk.end(busy)
+        self.assertTrue(walk.start_in_time(busy, Resources(4_000, 0)))
+        self.assertFalse(walk.start(busy, Resources(1, 0)))
+
+
+class PlantedFaultTest(unittest.TestCase):
+    """The oracle trips on each fault planted in the machines."""
+
+    def assert_caught(self, target: object, name: str, fault: object) -> None:
+        """Check that walks break once the method is replaced."""
+        with mock.patch.object(target, name, fault):
+            self.assertGreater(violations(60), 0)
+
+    def test_share_granted_twice(self) -> None:
+        """The authority forgets what the other shards hold."""
+
+        def settle(machine, team, granted, wanted, view):
+            return quota.smaller(wanted, quota.quota_of(team, view))
+
+        self.assert_caught(QuotaAuthority, "_settle", settle)
+
+    def test_old_answer_taken(self) -> None:
+        """A shard takes any answer, also an old one."""
+
+        def handle(machine, answer, used, view, now_ms):
+            effects = Effects()
+            machine.wishes.pop(answer.team, None)
+            serial = max(answer.serial, machine.table.held(answer.team).serial)
+            machine._hold(answer.team, serial, answer.share, effects)
+            return effects
+
+        self.assert_caught(QuotaLedger, "handle", handle)
+
+    def test_share_below_use(self) -> None:
+        """A shard gives back what it uses."""
+        lower = QuotaLedger._lower
+
+        def lower_below(machine, team, target, used, now_ms, effects):
+            lower(machine, team, target, Resources(), now_ms, effects)
+
+        self.assert_caught(QuotaLedger, "_lower", lower_below)
+
+    def test_lower_share_told_before_commit(self) -> None:
+        """A shard tells of a lower share that it never commits."""
+        lower = QuotaLedger._lower
+
+        def lower_unsaved(machine, team, target, used, now_ms, effects):
+            staged = list(effects.changes)
+            lower(machine, team, target, used, now_ms, effects)
+            effects.changes[:] = staged
+
+        self.assert_caught(QuotaLedger, "_lower", lower_unsaved)
+
+
+if __name__ == "__main__":
+    unittest.main()
