Split the shard machine into home records and places

Cause: the thin machine kept a task and its reservation in one record, so an attempt could only run at its home shard, and room was summed over all places.

A host that is deposed says "not run" only for work that it alone could have accepted.

--- /dev/null
+++ b/poplarlb/coordination/core.py
@@ -0,0 +1,118 @@
+"""What the parts of a shard's machine share: state, effects, clock, decisions."""
+
+import collections
+from collections.abc import Callable, Sequence
+
+from attrs import Factory, define
+
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.effects import Effects, Resume, SendShard
+from poplarlb.coordination.policy import Policy
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.protocol.messages import ShardBody, ShardMessage, ShardSummary
+from poplarlb.state import changes
+from poplarlb.state.models import (
+    Alternative,
+    Decision,
+    Reason,
+    TaskKey,
+    TaskSpec,
+    Worker,
+)
+from poplarlb.state.shard_state import ShardState
+
+ALTERNATIVES_KEPT = 5
+
+
+def task_subject(key: TaskKey) -> str:
+    """Return the subject under which decisions on a task are found."""
+    return f"job/{key.team}/{key.task_id}"
+
+
+@define
+class ShardCore:
+    """One shard under one epoch, while one event is handled at ``now_ms``.
+
+    :param acquired_ms: when this owner took the shard over.
+    :param summaries: returns the newest summary of every shard.
+    :param proof_ms: when the last read that proved the ownership was sent.
+    """
+
+    context: NodeContext
+    shards: ShardMap
+    shard: str
+    epoch: int
+    acquired_ms: int
+    state: ShardState
+    policy: Policy
+    summaries: Callable[[], Sequence[ShardSummary]] = tuple
+    proof_ms: int = 0
+    now_ms: int = 0
+    effects: Effects = Factory(Effects)
+    inbox: collections.deque[ShardMessage] = Factory(collections.deque)
+    counters: collections.Counter[str] = Factory(collections.Counter)
+    listed: dict[str, Worker] | None = None
+    own_workers: dict[str, Worker] = Factory(dict)
+
+    def begin(self, now_ms: int) -> None:
+        """Start to handle an event."""
+        self.now_ms = now_ms
+        self.effects = Effects()
+
+    def workers(self) -> dict[str, Worker]:
+        """Return the listed workers of this shard, in whatever state."""
+        if self.listed is not self.context.workers:
+            self.listed = self.context.workers
+            self.own_workers = {
+                worker_id: worker
+                for worker_id, worker in self.listed.items()
+                if self.shards.of_worker(worker) == self.shard
+            }
+        return self.own_workers
+
+    def change(self, change: changes.Change) -> None:
+        """Apply a change and stage it for the journal."""
+        self.state.apply(change)
+        self.effects.changes.append(change)
+
+    def after_commit(self, step: object) -> None:
+        """Have the machine take a step once all changes so far are durable."""
+        self.effects.after_commit.append(Resume(step))
+
+    def send(self, recipient: str, body: ShardBody) -> None:
+        """Send to another shard after the commit, or to this one at once."""
+        message = ShardMessage(self.shard, self.epoch, recipient, body)
+        if recipient == self.shard:
+            self.inbox.append(message)
+        else:
+            self.effects.after_commit.append(SendShard(message))
+
+    def decide(
+        self,
+        key: TaskKey,
+        action: str,
+        reason: Reason,
+        worker_id: str = "",
+        detail: str = "",
+        alternatives: Sequence[Alternative] = (),
+    ) -> None:
+        """Record why something is done to a task."""
+        decision = Decision(
+            task_subject(key),
+            action,
+            reason,
+            self.now_ms,
+            self.epoch,
+            self.context.view.version,
+            worker_id,
+            detail,
+            tuple(alternatives[:ALTERNATIVES_KEPT]),
+        )
+        self.change(changes.DecisionTaken(decision))
+
+    def allowed_zones(self, spec: TaskSpec) -> tuple[str, ...]:
+        """Return the zones that a task may run in; empty means every zone."""
+        if spec.zones:
+            return spec.zones
+        team = self.context.view.team(spec.key.team)
+        return team.zones if team is not None else ()
--- a/poplarlb/coordination/effects.py
+++ b/poplarlb/coordination/effects.py
@@ -14,7 +14,17 @@
     message: ShardMessage
 
 
-ShardCommand = Command | SendShard
+@frozen
+class Resume:
+    """Call the machine's ``resume`` with ``step`` once the changes are durable.
+
+    Used where a command must be checked again, or built, right before it is sent.
+    """
+
+    step: object
+
+
+ShardCommand = Command | SendShard | Resume
 
 
 @define
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -108,6 +108,8 @@
         return [*delayed, *outputs]
 
     def _to_hosts(self, event: ports.Event, now_ms: int) -> list:
+        for shard, host in self.hosts.items():
+            host.proof_ms = self.ownership.proof_ms(shard)
         return [
             output
             for host in self.hosts.values()
@@ -151,6 +153,8 @@
             record.epoch,
             journal,
             Admission(self.context, record.shard, record.epoch),
+            self.summaries,
+            self.ownership.proof_ms(record.shard),
         )
 
     def _own_summaries(self) -> tuple[messages.ShardSummary, ...]:
--- /dev/null
+++ b/poplarlb/coordination/queue.py
@@ -0,0 +1,292 @@
+"""Gives waiting tasks a place: here, at another shard, or not yet."""
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.core import ShardCore
+from poplarlb.coordination.home import ClosedDoor, HomeTasks
+from poplarlb.coordination.places import PlaceRequest, Places
+from poplarlb.coordination.policy import NotPlaced, QueuedTask
+from poplarlb.coordination.sharding import shard_zone
+from poplarlb.protocol.messages import ShardSummary
+from poplarlb.state.models import (
+    Decision,
+    Reason,
+    Resources,
+    TaskKey,
+    TaskSpec,
+    WorkClass,
+)
+from poplarlb.state.shard_state import PlaceKey, TaskRecord
+
+ROUND_MS = 100
+RETRY_ROUND_MS = 1_000
+TASKS_PER_ROUND = 200
+FIRST_BACKOFF_MS = 1_000
+LONGEST_BACKOFF_MS = 60_000
+PROMISE_MS = 2_000
+IMPOSSIBLE_GRACE_MS = 10_000
+WAITING_SHOWN = 20
+URGENT_CLASSES = (WorkClass.LATENCY_CRITICAL, WorkClass.URGENT)
+
+
+@frozen
+class _Shape:
+    """Tasks of one shape fit, or don't, in the same places."""
+
+    team: str
+    size: Resources
+    zones: tuple[str, ...]
+    work_class: WorkClass
+    kind: str
+    service: str
+    avoid: tuple[str, ...]
+
+
+@frozen
+class _Promise:
+    """Room at another shard that was asked for."""
+
+    until_ms: int
+    amount: Resources
+
+
+@define
+class PlacementQueue:
+    """Places the tasks that wait at their home shard.
+
+    ``promised`` is room at other shards that was asked for lately and that
+    their summaries may not show yet.
+    """
+
+    core: ShardCore
+    home: HomeTasks
+    places: Places
+    next_round_ms: int = 0
+    next_retry_ms: int = 0
+    waiting: dict[TaskKey, NotPlaced] = Factory(dict)
+    evicting_until_ms: dict[TaskKey, int] = Factory(dict)
+    promised: dict[str, list[_Promise]] = Factory(dict)
+
+    def submit_one(self, key: TaskKey) -> None:
+        """Try at once to place a task that was just accepted."""
+        record = self.core.state.tasks[key]
+        urgent = record.spec.work_class in URGENT_CLASSES
+        self.core.effects.urgent = self.core.effects.urgent or urgent
+        alone = len(self.core.state.queued) == 1
+        if (urgent or alone) and self.core.context.view_is_fresh(self.core.now_ms):
+            self._try(record)
+
+    def tick(self, start_limit: int | None) -> None:
+        """Place waiting tasks if anything has changed, or to try again."""
+        core = self.core
+        retry = core.now_ms >= self.next_retry_ms
+        changed = self.home.queue_changed or self.places.room_freed
+        if not core.state.queued or core.now_ms < self.next_round_ms:
+            return
+        if not (changed or retry) or not core.context.view_is_fresh(core.now_ms):
+            return
+        self.home.queue_changed = self.places.room_freed = False
+        self.next_round_ms = core.now_ms + ROUND_MS
+        self.next_retry_ms = core.now_ms + RETRY_ROUND_MS
+        if start_limit is not None:
+            self.next_round_ms = core.now_ms + RETRY_ROUND_MS
+        self._round(TASKS_PER_ROUND if start_limit is None else start_limit)
+
+    def _round(self, limit: int) -> None:
+        state = self.core.state
+        ready = [
+            _as_queued(state.tasks[key]) for key in state.queued if self._is_ready(key)
+        ]
+        ordered = self.core.policy.order_queue(
+            ready, state.used_by_team, self.core.context.view, self.core.now_ms
+        )
+        blocked: set[_Shape] = set()
+        placed = 0
+        for task in ordered:
+            record = state.tasks[task.spec.key]
+            shape = _shape_of(record)
+            if shape in blocked:
+                continue
+            if self._try(record):
+                placed += 1
+            else:
+                blocked.add(shape)
+            if placed >= limit:
+                self.home.queue_changed = True
+                return
+
+    def _is_ready(self, key: TaskKey) -> bool:
+        record = self.core.state.tasks[key]
+        if not record.failures:
+            return True
+        doublings = min(record.failures - 1, 10)
+        backoff_ms = min(FIRST_BACKOFF_MS << doublings, LONGEST_BACKOFF_MS)
+        return self.core.now_ms >= record.queued_ms + backoff_ms
+
+    def _try(self, record: TaskRecord) -> bool:
+        """Place or delegate one task; returns whether that was done."""
+        key = record.spec.key
+        reserved = self._size(record.spec)
+        result = self._try_here(record, reserved)
+        if result is None:
+            self.waiting.pop(key, None)
+            return True
+        shard = self._other_shard(record, reserved, result)
+        if shard:
+            promise = _Promise(self.core.now_ms + PROMISE_MS, reserved)
+            self.promised.setdefault(shard, []).append(promise)
+            self.home.delegate(record, shard, reserved)
+            self.waiting.pop(key, None)
+            return True
+        self.waiting[key] = result
+        self._make_room(record, reserved)
+        self._end_if_impossible(record)
+        return False
+
+    def _size(self, spec: TaskSpec) -> Resources:
+        """Return what to reserve; a learned size never rules every worker out."""
+        learned = self.core.policy.reserve_for(spec)
+        workers = self.core.context.workers.values()
+        if any(learned.fits_in(worker.capacity) for worker in workers):
+            return learned
+        return spec.size
+
+    def _try_here(self, record: TaskRecord, reserved: Resources) -> NotPlaced | None:
+        zones = self.core.allowed_zones(record.spec)
+        if zones and shard_zone(self.core.shard) not in zones:
+            return NotPlaced(Reason.FITS_NOWHERE, never=True)
+        request = PlaceRequest(
+            record.spec,
+            record.number + 1,
+            reserved,
+            self.core.shard,
+            record.checkpoint,
+            record.failed_workers,
+        )
+        result = self.places.try_place(request)
+        if isinstance(result, NotPlaced):
+            return result
+        self.home.note_place(record.spec.key, result)
+        return None
+
+    # --- other shards -----------------------------------------------------------------
+
+    def _other_shard(
+        self, record: TaskRecord, reserved: Resources, result: NotPlaced
+    ) -> str:
+        """Return the shard with the most room that can take the task, or none."""
+        zones = self.core.allowed_zones(record.spec)
+        open_to = [
+            summary
+            for summary in self.core.summaries()
+            if summary.shard != self.core.shard
+            and (not zones or summary.zone in zones)
+            and self.core.context.view.zone_allows_starts(summary.zone)
+            and not self._is_closed(summary.shard, record.spec.key.team)
+        ]
+        fitting = [
+            summary
+            for summary in open_to
+            if reserved.fits_in(summary.largest_free)
+            and reserved.fits_in(self._free_at(summary))
+        ]
+        if not fitting and result.never and record.spec.work_class in URGENT_CLASSES:
+            fitting = open_to
+        best = max(fitting, key=lambda s: (s.total_free.cpu_millis, s.shard), default=0)
+        return best.shard if best else ""
+
+    def _free_at(self, summary: ShardSummary) -> Resources:
+        promises = [
+            promise
+            for promise in self.promised.get(summary.shard, ())
+            if promise.until_ms > self.core.now_ms
+        ]
+        self.promised[summary.shard] = promises
+        free = summary.total_free
+        for promise in promises:
+            free = free.minus(promise.amount)
+        return free
+
+    def _is_closed(self, shard: str, team: str) -> bool:
+        door = ClosedDoor(shard, team)
+        return self.core.now_ms < self.home.closed_until_ms.get(door, 0)
+
+    # --- no room ----------------------------------------------------------------------
+
+    def _make_room(self, record: TaskRecord, reserved: Resources) -> None:
+        """Evict less urgent work for a task that must not wait."""
+        key = record.spec.key
+        now_ms = self.core.now_ms
+        if record.spec.work_class not in URGENT_CLASSES:
+            return
+        if now_ms < self.evicting_until_ms.get(key, 0):
+            return
+        evictions = self.core.policy.choose_eviction(
+            record.spec,
+            reserved,
+            self.places.rooms(),
+            self.core.context.view,
+            now_ms,
+        )
+        tasks = self.core.context.settings.tasks
+        if evictions:
+            self.evicting_until_ms[key] = now_ms + tasks.renew_period_ms
+        for wanted in evictions:
+            place = PlaceKey(wanted.key, wanted.attempt)
+            self.places.evict(place, wanted.reason, wanted.detail)
+
+    def _end_if_impossible(self, record: TaskRecord) -> None:
+        """End a batch task that is larger than every worker it may use."""
+        waited_ms = self.core.now_ms - max(record.queued_ms, self.core.acquired_ms)
+        if record.spec.service or waited_ms < IMPOSSIBLE_GRACE_MS:
+            return
+        known = {shard_zone(shard) for shard in self.core.shards.shards}
+        allowed = known & set(self.core.allowed_zones(record.spec) or known)
+        workers = [w for w in self.core.context.workers.values() if w.zone in allowed]
+        if allowed - {worker.zone for worker in workers}:
+            return
+        if any(record.spec.size.fits_in(worker.capacity) for worker in workers):
+            return
+        detail = f"larger than each of {len(workers)} workers in its zones"
+        self.home.end_impossible(record.spec.key, detail)
+
+    def decisions_waiting(self) -> tuple[Decision, ...]:
+        """Return why the tasks that have waited longest still wait."""
+        state = self.core.state
+        oldest = [key for key in self.waiting if key in state.queued][:WAITING_SHOWN]
+        return tuple(
+            Decision(
+                f"job/{key.team}/{key.task_id}",
+                "wait",
+                self.waiting[key].reason,
+                state.tasks[key].queued_ms,
+                self.core.epoch,
+                self.core.context.view.version,
+                alternatives=self.waiting[key].alternatives,
+            )
+            for key in oldest
+        )
+
+    def prune(self) -> None:
+        """Drop what is remembered of tasks that no longer wait."""
+        queued = self.core.state.queued
+        for table in (self.waiting, self.evicting_until_ms):
+            for key in [key for key in table if key not in queued]:
+                del table[key]
+
+
+def _as_queued(record: TaskRecord) -> QueuedTask:
+    return QueuedTask(record.spec, record.queued_ms, record.evictions, record.failures)
+
+
+def _shape_of(record: TaskRecord) -> _Shape:
+    spec = record.spec
+    return _Shape(
+        spec.key.team,
+        spec.size,
+        spec.zones,
+        spec.work_class,
+        spec.work_kind,
+        spec.service,
+        record.failed_workers,
+    )
--- a/poplarlb/coordination/replicas.py
+++ b/poplarlb/coordination/replicas.py
@@ -1,9 +1,10 @@
 """The tasks that keep services running: one for each replica wanted."""
 
-from poplarlb.state.models import TaskKey, TaskSpec, WorkClass
-from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
+from attrs import define
 
-REPLICA_PREFIX = "service."
+from poplarlb.coordination.home import REPLICA_PREFIX, HomeTasks
+from poplarlb.state.models import Reason, TaskKey, TaskPhase, TaskSpec, WorkClass
+from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
 
 
 def replica_key(team: str, service: str, number: int) -> TaskKey:
@@ -30,3 +31,52 @@
         zones=team.zones,
         checkpointable=False,
     )
+
+
+@define
+class ReplicaKeeper:
+    """Accepts and cancels the replicas whose home is the shard."""
+
+    home: HomeTasks
+    seen: ConfigView | None = None
+    wanted: dict[TaskKey, TaskSpec] | None = None
+
+    def tick(self) -> None:
+        """Follow the templates in force; does nothing before there are any."""
+        core = self.home.core
+        view = core.context.view
+        if not view.version or not core.context.view_is_fresh(core.now_ms):
+            return
+        if view is not self.seen:
+            self.seen = view
+            self.wanted = {
+                spec.key: spec
+                for spec in replicas_wanted(view)
+                if core.shards.home_of_task(spec.key) == core.shard
+            }
+        for key in list(core.state.replicas):
+            if key not in self.wanted:
+                self.home.cancel(core.state.tasks[key], Reason.TEMPLATE_CHANGED)
+        for spec in self.wanted.values():
+            self._keep(spec)
+
+    def _keep(self, spec: TaskSpec) -> None:
+        record = self.home.core.state.tasks.get(spec.key)
+        if record is None:
+            self.home.accept(spec)
+        elif record.phase is TaskPhase.ENDED:
+            self.home.accept(spec, record.number)
+        elif record.spec != spec and not self._is_replacing(spec):
+            self.home.cancel(record, Reason.TEMPLATE_CHANGED)
+
+    def _is_replacing(self, spec: TaskSpec) -> bool:
+        """Tell whether another replica of the service does not run now."""
+        tasks = self.home.core.state.tasks
+        others = (
+            tasks[key].phase
+            for key, other in self.wanted.items()
+            if key != spec.key
+            and key in tasks
+            and (other.key.team, other.service) == (spec.key.team, spec.service)
+        )
+        return any(phase is not TaskPhase.RUNNING for phase in others)
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -1,261 +1,267 @@
-"""The machine of one shard: accepts, places, renews and ends tasks."""
+"""The machine of one shard: a facade over its parts."""
 
 import functools
 
-from attrs import Factory, define
+from attrs import define, frozen
 
 from poplarlb.coordination.admission import Endpoint
-from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.core import ShardCore
+from poplarlb.coordination.drain import Drain
 from poplarlb.coordination.effects import Effects
-from poplarlb.coordination.policy import Chosen, Policy, QueuedTask, WorkerRoom
-from poplarlb.coordination.replicas import replicas_wanted
-from poplarlb.coordination.sharding import ShardMap, shard_zone
-from poplarlb.protocol import api, ports
-from poplarlb.protocol.messages import EndpointSummary, ShardSummary
+from poplarlb.coordination.home import HomeTasks
+from poplarlb.coordination.leases import Contacts
+from poplarlb.coordination.places import Places
+from poplarlb.coordination.queue import PlacementQueue
+from poplarlb.coordination.replicas import ReplicaKeeper
+from poplarlb.coordination.reports import ReportReader
+from poplarlb.coordination.sharding import shard_zone
+from poplarlb.coordination.worker_calls import PlaceReady, WorkerCalls
+from poplarlb.protocol import api, messages, ports
 from poplarlb.state import changes
 from poplarlb.state.models import (
-    Attempt,
     Decision,
     HostState,
     Reason,
     Resources,
     TaskKey,
-    TaskOutcome,
-    TaskPhase,
     Worker,
 )
-from poplarlb.state.shard_state import ShardState, TaskRecord
+
+UPKEEP_PERIOD_MS = 1_000
+SUMMARY_PERIOD_MS = 200
+TO_HOME = (
+    messages.AttemptPlaced
+    | messages.AttemptRefused
+    | messages.AttemptRunning
+    | messages.AttemptEnded
+)
+TO_HOST = messages.PlaceAttempt | messages.StopAttempt | messages.AttemptEndNoted
+
+
+@frozen
+class ResendDone:
+    """The last repeated messages were sent."""
 
 
 @define
 class ShardMachine:
     """Decides for one shard under one epoch.
 
-    :param acquired_ms: when this owner took the shard over.
+    :param core: the shard's state and what its parts share.
     """
 
-    context: NodeContext
-    shards: ShardMap
-    shard: str
-    epoch: int
-    acquired_ms: int
-    state: ShardState
-    policy: Policy
-    proof_ms: int = 0
-    operations: dict[str, list[ports.WorkerOperation]] = Factory(dict)
-    calls: dict[int, str] = Factory(dict)
-    next_renewal_ms: dict[str, int] = Factory(dict)
+    core: ShardCore
+    contacts: Contacts = None
+    calls: WorkerCalls = None
+    places: Places = None
+    reports: ReportReader = None
+    home: HomeTasks = None
+    queue: PlacementQueue = None
+    replicas: ReplicaKeeper = None
+    drain: Drain = None
+    next_upkeep_ms: int = 0
+    resending: bool = False
+    last_summary: messages.ShardSummary | None = None
+    summary_until_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts and resume what an earlier owner committed."""
+        self.contacts = Contacts(self.core)
+        self.calls = WorkerCalls(self.core, self.contacts)
+        self.places = Places(self.core, self.contacts, self.calls)
+        self.reports = ReportReader(self.places)
+        self.home = HomeTasks(self.core)
+        self.queue = PlacementQueue(self.core, self.home, self.places)
+        self.replicas = ReplicaKeeper(self.home)
+        self.drain = Drain(self.places)
+        self.calls.recover()
+        self.home.recover()
 
     def handle(self, event: ports.Event, now_ms: int) -> Effects:
         """Take one event; the changes returned are applied already."""
-        effects = Effects()
+        self.core.begin(now_ms)
         match event:
             case ports.Tick():
-                self._tick(now_ms, effects)
+                self._tick()
             case ports.ApiRequested(call_id=call_id, body=body):
-                answer = self._answer(body, now_ms, effects)
-                effects.after_commit.append(ports.ApiAnswer(call_id, answer))
-            case ports.WorkerReplied(call_id=call_id, result=result):
-                worker_id = self.calls.pop(call_id, "")
-                if worker_id and isinstance(result, ports.WorkerAnswer):
-                    self._take_report(result, now_ms, effects)
-        return effects
+                answer = self._answer(body)
+                self.core.effects.after_commit.append(ports.ApiAnswer(call_id, answer))
+            case ports.WorkerReplied():
+                self._take_report(event)
+            case ports.PeerReceived(message=messages.ShardMessage() as message):
+                self._take_message(message)
+        return self._finish()
 
-    def workers(self) -> list[Worker]:
-        """Return the live workers of the shard."""
-        return [
-            worker
-            for worker in self.context.workers.values()
-            if self.shards.of_worker(worker) == self.shard
-            and worker.state is HostState.LIVE
-        ]
+    def resume(self, step: object, now_ms: int) -> Effects:
+        """Take a step that waited for a commit."""
+        self.core.begin(now_ms)
+        match step:
+            case PlaceReady(key=key):
+                self.calls.make_ready(key)
+            case ResendDone():
+                self.resending = False
+        return self._finish()
+
+    def _finish(self) -> Effects:
+        """Deliver the shard's messages to itself within the same commit."""
+        while self.core.inbox:
+            self._take_message(self.core.inbox.popleft())
+        return self.core.effects
 
-    def _change(self, change: changes.Change, effects: Effects) -> None:
-        self.state.apply(change)
-        effects.changes.append(change)
+    # --- events -----------------------------------------------------------------------
 
-    def _answer(
-        self, body: api.ApiBody, now_ms: int, effects: Effects
-    ) -> api.ApiResult:
+    def _tick(self) -> None:
+        self.contacts.update()
+        self.places.end_lost()
+        self.drain.tick(shard_zone(self.core.shard))
+        # What ended above must reach the home records before the queue is read.
+        self._finish()
+        self.replicas.tick()
+        self._finish()
+        self.queue.tick(self.drain.start_limit)
+        if self.core.now_ms >= self.next_upkeep_ms:
+            self.next_upkeep_ms = self.core.now_ms + UPKEEP_PERIOD_MS
+            self._keep_up()
+        self.calls.call_due()
+
+    def _keep_up(self) -> None:
+        self.home.forget_ended()
+        self.places.drop_tombstones()
+        self.queue.prune()
+        if not self.resending:
+            self.resending = True
+            self.home.resend()
+            self.places.tell_unnoted()
+            self.core.after_commit(ResendDone())
+
+    def _take_report(self, event: ports.WorkerReplied) -> None:
+        call = self.contacts.settle(event)
+        if call is not None:
+            self.reports.read(call, event.result)
+        waiting = self.contacts.by_worker.get(event.worker_id)
+        if waiting is not None and self.core.now_ms >= waiting.next_call_ms:
+            self.calls.call_soon(event.worker_id)
+
+    def _take_message(self, message: messages.ShardMessage) -> None:
+        if message.recipient != self.core.shard or not self._is_from_party(message):
+            self.core.counters["messages_refused"] += 1
+            return
+        if isinstance(message.body, TO_HOME):
+            self.home.take_message(message)
+        else:
+            self.places.take_message(message)
+
+    def _is_from_party(self, message: messages.ShardMessage) -> bool:
+        """Tell whether the sender may speak of the task at all."""
+        match message.body:
+            case messages.PlaceAttempt(spec=spec):
+                return self._is_home(message.sender, spec.key)
+            case messages.StopAttempt(key=key) | messages.AttemptEndNoted(key=key):
+                return self._is_home(message.sender, key)
+            case body if isinstance(body, TO_HOME):
+                return self._is_home(self.core.shard, body.key)
+        return False
+
+    def _is_home(self, shard: str, key: TaskKey) -> bool:
+        return self.core.shards.home_of_task(key) == shard
+
+    def _answer(self, body: api.ApiBody) -> api.ApiResult:
         match body:
-            case api.SubmitTask(spec=spec):
-                if spec.key not in self.state.tasks:
-                    self._change(changes.TaskAccepted(spec), effects)
-                    effects.urgent = True
-                    self._place_queued(now_ms, effects)
-                return self._view(self.state.tasks[spec.key])
+            case api.SubmitTask():
+                return self._submit(body)
             case api.ShowTask(key=key):
-                record = self.state.tasks.get(key)
-                if record is not None:
-                    return self._view(record)
-                return api.Fault("not_found", Reason.NO_OWNER, f"no task {key}")
+                return self.home.show(key)
+            case api.CancelTask(key=key):
+                return self.home.cancel_by_caller(key)
             case api.ListTasks(team=team, after=after, limit=limit):
-                return self._list(team, after, limit)
+                return self.home.list(team, after, limit)
             case api.Explain(subject=subject):
-                found = [d for d in self.state.decisions if d.subject == subject]
-                return api.Decisions(tuple(found))
+                return self._explain(subject)
         return api.Fault("bad_request", Reason.NO_OWNER, "not a call for a shard")
 
-    def _list(self, team: str, after: str, limit: int) -> api.TaskViews:
-        keys = sorted(
-            key for key in self.state.tasks if key.team == team and key.task_id > after
-        )
-        views = tuple(self._view(self.state.tasks[key]) for key in keys[:limit])
-        return api.TaskViews(views, len(keys) > limit)
-
-    def _view(self, record: TaskRecord) -> api.TaskView:
-        return api.TaskView(
-            record.spec,
-            record.phase,
-            self.shard,
-            tuple(record.attempts),
-            record.outcome,
-            record.reason,
-            record.detail,
-            record.evictions,
-        )
+    def _submit(self, body: api.SubmitTask) -> api.ApiResult:
+        key = body.spec.key
+        known = key in self.core.state.tasks
+        answer = self.home.submit(body.spec)
+        if known or isinstance(answer, api.Fault):
+            return answer
+        self.queue.submit_one(key)
+        return self.home.show(key)
+
+    def _explain(self, subject: str) -> api.Decisions:
+        kind, _, name = subject.partition("/")
+        decisions = self.core.state.decisions
+        if kind == "worker":
+            return api.Decisions(tuple(d for d in decisions if d.worker_id == name))
+        return api.Decisions(tuple(d for d in decisions if d.subject == subject))
+
+    # --- views ------------------------------------------------------------------------
+
+    @property
+    def shard(self) -> str:
+        """The shard's name."""
+        return self.core.shard
+
+    def workers(self) -> list[Worker]:
+        """Return the live workers of the shard."""
+        listed = self.core.workers().values()
+        return [worker for worker in listed if worker.state is HostState.LIVE]
 
     def endpoints(self) -> list[Endpoint]:
-        """Return the running replicas of services at the shard's workers."""
+        """Return the running replicas that may be given new requests."""
+        state = self.core.state
+        places = (state.places[key] for key in state.endpoints)
         return [
-            Endpoint(
-                place.spec.key.team,
-                place.spec.service,
-                self.context.workers[place.attempt.worker_id],
-            )
-            for place in self.state.places.values()
-            if place.spec.service
-            and place.attempt.running
-            and place.attempt.worker_id in self.context.workers
+            Endpoint(place.spec.key.team, place.spec.service, worker)
+            for place in places
+            if place.attempt.running
+            and place.stopping is None
+            and (worker := self._serving(place.attempt.worker_id)) is not None
         ]
 
-    def summary(self, endpoints: tuple[EndpointSummary, ...]) -> ShardSummary:
+    def _serving(self, worker_id: str) -> Worker | None:
+        worker = self.core.workers().get(worker_id)
+        if worker is None or worker.state is not HostState.LIVE:
+            return None
+        if not self.core.context.view.zone_allows_starts(worker.zone):
+            return None
+        return worker
+
+    def summary(
+        self, endpoints: tuple[messages.EndpointSummary, ...]
+    ) -> messages.ShardSummary:
         """Return what other members should know of the shard."""
+        now_ms = self.core.now_ms
+        last = self.last_summary
+        if last and now_ms < self.summary_until_ms and last.endpoints == endpoints:
+            return last
+        self.summary_until_ms = now_ms + SUMMARY_PERIOD_MS
         free = [
-            worker.capacity.minus(self.state.reserved_at(worker.worker_id))
-            for worker in self.workers()
+            worker.capacity.minus(self.core.state.reserved_at(worker.worker_id))
+            for worker in self.core.workers().values()
+            if self.contacts.barred(worker) is None
         ]
         largest = max(free, key=lambda item: item.cpu_millis, default=Resources())
-        total = functools.reduce(Resources.plus, free, Resources())
-        queued = sum(
-            record.phase is TaskPhase.QUEUED for record in self.state.tasks.values()
-        )
-        return ShardSummary(
-            self.shard,
-            self.epoch,
-            shard_zone(self.shard),
+        self.last_summary = messages.ShardSummary(
+            self.core.shard,
+            self.core.epoch,
+            shard_zone(self.core.shard),
             largest,
-            total,
-            queued,
+            functools.reduce(Resources.plus, free, Resources()),
+            len(self.core.state.queued),
             endpoints,
         )
+        return self.last_summary
 
-    def _accept_replicas(self, effects: Effects) -> None:
-        for spec in replicas_wanted(self.context.view):
-            at_home = self.shards.home_of_task(spec.key) == self.shard
-            if at_home and spec.key not in self.state.tasks:
-                self._change(changes.TaskAccepted(spec), effects)
-
-    def _tick(self, now_ms: int, effects: Effects) -> None:
-        self._accept_replicas(effects)
-        self._place_queued(now_ms, effects)
-        for worker in self.workers():
-            due = now_ms >= self.next_renewal_ms.get(worker.worker_id, 0)
-            if due:
-                self._call_worker(worker, (), now_ms, effects)
-
-    def _place_queued(self, now_ms: int, effects: Effects) -> None:
-        if not self.context.view_is_fresh(now_ms):
-            return
-        queued = [
-            QueuedTask(record.spec, record.spec.submitted_ms)
-            for record in self.state.tasks.values()
-            if record.phase is TaskPhase.QUEUED
-        ]
-        for task in self.policy.order_queue(queued, {}, self.context.view, now_ms):
-            self._place(task, now_ms, effects)
-
-    def _place(self, task: QueuedTask, now_ms: int, effects: Effects) -> None:
-        spec = task.spec
-        reserved = self.policy.reserve_for(spec)
-        rooms = [
-            WorkerRoom(
-                worker,
-                worker.capacity.minus(self.state.reserved_at(worker.worker_id)),
-                usable=self.context.view.zone_allows_starts(worker.zone),
-            )
-            for worker in self.workers()
-        ]
-        choice = self.policy.choose_worker(
-            spec, reserved, rooms, self.context.view, now_ms
-        )
-        if not isinstance(choice, Chosen):
-            return
-        tasks = self.context.settings.tasks
-        start_before_ms = min(
-            now_ms + tasks.start_window_ms,
-            self.context.view_confirmed_ms + self.context.settings.config.staleness_ms,
-        )
-        attempt = Attempt(
-            len(self.state.tasks[spec.key].attempts) + 1,
-            self.shard,
-            choice.worker_id,
-            self.epoch,
-            reserved,
-            start_before_ms,
-            now_ms,
-        )
-        self._change(changes.PlaceTaken(spec, self.shard, attempt), effects)
-        decision = Decision(
-            f"job/{spec.key.team}/{spec.key.task_id}",
-            "place",
-            Reason.BEST_COST,
-            now_ms,
-            self.epoch,
-            self.context.view.version,
-            choice.worker_id,
-            alternatives=choice.alternatives,
-        )
-        self._change(changes.DecisionTaken(decision), effects)
-        start = ports.StartTask(
-            spec, attempt.number, self.epoch, reserved, start_before_ms
-        )
-        worker = self.context.workers[choice.worker_id]
-        self._call_worker(worker, (start,), now_ms, effects)
-
-    def _call_worker(
-        self,
-        worker: Worker,
-        operations: tuple[ports.WorkerOperation, ...],
-        now_ms: int,
-        effects: Effects,
-    ) -> None:
-        tasks = self.context.settings.tasks
-        self.next_renewal_ms[worker.worker_id] = now_ms + tasks.renew_period_ms
-        call_id = self.context.next_call()
-        self.calls[call_id] = worker.worker_id
-        batch = ports.WorkerBatch(
-            self.shard, self.epoch, now_ms + tasks.lease_ms, operations
-        )
-        call = ports.WorkerCall(call_id, worker.worker_id, worker.address, batch)
-        if operations:
-            effects.after_commit.append(call)
-        else:
-            effects.at_once.append(call)
-
-    def _take_report(
-        self, answer: ports.WorkerAnswer, now_ms: int, effects: Effects
-    ) -> None:
-        for report in answer.report.tasks:
-            place = self.state.places.get(report.key)
-            if place is None or place.attempt.number != report.attempt:
-                continue
-            if report.state == "running" and not place.attempt.running:
-                self._change(changes.PlaceRunning(report.key, report.attempt), effects)
-            if report.state in ("succeeded", "failed"):
-                self._end(report.key, TaskOutcome(report.state), now_ms, effects)
-
-    def _end(
-        self, key: TaskKey, outcome: TaskOutcome, now_ms: int, effects: Effects
-    ) -> None:
-        self._change(changes.TaskEnded(key, outcome, Reason.EXITED, now_ms), effects)
+    def waiting(self) -> tuple[Decision, ...]:
+        """Return why the tasks that have waited longest still wait."""
+        return self.queue.decisions_waiting()
+
+    def release(self, now_ms: int) -> Effects:
+        """Return the last change of an owner that gives the shard away."""
+        self.core.begin(now_ms)
+        lease_until_ms = self.contacts.latest_lease()
+        released = changes.EpochReleased(self.core.epoch, lease_until_ms)
+        self.core.change(released)
+        self.core.effects.urgent = True
+        return self.core.effects
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -1,35 +1,60 @@
 """Joins a shard's journal and its machine: recovery, commit, release."""
 
 import collections
+from collections.abc import Callable, Sequence
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from poplarlb.coordination.admission import Admission
 from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.effects import Effects, ShardCommand
+from poplarlb.coordination.core import ShardCore
+from poplarlb.coordination.effects import Effects, Resume, ShardCommand
 from poplarlb.coordination.journal import (
     Committed,
     Deposed,
     Journal,
     JournalPhase,
     Recovered,
+    SnapshotWanted,
 )
 from poplarlb.coordination.policy import Policy
 from poplarlb.coordination.shard import ShardMachine
 from poplarlb.coordination.sharding import ShardMap
+from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import api, codec, ports
 from poplarlb.protocol.messages import ShardSummary
-from poplarlb.state.changes import Change
+from poplarlb.state.changes import Change, TaskAccepted
 from poplarlb.state.models import Reason
 from poplarlb.state.shard_state import ShardState
+from poplarlb.state.snapshot import decode_state, encode_state
 
 CHANGES = tuple[Change, ...]
+UNCOMMITTED_LIMIT = 1_000
+RETRY_AFTER_MS = 1_000
 _CONVERTER = codec.make_converter((Change,))
 
 
+@frozen
+class _Waiting:
+    """A command that waits for a ticket.
+
+    ``revocable`` is true for the answer that accepts work within that ticket.
+    """
+
+    ticket: int
+    command: ShardCommand
+    revocable: bool = False
+
+
 @define
 class ShardHost:
-    """One shard that this daemon owns."""
+    """One shard that this daemon owns.
+
+    The node keeps ``proof_ms`` at the sending time of the last read that proved
+    the ownership; no lease is renewed before there is one.
+
+    :param summaries: returns the newest summary of every shard.
+    """
 
     context: NodeContext
     shards: ShardMap
@@ -37,58 +62,130 @@
     epoch: int
     journal: Journal
     admission: Admission
+    summaries: Callable[[], Sequence[ShardSummary]] = tuple
+    proof_ms: int = 0
     machine: ShardMachine | None = None
-    waiting: collections.deque[tuple[int, ShardCommand]] = Factory(collections.deque)
+    waiting: collections.deque[_Waiting] = Factory(collections.deque)
     committed_ticket: int = 0
+    leaving: bool = False
+    broken: str = ""
 
     @property
     def open(self) -> bool:
         """Whether the shard takes decisions."""
-        return self.machine is not None and self.journal.phase is JournalPhase.OPEN
+        recovered = self.machine is not None and not self.broken
+        return recovered and self.journal.phase is JournalPhase.OPEN
+
+    @property
+    def deposed(self) -> bool:
+        """Whether another daemon has taken the shard over."""
+        return self.journal.phase is JournalPhase.DEPOSED
+
+    @property
+    def handed_over(self) -> bool:
+        """Whether all is durable and the shard may be given to another daemon."""
+        return self.leaving and self.committed_ticket >= self.journal.last_ticket
+
+    def hand_over(self, now_ms: int) -> list[ShardCommand]:
+        """Stop deciding and flush; ``handed_over`` turns true once all is durable."""
+        if self.leaving:
+            return []
+        commands = []
+        if self.open:
+            commands = self._stage(self.machine.release(now_ms), now_ms)
+        self.leaving = True
+        return commands
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ShardCommand]:
         """Take one event; returns the commands that may be carried out now."""
         commands: list[ShardCommand] = []
         if isinstance(event, ports.Tick | ports.StoreReplied):
             commands.extend(self._drive_journal(event, now_ms))
-        if self.open:
+        if self.open and not self.leaving:
             commands.extend(self._drive_machine(event, now_ms))
         elif isinstance(event, ports.ApiRequested):
-            fault = api.Fault("not_run", Reason.NO_OWNER, "the shard is recovering")
-            commands.append(ports.ApiAnswer(event.call_id, fault))
+            commands.append(ports.ApiAnswer(event.call_id, self._refusal(event.body)))
         return commands
 
+    def _refusal(self, body: api.ApiBody) -> api.Fault:
+        """Return a fault; a submission that may be a repetition is never "not run"."""
+        detail = self.broken or "the shard is changing its owner"
+        code = "not_run"
+        if isinstance(body, api.SubmitTask | api.CancelTask):
+            code = "outcome_unknown"
+        if self.broken:
+            code = "internal"
+        return api.Fault(code, Reason.NO_OWNER, detail, RETRY_AFTER_MS)
+
     def summary(self) -> ShardSummary | None:
         """Return what other members should know, once the shard is open."""
-        if not self.open:
+        if not self.open or self.leaving:
             return None
         return self.machine.summary(self.admission.summaries())
 
+    # --- the machine ------------------------------------------------------------------
+
     def _drive_machine(self, event: ports.Event, now_ms: int) -> list[ShardCommand]:
-        if isinstance(event, ports.ApiRequested) and isinstance(
-            event.body, api.AdmitRequest | api.FinishRequest
-        ):
-            return self.admission.handle(event, now_ms)
-        commands = self._stage(self.machine.handle(event, now_ms))
+        match event:
+            case ports.ApiRequested(body=api.AdmitRequest() | api.FinishRequest()):
+                return self.admission.handle(event, now_ms)
+            case ports.ApiRequested(body=api.SubmitTask(spec=spec)):
+                known = spec.key in self.machine.core.state.tasks
+                if not known and self._uncommitted() >= UNCOMMITTED_LIMIT:
+                    return [ports.ApiAnswer(event.call_id, self._store_is_down())]
+        self.machine.core.proof_ms = self.proof_ms
+        effects = self._run(self.machine.handle, event, now_ms)
+        commands = self._stage(effects, now_ms)
         if isinstance(event, ports.Tick):
             self.admission.set_endpoints(self.machine.endpoints(), now_ms)
             commands.extend(self.admission.handle(event, now_ms))
         return commands
 
-    def _stage(self, effects: Effects) -> list[ShardCommand]:
+    def _run(self, step: Callable, argument: object, now_ms: int) -> Effects:
+        """Run the machine; a fault leaves it ahead of the journal, so it stops."""
+        try:
+            return step(argument, now_ms)
+        except Exception as error:
+            self.broken = f"the shard stopped: {type(error).__name__}: {error}"
+            raise
+
+    def _uncommitted(self) -> int:
+        return self.journal.last_ticket - self.committed_ticket
+
+    @staticmethod
+    def _store_is_down() -> api.Fault:
+        detail = "too much waits for the store"
+        return api.Fault("not_run", Reason.STORE_DOWN, detail, RETRY_AFTER_MS)
+
+    def _stage(self, effects: Effects, now_ms: int) -> list[ShardCommand]:
         ticket = self.journal.last_ticket
         if effects.changes:
             entry = codec.encode(tuple(effects.changes), CHANGES, _CONVERTER)
             ticket = self.journal.stage(entry, effects.urgent)
-        self.waiting.extend((ticket, command) for command in effects.after_commit)
-        return [*effects.at_once, *self._release()]
+        accepted = {
+            change.spec.key
+            for change in effects.changes
+            if isinstance(change, TaskAccepted)
+        }
+        self.waiting.extend(
+            _Waiting(ticket, command, _accepts(command, accepted))
+            for command in effects.after_commit
+        )
+        return [*effects.at_once, *self._release(now_ms)]
 
-    def _release(self) -> list[ShardCommand]:
-        released = []
-        while self.waiting and self.waiting[0][0] <= self.committed_ticket:
-            released.append(self.waiting.popleft()[1])
+    def _release(self, now_ms: int) -> list[ShardCommand]:
+        released: list[ShardCommand] = []
+        while self.waiting and self.waiting[0].ticket <= self.committed_ticket:
+            command = self.waiting.popleft().command
+            if not isinstance(command, Resume):
+                released.append(command)
+            elif not self.leaving:
+                effects = self._run(self.machine.resume, command.step, now_ms)
+                released.extend(self._stage(effects, now_ms))
         return released
 
+    # --- the journal ------------------------------------------------------------------
+
     def _drive_journal(
         self, event: ports.Tick | ports.StoreReplied, now_ms: int
     ) -> list[ShardCommand]:
@@ -100,18 +197,26 @@
                 case Recovered():
                     self._recover(output, now_ms)
                 case Committed(ticket=ticket):
-                    self.committed_ticket = ticket
-                    commands.extend(self._release())
+                    self.committed_ticket = max(self.committed_ticket, ticket)
+                    commands.extend(self._release(now_ms))
+                case SnapshotWanted():
+                    self._offer_snapshot()
                 case Deposed():
                     commands.extend(self._drop_waiting(output))
         return commands
 
+    def _offer_snapshot(self) -> None:
+        if self.machine is not None and not self.broken:
+            self.journal.offer_snapshot(encode_state(self.machine.core.state))
+
     def _recover(self, recovered: Recovered, now_ms: int) -> None:
-        state = ShardState()
-        for entry in recovered.entries:
-            for change in codec.decode(entry, CHANGES, _CONVERTER):
-                state.apply(change)
-        self.machine = ShardMachine(
+        """Rebuild the state; a record that can't be read keeps the shard closed."""
+        try:
+            state = self._replay(recovered)
+        except (ProtocolError, LookupError) as error:
+            self.broken = f"the shard's record can't be read: {error!r}"
+            return
+        core = ShardCore(
             self.context,
             self.shards,
             self.shard,
@@ -119,16 +224,44 @@
             now_ms,
             state,
             Policy(self.context.settings.policy),
+            self.summaries,
+            self.proof_ms,
         )
+        self.machine = ShardMachine(core)
+
+    def _replay(self, recovered: Recovered) -> ShardState:
+        kept = self.context.settings.tasks.decisions_kept
+        state = ShardState(decisions=collections.deque(maxlen=kept))
+        if recovered.snapshot:
+            state = decode_state(recovered.snapshot, kept)
+        for entry in recovered.entries:
+            for change in codec.decode(entry, CHANGES, _CONVERTER):
+                state.apply(change)
+        return state
 
     def _drop_waiting(self, deposed: Deposed) -> list[ShardCommand]:
-        answers: list[ShardCommand] = []
-        for ticket, command in self.waiting:
-            if isinstance(command, ports.ApiAnswer):
-                code = "outcome_unknown"
-                if ticket > deposed.unsettled_ticket:
-                    code = "not_run"
-                fault = api.Fault(code, Reason.NO_OWNER, "the shard has a new owner")
-                answers.append(ports.ApiAnswer(command.call_id, fault))
+        """Answer the callers whose commits failed; drop all other commands."""
+        answers = [
+            _answer_deposed(item, deposed)
+            for item in self.waiting
+            if isinstance(item.command, ports.ApiAnswer)
+        ]
         self.waiting.clear()
         return answers
+
+
+def _accepts(command: ShardCommand, accepted: set) -> bool:
+    match command:
+        case ports.ApiAnswer(result=api.TaskView(spec=spec)):
+            return spec.key in accepted
+    return False
+
+
+def _answer_deposed(item: _Waiting, deposed: Deposed) -> ports.ApiAnswer:
+    """Return the true answer; "not run" only if nothing else may have accepted."""
+    if item.ticket <= deposed.committed_ticket:
+        return item.command
+    dropped = item.revocable and item.ticket > deposed.unsettled_ticket
+    code = "not_run" if dropped else "outcome_unknown"
+    fault = api.Fault(code, Reason.NO_OWNER, "the shard has a new owner")
+    return ports.ApiAnswer(item.command.call_id, fault)
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -85,12 +85,16 @@
 
 @frozen
 class PlaceAttempt:
-    """The home shard asks another shard to place one attempt of a task."""
+    """The home shard asks another shard to place one attempt of a task.
+
+    A copy that arrives after ``place_before_ms`` is ignored.
+    """
 
     spec: TaskSpec
     attempt: int
     reserved: Resources
     checkpoint: str = ""
+    place_before_ms: int = 0
 
 
 @frozen
--- a/poplarlb/state/changes.py
+++ b/poplarlb/state/changes.py
@@ -18,9 +18,14 @@
 
 @frozen
 class TaskAccepted:
-    """A task entered its home shard's record."""
+    """A task entered its home shard's record.
+
+    ``number`` is the last attempt number used under the key before.
+    """
 
     spec: TaskSpec
+    at_ms: int = 0
+    number: int = 0
 
 
 @frozen
@@ -52,6 +57,7 @@
     checkpoint: str = ""
     counts_as_failure: bool = False
     evicted: bool = False
+    at_ms: int = 0
 
 
 @frozen
@@ -136,10 +142,33 @@
 
 @frozen
 class PlaceForgotten:
-    """The home shard has noted the end or refusal."""
+    """The home shard has noted the end or refusal.
+
+    A guest's key and highest attempt number are kept as a tombstone for a while,
+    so that a late copy of a request to place it is not taken for a new one.
+    """
 
     key: TaskKey
     number: int
+    at_ms: int = 0
+
+
+@frozen
+class TombstonesDropped:
+    """Tombstones made before ``before_ms`` are no longer needed."""
+
+    before_ms: int
+
+
+@frozen
+class EpochReleased:
+    """The owner of ``epoch`` stopped for good before it gave the shard away.
+
+    No lease that it or an earlier owner sent ends after ``lease_until_ms``.
+    """
+
+    epoch: int
+    lease_until_ms: int
 
 
 # --- quotas -----------------------------------------------------------------------
@@ -191,4 +220,6 @@
     | QuotaGranted
     | QuotaReceived
     | DecisionTaken
+    | TombstonesDropped
+    | EpochReleased
 )
--- a/poplarlb/state/models.py
+++ b/poplarlb/state/models.py
@@ -85,6 +85,7 @@
     SHUTTING_DOWN = "shutting_down"
     DELEGATED = "delegated"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
+    ID_IN_USE = "id_in_use"
 
 
 @frozen
