Send no start before the ownership is proved

Change: a worker gets no start while its leases may not be renewed; urgent work is delegated only to shards that report room.

--- a/poplarlb/coordination/leases.py
+++ b/poplarlb/coordination/leases.py
@@ -107,12 +107,15 @@
         return ports.WorkerCall(call_id, worker.worker_id, worker.address, batch)
 
     def _lease_until(self, contact: Contact) -> int:
-        now_ms = self.core.now_ms
-        settings = self.core.context.settings
-        proof_age_ms = now_ms - self.core.proof_ms
-        if proof_age_ms >= settings.members.orphan_horizon_ms or self.silent(contact):
+        if not self._may_renew() or self.silent(contact):
             return contact.lease_until_ms
-        return max(contact.lease_until_ms, now_ms + settings.tasks.lease_ms)
+        lease_ms = self.core.context.settings.tasks.lease_ms
+        return max(contact.lease_until_ms, self.core.now_ms + lease_ms)
+
+    def _may_renew(self) -> bool:
+        """Tell whether the last proof of ownership is young enough."""
+        horizon_ms = self.core.context.settings.members.orphan_horizon_ms
+        return self.core.now_ms - self.core.proof_ms < horizon_ms
 
     def _next_renewal(self, contact: Contact) -> int:
         """Return the next renewal, at the worker's own offset in the period."""
@@ -178,6 +181,8 @@
             return Reason.HOST_DEAD
         if not contact.clock_checked or contact.strays:
             return Reason.START_REFUSED
+        if not self._may_renew():
+            return Reason.NO_OWNER
         return None
 
     def lost(self, place: PlaceRecord) -> bool:
--- a/poplarlb/coordination/queue.py
+++ b/poplarlb/coordination/queue.py
@@ -191,7 +191,7 @@
             and reserved.fits_in(self._free_at(summary))
         ]
         if not fitting and result.never and record.spec.work_class in URGENT_CLASSES:
-            fitting = open_to
+            fitting = [item for item in open_to if item.total_free.cpu_millis > 0]
         best = max(fitting, key=lambda s: (s.total_free.cpu_millis, s.shard), default=0)
         return best.shard if best else ""
 
