--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -111,6 +111,8 @@
         return [*delayed, *outputs]
 
     def _to_hosts(self, event: ports.Event, now_ms: int) -> list:
+        for shard, host in self.hosts.items():
+            host.proof_ms = self.ownership.proof_ms(shard)
         return [
             output
             for host in self.hosts.values()
@@ -154,6 +156,8 @@
             record.epoch,
             journal,
             Admission(self.context, record.shard, record.epoch),
+            self.summaries,
+            self.ownership.proof_ms(record.shard),
         )
 
     def _own_summaries(self, now_ms: int) -> tuple[messages.ShardSummary, ...]:
