bench: processor time and bytes of one store, worker and peer call

Cause: CAPACITY.md needs slopes of the transport. Change: bench/transport.py; the HTTP stand-in counts its bytes.

--- /dev/null
+++ b/bench/transport.py
@@ -0,0 +1,152 @@
+"""What one call costs a daemon's process: store, worker, peer, host list.
+
+The other ends run in this process too, on threads whose time is taken off.
+``python -m bench.transport`` prints rows of ``name, unit, value``.
+"""
+
+import asyncio
+import time
+
+from bench.rows import Row, save_rows
+from poplarlb.protocol import codec, messages, ports
+from poplarlb.settings import PeerSettings, PlatformSettings, StoreSettings
+from poplarlb.state.models import (
+    Resources,
+    TaskKey,
+    TaskReport,
+    TaskSpec,
+    WorkClass,
+    WorkerReport,
+)
+from poplarlb.transport.peers import PeerTransport
+from poplarlb.transport.platform import PlatformAdapter
+from poplarlb.transport.store import StoreAdapter
+from tests.standins.http import Answer, Server, serve
+
+CALLS = 1_000
+TASKS_PER_REPORT = 12
+
+
+def make_report(tasks: int) -> ports.WorkerAnswer:
+    """Return a worker's answer with as many tasks as a busy worker has."""
+    reports = tuple(
+        TaskReport(
+            TaskKey(f"team-{number % 130}", f"job-2026-12-03-{number:06d}"),
+            1,
+            7,
+            "running",
+            Resources(1_900, 3_800, 0),
+            123_456,
+        )
+        for number in range(tasks)
+    )
+    report = WorkerReport("zone-1-worker-0042", 1_700_000_000_000, 1, reports)
+    return ports.WorkerAnswer((), report)
+
+
+def make_start() -> ports.WorkerBatch:
+    """Return a batch with one start, as sent for a placed job."""
+    spec = TaskSpec(
+        TaskKey("team-42", "job-2026-12-03-000042"),
+        WorkClass.URGENT,
+        Resources(1_900, 3_800, 0),
+        60_000,
+        "settlement",
+        payload=b"x" * 200,
+    )
+    start = ports.StartTask(spec, 1, 7, spec.size, 1_700_000_000_000)
+    return ports.WorkerBatch("zone-1/3", 7, 1_700_000_000_000, (start,))
+
+
+def measure_calls(name: str, server: Server, call) -> list[Row]:
+    """Return processor time of the calling thread and bytes for one call."""
+    for _ in range(20):
+        call()
+    before_bytes = server.received_bytes + server.sent_bytes
+    before_s = time.thread_time()
+    for _ in range(CALLS):
+        call()
+    used_s = time.thread_time() - before_s
+    moved = server.received_bytes + server.sent_bytes - before_bytes
+    return [
+        Row(f"{name}: processor time", "us a call", used_s / CALLS * 1e6),
+        Row(f"{name}: bytes both ways", "B a call", moved / CALLS),
+    ]
+
+
+def measure_store() -> list[Row]:
+    """Return the cost of an unchanged read and of a 1 KB write."""
+    body = b'{"header":{"revision":"1000"},"succeeded":true,"kvs":[]}'
+    server = serve(lambda *_: Answer(200, body))
+    store = StoreAdapter(StoreSettings(server.address))
+    read = ports.StoreRead("poplarlb/config/head", 1_000)
+    write = ports.StoreWrite("poplarlb/shards/a/log/000000000001", b"x" * 1_000, 999)
+    rows = measure_calls("store read", server, lambda: store.execute(read))
+    rows += measure_calls("store write, 1 KB", server, lambda: store.execute(write))
+    server.stop()
+    return rows
+
+
+def measure_workers() -> list[Row]:
+    """Return the cost of a renewal with a full report and of a start."""
+    data = codec.encode(make_report(TASKS_PER_REPORT), ports.WorkerAnswer)
+    server = serve(lambda *_: Answer(200, data, "application/cbor"))
+    platform = PlatformAdapter(PlatformSettings())
+    renewal = ports.WorkerBatch("zone-1/3", 7, 1_700_000_000_000)
+    rows = measure_calls(
+        f"renewal, {TASKS_PER_REPORT} tasks",
+        server,
+        lambda: platform.call_worker(server.address, renewal),
+    )
+    start = make_start()
+    rows += measure_calls(
+        f"start, {TASKS_PER_REPORT} tasks",
+        server,
+        lambda: platform.call_worker(server.address, start),
+    )
+    server.stop()
+    return rows
+
+
+async def measure_peers() -> list[Row]:
+    """Return the cost of one message for sender and receiver together."""
+    received = 0
+
+    def receive(sender: str, message: messages.PeerMessage) -> None:
+        nonlocal received
+        received += 1
+
+    settings = PeerSettings()
+    listener = PeerTransport(settings, "b", receive)
+    address = await listener.start()
+    sender = PeerTransport(settings, "a", receive)
+    beat = messages.Heartbeat(1_700_000_000_000, 4_321, 250)
+    sender.send(address, beat)
+    while received < 1:
+        await asyncio.sleep(0.01)
+    before_s = time.process_time()
+    before_bytes = sender.sent_bytes
+    for _ in range(CALLS):
+        sender.send(address, beat)
+        await asyncio.sleep(0)
+    while received < CALLS + 1:
+        await asyncio.sleep(0.01)
+    used_s = time.process_time() - before_s
+    moved = sender.sent_bytes - before_bytes
+    await sender.stop()
+    await listener.stop()
+    return [
+        Row("peer message, both ends: processor time", "us", used_s / CALLS * 1e6),
+        Row("heartbeat without summaries: bytes", "B", moved / CALLS),
+    ]
+
+
+def main() -> list[Row]:
+    """Measure everything and print the rows."""
+    rows = [*measure_store(), *measure_workers(), *asyncio.run(measure_peers())]
+    save_rows("transport", rows)
+    return rows
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -36,6 +36,9 @@
 
     def __init__(self, handler: Handler, host: str, port: int) -> None:
         """Bind and start."""
+        counter = self
+        self.received_bytes = 0
+        self.sent_bytes = 0
 
         class Requests(BaseHTTPRequestHandler):
             protocol_version = "HTTP/1.1"
@@ -45,6 +48,8 @@
                 length = int(self.headers.get("Content-Length", 0))
                 body = self.rfile.read(length)
                 headers = {k.lower(): v for k, v in self.headers.items()}
+                counter.received_bytes += len(self.raw_requestline) + length
+                counter.received_bytes += len(str(self.headers))
                 result = handler(self.command, self.path, body, headers)
                 if result.drop:
                     self.close_connection = True
@@ -52,6 +57,8 @@
                 self.send_response(result.status)
                 self.send_header("Content-Type", result.content_type)
                 self.send_header("Content-Length", str(len(result.body)))
+                counter.sent_bytes += sum(map(len, self._headers_buffer))
+                counter.sent_bytes += len(result.body)
                 self.end_headers()
                 self.wfile.write(result.body)
 
