--- a/poplarlb/protocol/codec.py
+++ b/poplarlb/protocol/codec.py
@@ -3,6 +3,8 @@
 Unions are tagged with the class's name under ``_type``.
 """
 
+import functools
+import operator
 import typing
 
 import cattrs
@@ -28,7 +30,10 @@
     """Return a converter that knows the given unions of attrs classes."""
     converter = cattrs.Converter(forbid_extra_keys=True)
     for pass_through in (bytes, int, float, str, bool):
-        converter.register_structure_hook(pass_through, _make_checker(pass_through))
+        # Matched by identity: a plain hook would catch enums of strings as well.
+        converter.register_structure_hook_func(
+            functools.partial(operator.is_, pass_through), _make_checker(pass_through)
+        )
     for union in unions:
         configure_tagged_union(union, converter, tag_name=TYPE_TAG)
     return converter
--- /dev/null
+++ b/tests/protocol/test_codec.py
@@ -0,0 +1,34 @@
+"""Messages survive the codec with the types that they had."""
+
+import unittest
+
+import cbor2
+
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import codec, messages
+from poplarlb.state.models import Reason, TaskKey, TaskOutcome
+
+
+class EnumTest(unittest.TestCase):
+    """Enums are decoded as enums, and their values are checked."""
+
+    def setUp(self) -> None:
+        """Encode a message that holds enums."""
+        ended = messages.AttemptEnded(
+            TaskKey("dairy", "j1"), 1, TaskOutcome.SUCCEEDED, Reason.EXITED
+        )
+        self.message = messages.ShardMessage("a/0", 1, "b/0", ended)
+        self.data = codec.encode(self.message, messages.PeerMessage)
+
+    def test_enum_stays_an_enum(self) -> None:
+        """Code that compares by identity sees the member."""
+        decoded = codec.decode(self.data, messages.PeerMessage)
+        self.assertIs(decoded.body.outcome, TaskOutcome.SUCCEEDED)
+        self.assertIs(decoded.body.reason, Reason.EXITED)
+
+    def test_unknown_value_is_refused(self) -> None:
+        """A value that is no member is a protocol error."""
+        raw = cbor2.loads(self.data)
+        raw["body"]["reason"] = "because"
+        with self.assertRaises(ProtocolError):
+            codec.decode(cbor2.dumps(raw), messages.PeerMessage)
