--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,25 @@
+"""Runs every measurement that exists, each for a short time."""
+
+import importlib
+import importlib.util
+
+MODULES = ("store", "shard", "requests", "daemon", "policy")
+
+
+def main() -> None:
+    """Run the measurements in turn; one that fails is named and ends the run."""
+    for name in MODULES:
+        path = f"bench.{name}"
+        if importlib.util.find_spec(path) is None:
+            print(f"{path}: absent, not run", flush=True)
+            continue
+        print(f"{path}:", flush=True)
+        module = importlib.import_module(path)
+        if name == "policy":
+            module.main(quick=True)
+        else:
+            module.main()
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarlb/coordination/breaches.py
+++ b/poplarlb/coordination/breaches.py
@@ -54,7 +54,9 @@
 
     def note(self, service: str, worker_id: str, late: bool, now_ms: int) -> None:
         """Count one request of a service at a worker."""
-        share = self.shares.setdefault((service, worker_id), LateShare())
+        share = self.shares.get((service, worker_id))
+        if share is None:
+            share = self.shares[service, worker_id] = LateShare()
         share.note(late, self._number(now_ms))
 
     def check(self, service: str, worker_id: str, now_ms: int) -> LateShare | None:
--- a/poplarlb/coordination/quota.py
+++ b/poplarlb/coordination/quota.py
@@ -152,7 +152,9 @@
         team = answer.team
         held = self.table.held(team)
         if answer.serial > held.serial:
-            self._hold(team, answer.serial, answer.share, effects)
+            # A recall may overtake the answer to a wish and bear its serial.
+            amount = answer.share.larger(held.amount)
+            self._hold(team, answer.serial, amount, effects)
             self.wishes.pop(team, None)
             self._withdraw_met_need(team)
         elif answer.serial == held.serial:
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/test_quota.py
@@ -21,6 +21,7 @@
 HOME = SHARDS.home_of_team(TEAM)
 QUOTA = Resources(10_000, 50_000, 2)
 STEPS = 300
+OVERTAKING_SEED = 1_059
 
 
 def view_of(amount: Resources, version: int = 1) -> ConfigView:
@@ -193,9 +194,12 @@
 
 
 def violations(count: int) -> int:
-    """Return how many of some walks break the oracle."""
+    """Return how many of some walks break the oracle.
+
+    The last walk has a recall that overtakes the answer to a wish.
+    """
     broken = 0
-    for seed in range(count):
+    for seed in (*range(count), OVERTAKING_SEED):
         try:
             Walk(random.Random(seed)).run()
         except AssertionError:
