Policy: no batch starts at a worker whose service is in breach

Cause: room made by throttling and eviction was filled at once by new batch work. Change: non-urgent work that isn't overdue is barred there for throttle_wait_ms.

--- a/poplarlb/coordination/placement.py
+++ b/poplarlb/coordination/placement.py
@@ -32,6 +32,7 @@
     reserved: Resources
     quarantined: Collection[str] = ()
     held: Collection[str] = ()
+    pressed: Collection[str] = ()
     barred: collections.Counter[Reason] = Factory(collections.Counter)
 
     def choose(self, rooms: Sequence[WorkerRoom]) -> Chosen | NotPlaced:
@@ -76,6 +77,8 @@
             return Reason.WORKER_QUARANTINED
         if room.worker.worker_id in self.held:
             return Reason.NO_CAPACITY
+        if room.worker.worker_id in self.pressed:
+            return Reason.SERVICE_BREACH
         return None if self.reserved.fits_in(room.free) else Reason.NO_CAPACITY
 
     def _main_reason(self) -> Reason:
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -128,6 +128,7 @@
             reserved,
             self._barred_for(spec, now_ms),
             self._held_from(spec, now_ms),
+            self._pressed_for(spec, now_ms),
         )
         choice = placement.choose(rooms)
         if isinstance(choice, Chosen):
@@ -240,6 +241,12 @@
             if hold.key != spec.key and now_ms < hold.until_ms
         }
 
+    def _pressed_for(self, spec: TaskSpec, now_ms: int) -> set[str]:
+        """Return the workers whose services must not be slowed further."""
+        if spec.work_class in MAKE_ROOM_FOR or spec.key in self.overdue:
+            return set()
+        return self.planner.pressed(now_ms)
+
     def _note_choice(self, spec: TaskSpec, choice: Chosen, now_ms: int) -> None:
         self.held = {
             worker_id: hold
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/relief.py
@@ -45,6 +45,7 @@
     """What was done lately at one worker."""
 
     acted_ms: int = -1
+    pressed_until_ms: int = 0
     evicted_ms: int | None = None
     backoff: int = 1
     restored_ms: int | None = None
@@ -101,6 +102,14 @@
     budget: EvictionBudget
     workers: dict[str, WorkerRelief] = Factory(dict)
 
+    def pressed(self, now_ms: int) -> set[str]:
+        """Return the workers where a service was in breach a short time ago."""
+        return {
+            worker_id
+            for worker_id, record in self.workers.items()
+            if now_ms < record.pressed_until_ms
+        }
+
     def plan(
         self, rooms: Sequence[WorkerRoom], view: ConfigView, now_ms: int
     ) -> list[Relief]:
@@ -113,6 +122,8 @@
     ) -> Relief | None:
         breached, clear = self._standing(room, now_ms)
         record = self.workers.setdefault(room.worker.worker_id, WorkerRelief())
+        if breached:
+            record.pressed_until_ms = now_ms + self.settings.throttle_wait_ms
         if now_ms - record.acted_ms < self.settings.throttle_wait_ms:
             return None
         if breached:
