Graceful shutdown of a process: leave the balancer, finish requests, hand over

Cause: SIGTERM ended the daemon at once, and requests in flight with it. Change: readyz turns 503, the door drains, shards are handed over, then exit 0; a second signal exits 3 at once; settings under [stop].

--- a/poplarlb/daemon.py
+++ b/poplarlb/daemon.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import os
 import signal
 import sys
 import threading
@@ -16,6 +17,7 @@
 from poplarlb.transport.runtime import Runtime
 
 EXIT_BAD_SETTINGS = 2
+EXIT_AT_ONCE = 3
 
 
 def main() -> None:
@@ -47,16 +49,36 @@
     for item in servers:
         threading.Thread(target=item.serve, daemon=True).start()
     logger.info("member {} serves on {}", settings.member_id, server.address)
-    asyncio.run(_run_until_signal(runtime, server))
-    for item in servers:
-        item.stop()
+    asyncio.run(_run_until_stopped(runtime, servers))
+    logger.info("member {} has stopped", settings.member_id)
 
 
-async def _run_until_signal(runtime: Runtime, server: CallerServer) -> None:
+async def _run_until_stopped(runtime: Runtime, servers: list) -> None:
     loop = asyncio.get_running_loop()
+    stopping: list[asyncio.Task] = []
+
+    def stop() -> None:
+        if stopping:
+            logger.warning("a second signal: the process ends at once")
+            os._exit(EXIT_AT_ONCE)
+        stopping.append(loop.create_task(_stop(runtime, servers)))
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, runtime.shut_down)
-    await runtime.run(server.address)
+        loop.add_signal_handler(number, stop)
+    await runtime.run(servers[0].address)
+
+
+async def _stop(runtime: Runtime, servers: list) -> None:
+    """Leave the balancer, finish requests in flight, give shards away."""
+    logger.info("graceful shutdown: not ready any more")
+    runtime.draining = True
+    await asyncio.sleep(runtime.settings.stop.drain_ms / 1000)
+    loop = asyncio.get_running_loop()
+    await asyncio.gather(
+        *(loop.run_in_executor(None, server.stop) for server in servers)
+    )
+    logger.info("graceful shutdown: requests are finished")
+    runtime.hand_over()
 
 
 if __name__ == "__main__":
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -167,6 +167,17 @@
     json: bool = False
 
 
+@frozen
+class StopSettings:
+    """A graceful shutdown: first leave the balancer, then finish what is in flight."""
+
+    drain_ms: int = field(default=2_000, validator=_between(0, 600_000))
+    request_timeout_ms: int = field(default=60_000, validator=_between(100, 3_600_000))
+    hand_over_timeout_ms: int = field(
+        default=15_000, validator=_between(100, 3_600_000)
+    )
+
+
 @frozen
 class Settings:
     """Everything that a daemon is told by its operators."""
@@ -185,6 +196,7 @@
     api: ApiSettings = ApiSettings()
     peers: PeerSettings = PeerSettings()
     logs: LogSettings = LogSettings()
+    stop: StopSettings = StopSettings()
     tick_ms: int = field(default=100, validator=_between(5, 5_000))
 
 
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -50,6 +50,7 @@
         self.loop: asyncio.AbstractEventLoop | None = None
         self.stopped: asyncio.Event | None = None
         self.started = threading.Event()
+        self.draining = False
         self.metrics = Metrics()
         self.meter = Meter(self.metrics)
 
@@ -102,10 +103,16 @@
         except concurrent.futures.TimeoutError as error:
             raise OutcomeUnknownError("no answer in time") from error
 
-    def shut_down(self) -> None:
-        """Begin a graceful shutdown; may be called from any thread."""
-        event = ports.ShutdownRequested()
-        self.loop.call_soon_threadsafe(self.dispatch, event)
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self.started.is_set() and not self.draining
+
+    def hand_over(self) -> None:
+        """Have the node give its shards away and then stop."""
+        self.dispatch(ports.ShutdownRequested())
+        limit_s = self.settings.stop.hand_over_timeout_ms / 1000
+        self.loop.call_later(limit_s, self.stopped.set)
 
     def dispatch(self, event: ports.Event) -> None:
         """Hand an event to the node and carry out its commands."""
--- /dev/null
+++ b/tests/test_system_fuzz.py
@@ -0,0 +1,117 @@
+"""Stateful fuzzing of whole nodes against the oracle, and seeds that once failed."""
+
+import unittest
+
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.harness.walk import Walk, walk_randomly
+
+DAEMONS = st.integers(0, 2)
+PERCENT = st.sampled_from((0, 5, 30))
+REGRESSION_SEEDS = (2, 7, 10)
+REGRESSION_STEPS = 60
+
+
+class SystemMachine(RuleBasedStateMachine):
+    """Work, faults and operators in any order; promises hold at every step."""
+
+    def __init__(self) -> None:
+        """Start a deployment."""
+        super().__init__()
+        self.walk = Walk(0)
+
+    @rule(duration_ms=st.sampled_from((50, 300, 1_000, 4_000)))
+    def advance(self, duration_ms: int) -> None:
+        """Let time pass."""
+        self.walk.advance(duration_ms)
+
+    @rule(
+        daemon=DAEMONS,
+        kind=st.integers(0, 9),
+        run_time_ms=st.sampled_from((500, 4_000, 15_000)),
+        cpu_millis=st.sampled_from((500, 2_000, 5_000)),
+    )
+    def submit(self, daemon: int, kind: int, run_time_ms: int, cpu_millis: int) -> None:
+        """Submit a job."""
+        self.walk.submit(daemon, kind, run_time_ms, cpu_millis)
+
+    @rule(daemon=DAEMONS, back=st.integers(0, 3))
+    def cancel(self, daemon: int, back: int) -> None:
+        """Cancel a job."""
+        self.walk.cancel(daemon, back)
+
+    @rule(daemon=DAEMONS, keyed=st.booleans())
+    def request(self, daemon: int, keyed: bool) -> None:
+        """Send a request to the service."""
+        self.walk.request(daemon, keyed, 3)
+
+    @rule(daemon=DAEMONS)
+    def toggle_daemon(self, daemon: int) -> None:
+        """Kill or start a daemon."""
+        self.walk.toggle_daemon(daemon)
+
+    @rule(daemon=DAEMONS)
+    def toggle_pause(self, daemon: int) -> None:
+        """Freeze a daemon or let it go on."""
+        self.walk.toggle_pause(daemon)
+
+    @rule(daemon=DAEMONS, what=st.integers(0, 2))
+    def toggle_cut(self, daemon: int, what: int) -> None:
+        """Cut a daemon off or heal it."""
+        self.walk.toggle_cut(daemon, what)
+
+    @rule()
+    def toggle_store(self) -> None:
+        """Take the store down or bring it back."""
+        self.walk.toggle_store()
+
+    @rule(store=PERCENT, peers=PERCENT, workers=PERCENT)
+    def set_losses(self, store: int, peers: int, workers: int) -> None:
+        """Lose answers and messages."""
+        self.walk.set_losses(store, peers, workers)
+
+    @rule(worker=st.integers(0, 5), how=st.integers(0, 2))
+    def toggle_host(self, worker: int, how: int) -> None:
+        """Let a host fail, vanish, leave or come back."""
+        self.walk.toggle_host(worker, how)
+
+    @rule(daemon=DAEMONS, zone=st.integers(0, 2), out=st.booleans())
+    def set_zone(self, daemon: int, zone: int, out: bool) -> None:
+        """Take a zone out or bring it back."""
+        self.walk.set_zone(daemon, zone, out)
+
+    @precondition(lambda self: len(self.walk.trace) % 4 == 0)
+    @invariant()
+    def promises_hold(self) -> None:
+        """Nothing that workers, callers and operators saw breaks a promise."""
+        broken = self.walk.check()
+        assert not broken, broken[:3]
+
+    def teardown(self) -> None:
+        """Heal everything and check the end."""
+        broken = self.walk.finish()
+        assert not broken, broken[:3]
+
+
+SystemFuzzTest = SystemMachine.TestCase
+SystemFuzzTest.settings = settings(
+    max_examples=6,
+    stateful_step_count=30,
+    deadline=None,
+    derandomize=True,
+    database=None,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class RegressionTest(unittest.TestCase):
+    """Walks that once broke a promise."""
+
+    def test_seeds(self) -> None:
+        """Every seed ends without a broken promise."""
+        for seed in REGRESSION_SEEDS:
+            with self.subTest(seed=seed):
+                _, broken = walk_randomly(seed, REGRESSION_STEPS)
+                self.assertEqual(broken, [])
