--- a/poplarlb/coordination/breaches.py
+++ b/poplarlb/coordination/breaches.py
@@ -50,6 +50,7 @@
     """Tells with hysteresis whether services keep their targets."""
 
     settings: PolicySettings
+    weights: dict[str, float] = Factory(dict)
     shares: dict[tuple[str, str], LateShare] = Factory(dict)
 
     def note(self, service: str, worker_id: str, late: bool, now_ms: int) -> None:
@@ -67,13 +68,18 @@
         value = share.value(self._number(now_ms))
         if value is None:
             value = 0.0
-        limit = self.settings.breach_share
+        limit = self.limit_of(service)
         breached = value > (limit / 2 if share.breached else limit)
         if breached != share.breached:
             share.breached = breached
             share.since_ms = now_ms
         return share
 
+    def limit_of(self, service: str) -> float:
+        """Return the share of late requests allowed; less for a higher weight."""
+        weight = max(0.1, self.weights.get(service, 1.0))
+        return min(0.5, self.settings.breach_share / weight)
+
     def late_share(self, service: str, worker_id: str, now_ms: int) -> float:
         """Return the share of late requests, 0 with too few of them."""
         share = self.shares.get((service, worker_id))
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -211,6 +211,11 @@
             for team in view.teams
             for service in team.services
         }
+        self.breaches.weights = {
+            f"{team.team}/{service.name}": service.weight
+            for team in view.teams
+            for service in team.services
+        }
         for room in rooms:
             self.harm.note_room(room, now_ms)
         return self.planner.plan(rooms, view, now_ms)
