--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -105,6 +105,22 @@
     harm_half_life_ms: int = field(
         default=600_000, validator=_between(1_000, 86_400_000)
     )
+    ageing_ms: int = field(default=600_000, validator=_between(1_000, 86_400_000))
+    overdue_ms: int = field(default=3_600_000, validator=_between(1_000, 86_400_000))
+    held_ms: int = field(default=30_000, validator=_between(0, 600_000))
+    harm_weight: float = field(default=1.0, validator=_between(0, 1_000))
+    harm_prior: float = field(default=0.3, validator=_between(0, 100))
+    spread_weight: float = field(default=0.5, validator=_between(0, 1_000))
+    fragmentation_weight: float = field(default=0.2, validator=_between(0, 1_000))
+    accelerator_weight: float = field(default=2.0, validator=_between(0, 1_000))
+    learned_quantile: float = field(default=0.9, validator=_between(0.5, 1))
+    relief_period_ms: int = field(default=1_000, validator=_between(50, 60_000))
+    breach_share: float = field(default=0.08, validator=_between(0, 1))
+    breach_window_ms: int = field(default=10_000, validator=_between(500, 600_000))
+    clear_ms: int = field(default=20_000, validator=_between(500, 3_600_000))
+    throttle_wait_ms: int = field(default=5_000, validator=_between(100, 600_000))
+    throttle_percent: int = field(default=25, validator=_between(1, 100))
+    quarantine_share: float = field(default=0.25, validator=_between(0, 1))
 
 
 @frozen
@@ -151,6 +167,17 @@
     json: bool = False
 
 
+@frozen
+class StopSettings:
+    """A graceful shutdown: first leave the balancer, then finish what is in flight."""
+
+    drain_ms: int = field(default=2_000, validator=_between(0, 600_000))
+    request_timeout_ms: int = field(default=60_000, validator=_between(100, 3_600_000))
+    hand_over_timeout_ms: int = field(
+        default=15_000, validator=_between(100, 3_600_000)
+    )
+
+
 @frozen
 class Settings:
     """Everything that a daemon is told by its operators."""
@@ -169,7 +196,8 @@
     api: ApiSettings = ApiSettings()
     peers: PeerSettings = PeerSettings()
     logs: LogSettings = LogSettings()
-    tick_ms: int = field(default=50, validator=_between(5, 5_000))
+    stop: StopSettings = StopSettings()
+    tick_ms: int = field(default=100, validator=_between(5, 5_000))
 
 
 def load_settings(path: str) -> Settings:
