--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -1,20 +1,440 @@
-"""``poplarlb``: the command line of operators and callers."""
+"""``poplarlb``: the command line of operators and callers.
+
+Every command takes ``--daemons host:port,...`` (or ``POPLARLB_DAEMONS``) and
+``--json``. The operators' secret is read from ``POPLARLB_OPERATOR_SECRET``.
+
+Exit codes: 0 done, 1 internal error, 2 wrong usage, 3 bad input, 4 unauthorized,
+5 not found, 6 conflict, 7 certainly not run, 8 outcome unknown, 9 not in force
+everywhere in time.
+"""
+
+import getpass
+import json as json_module
+import os
+import sys
+import time
+import uuid
 
 import fire
-import urllib3
+from attrs import define
+
+from poplarlb import rendering
+from poplarlb.client import Client, quote, to_error
+from poplarlb.exceptions import BadRequestError, NotFoundError, PoplarlbError
+from poplarlb.protocol import codec
+from poplarlb.state.templates import ConfigView, TeamTemplate
+from poplarlb.templates import diff_teams, load_team, to_table
+
+EXIT_CODES = {
+    "internal": 1,
+    "bad_request": 3,
+    "too_large": 3,
+    "unauthorized": 4,
+    "not_found": 5,
+    "conflict": 6,
+    "not_run": 7,
+    "rate_limited": 7,
+    "outcome_unknown": 8,
+    "store_unavailable": 8,
+    "not_in_force": 9,
+}
+IN_FORCE_LIMIT_S = 6.0
+IN_FORCE_PERIOD_S = 0.2
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+
+_CONVERTER = codec.make_converter(())
+
+
+class NotInForceError(PoplarlbError):
+    """A change was accepted but some daemons have not reported it in time."""
+
+    code = "not_in_force"
+
+
+@define
+class Session:
+    """What all commands share: the client and the form of output."""
+
+    client: Client
+    as_json: bool
+    operator: str
+
+    def show(self, table: object, text: str) -> str:
+        """Return the JSON or the text, as was asked."""
+        if self.as_json:
+            return json_module.dumps(table, indent=2)
+        return text
+
+    def view(self) -> ConfigView:
+        """Return the configuration that a daemon has in force."""
+        shown = self.client.call("GET", quote("config"))
+        return _CONVERTER.structure(shown["view"], ConfigView)
+
+    def zones(self) -> list[str]:
+        """Return the availability zones of the deployment."""
+        status = self.client.call("GET", quote("status"))
+        return [zone for zone, _ in status["zones"]]
+
+    def wait_in_force(self, version: int) -> None:
+        """Wait until all live members report a version.
+
+        :raises NotInForceError: naming those that have not in time.
+        """
+        until_s = time.monotonic() + IN_FORCE_LIMIT_S
+        while True:
+            lagging = self._lagging(version)
+            if not lagging:
+                return
+            if time.monotonic() >= until_s:
+                raise NotInForceError(
+                    f"version {version} is accepted, but not yet reported by "
+                    + ", ".join(lagging)
+                )
+            time.sleep(IN_FORCE_PERIOD_S)
+
+    def _lagging(self, version: int) -> list[str]:
+        status = self.client.call("GET", quote("status"))
+        own = [(status["member_id"], status["view_version"])]
+        others = [
+            (item["member_id"], item["view_version"])
+            for item in status["members"]
+            if item["live"]
+        ]
+        return [name for name, seen in [*own, *others] if seen < version]
+
+
+class TemplateCommands:
+    """Edit and apply the templates of teams."""
+
+    def __init__(self, session: Session) -> None:
+        """Keep the session."""
+        self._session = session
+
+    def apply(self, *files: str, remove: str = "", wait: bool = True) -> str:
+        """Check FILES, apply them, and wait until they are in force everywhere.
+
+        Args:
+            files: TOML templates, one team each.
+            remove: teams to remove, separated by commas.
+            wait: wait up to 6 s until every live daemon has reported the version.
+        """
+        session = self._session
+        teams = self._load(files)
+        view = session.view()
+        removed = [name for name in str(remove).split(",") if name]
+        changes = self._changes(view, teams, removed)
+        if not changes:
+            text = f"no effective change; version {view.version} stays in force"
+            return session.show({"version": view.version, "changes": []}, text)
+        body = {
+            "change_id": uuid.uuid4().hex[:12],
+            "operator": session.operator,
+            "base_version": view.version,
+            "teams": [_CONVERTER.unstructure(team) for team in teams],
+            "removed": removed,
+        }
+        answer = session.client.call("POST", quote("config"), body)
+        version = answer["version"]
+        if wait:
+            session.wait_in_force(version)
+        told = [str(change) for change in changes]
+        state = "in force everywhere" if wait else "accepted"
+        text = f"{rendering.changes_text(told)}\nversion {version} is {state}"
+        change_id = body["change_id"]
+        return session.show(
+            {"version": version, "change_id": change_id, "changes": told}, text
+        )
+
+    def diff(self, *files: str, remove: str = "") -> str:
+        """Show the effective changes that applying FILES would make."""
+        teams = self._load(files)
+        removed = [name for name in str(remove).split(",") if name]
+        changes = self._changes(self._session.view(), teams, removed)
+        table = [{"path": c.path, "old": c.old, "new": c.new} for c in changes]
+        return self._session.show(table, rendering.changes_text(changes))
+
+    def show(self, team: str) -> str:
+        """Show a team's template in force, with every effective value."""
+        found = self._session.view().team(str(team))
+        if found is None:
+            raise NotFoundError(f"no template for team {team}")
+        rows = [(c.path, "=", c.new) for c in diff_teams(None, found)]
+        return self._session.show(to_table(found), rendering.columns(rows))
+
+    def list(self) -> str:
+        """List the teams in force and the latest changes."""
+        view = self._session.view()
+        rows = [
+            (team.team, len(team.services), len(team.batch), ",".join(team.zones))
+            for team in view.teams
+        ]
+        teams = rendering.columns([("TEAM", "SERVICES", "BATCH", "ZONES"), *rows])
+        notes = [
+            (
+                note.version,
+                rendering.instant(note.at_ms),
+                note.operator,
+                note.change_id,
+                note.summary,
+            )
+            for note in view.changes
+        ]
+        header = ("VERSION", "AT (UTC)", "OPERATOR", "CHANGE", "WHAT")
+        text = f"{teams}\n\n{rendering.columns([header, *notes])}"
+        return self._session.show(_CONVERTER.unstructure(view), text)
+
+    def _load(self, files: tuple[str, ...]) -> list[TeamTemplate]:
+        zones = self._session.zones()
+        teams, faults = [], []
+        for file in files:
+            try:
+                teams.append(load_team(str(file), zones))
+            except BadRequestError as error:
+                faults.append(error.detail)
+        if faults:
+            raise BadRequestError("\n".join(faults))
+        return teams
+
+    def _changes(self, view: ConfigView, teams: list, removed: list) -> list:
+        found = [diff_teams(view.team(team.team), team) for team in teams]
+        found += [diff_teams(view.team(name), None) for name in removed]
+        return [change for changes in found for change in changes]
+
+
+class ZoneCommands:
+    """Take availability zones out of service and bring them back."""
+
+    def __init__(self, session: Session) -> None:
+        """Keep the session."""
+        self._session = session
+
+    def out(self, zone: str, wait: bool = True) -> str:
+        """Take ZONE out: no task starts there once this is in force."""
+        return self._set(str(zone), "out", wait)
+
+    def back(self, zone: str, wait: bool = True) -> str:
+        """Bring ZONE back; the same as ``zone in``."""
+        return self._set(str(zone), "in", wait)
+
+    def list(self) -> str:
+        """List the zones with their states, and who set them."""
+        entries = {item.zone: item for item in self._session.view().zones}
+        rows = [
+            {
+                "zone": zone,
+                "state": entries[zone].state.value if zone in entries else "in",
+                "changed_ms": entries[zone].changed_ms if zone in entries else 0,
+                "changed_by": entries[zone].changed_by if zone in entries else "",
+            }
+            for zone in self._session.zones()
+        ]
+        return self._session.show(rows, rendering.zone_rows(rows))
+
+    def _set(self, zone: str, state: str, wait: bool) -> str:
+        session = self._session
+        change_id = uuid.uuid4().hex[:12]
+        body = {"state": state, "change_id": change_id, "operator": session.operator}
+        answer = session.client.call("PUT", quote("zones", zone), body)
+        if wait:
+            session.wait_in_force(answer["version"])
+        ending = "in force everywhere" if wait else "accepted"
+        text = f"zone {zone} is {state}: version {answer['version']} is {ending}"
+        return session.show({**answer, "zone": zone, "state": state}, text)
+
+
+# "in" can't be a method's name in a class body.
+setattr(ZoneCommands, "in", ZoneCommands.back)
+
+
+class JobCommands:
+    """Submit and follow batch jobs."""
+
+    def __init__(self, session: Session) -> None:
+        """Keep the session."""
+        self._session = session
+
+    def submit(
+        self,
+        team: str,
+        job_id: str,
+        kind: str = "",
+        work_class: str = "",
+        cpu_millis: int = 0,
+        memory_mb: int = 0,
+        accelerators: int = 0,
+        run_time_ms: int = 0,
+    ) -> str:
+        """Submit JOB_ID for TEAM; submitting the same id again changes nothing.
+
+        Args:
+            team: the team that the job counts for.
+            job_id: the job's name, chosen by you and unique in the team.
+            kind: a batch kind of the team's template, which gives the defaults.
+            work_class: urgent, ordinary, patient or long-lived.
+            cpu_millis: processors in thousandths.
+            memory_mb: memory.
+            accelerators: accelerators.
+            run_time_ms: expected run time.
+        """
+        body = self._defaults(str(team), str(kind)) if kind else {"size": {}}
+        size = {
+            "cpu_millis": cpu_millis,
+            "memory_mb": memory_mb,
+            "accelerators": accelerators,
+        }
+        body["size"].update({key: value for key, value in size.items() if value})
+        given = {"class": work_class, "run_time_ms": run_time_ms}
+        body.update({key: value for key, value in given.items() if value})
+        answer = self._session.client.call("PUT", quote("jobs", team, job_id), body)
+        return self._session.show(answer, rendering.task_text(answer))
+
+    def show(self, team: str, job_id: str) -> str:
+        """Show a job's phase, attempts and outcome."""
+        answer = self._session.client.call("GET", quote("jobs", team, job_id))
+        return self._session.show(answer, rendering.task_text(answer))
+
+    def cancel(self, team: str, job_id: str) -> str:
+        """Cancel a job; a running one is stopped first."""
+        answer = self._session.client.call("DELETE", quote("jobs", team, job_id))
+        return self._session.show(answer, rendering.task_text(answer))
+
+    def list(self, team: str, after: str = "", limit: int = 100) -> str:
+        """List a team's jobs in order of their ids, after the id AFTER."""
+        path = f"{quote('jobs', team)}?limit={int(limit)}"
+        path += f"&after={after}" if after else ""
+        answer = self._session.client.call("GET", path)
+        text = rendering.task_rows(answer["jobs"])
+        if answer.get("more"):
+            text += f"\nmore: --after {answer['after']}"
+        return self._session.show(answer, text)
+
+    def _defaults(self, team: str, kind: str) -> dict:
+        template = self._session.view().team(team)
+        batch = template.batch if template else ()
+        found = next((item for item in batch if item.name == kind), None)
+        if found is None:
+            names = ", ".join(item.name for item in batch) or "none"
+            raise BadRequestError(f"team {team} has no batch kind {kind}; has: {names}")
+        return {
+            "kind": kind,
+            "class": found.work_class.value,
+            "size": _CONVERTER.unstructure(found.size),
+            "run_time_ms": found.run_time_ms,
+            "checkpointable": found.checkpointable,
+            "zones": list(template.zones),
+        }
 
 
 class Commands:
-    """Talks to any daemon over HTTP."""
+    """Drive poplarlb: templates, zones, jobs, requests, explanations, status.
+
+    Give flags after the command. Exit codes: 0 done, 1 internal error, 2 wrong
+    usage, 3 bad input, 4 unauthorized, 5 not found, 6 conflict, 7 certainly not
+    run, 8 outcome unknown, 9 not in force everywhere in time.
+
+    Args:
+        daemons: addresses of daemons, separated by commas; the first that answers
+            is used. The default is POPLARLB_DAEMONS.
+        json: print JSON.
+        operator: your name in the record of changes; the default is the login.
+    """
+
+    def __init__(
+        self, *, daemons: str = "", json: bool = False, operator: str = ""
+    ) -> None:
+        """Open a session."""
+        if isinstance(daemons, list | tuple):
+            daemons = ",".join(str(item) for item in daemons)
+        name = operator or os.environ.get("POPLARLB_OPERATOR") or getpass.getuser()
+        client = Client.from_environment(str(daemons))
+        self._session = Session(client, bool(json), str(name))
+        self.template = TemplateCommands(self._session)
+        self.zone = ZoneCommands(self._session)
+        self.job = JobCommands(self._session)
+
+    def request(
+        self,
+        team: str,
+        service: str,
+        path: str = "",
+        method: str = "GET",
+        body: str = "",
+        key: str = "",
+        timeout_ms: int = 0,
+    ) -> str:
+        """Send one request to a service and print the whole answer.
+
+        A request that is neither safe (GET) nor keyed is sent at most once: if its
+        outcome is unknown, the exit code is 8 and nothing is repeated.
+
+        Args:
+            team: the team that owns the service.
+            service: the service's name.
+            path: the path at the service.
+            method: the HTTP method.
+            body: the body.
+            key: an idempotency key; repeating it returns the first outcome.
+            timeout_ms: how long the answer may take.
+        """
+        headers = {"Content-Type": "application/json"} if body else {}
+        if key:
+            headers["Idempotency-Key"] = str(key)
+        if timeout_ms:
+            headers["Poplarlb-Timeout-Ms"] = str(int(timeout_ms))
+        method = method.upper()
+        data = body if isinstance(body, str) else json_module.dumps(body)
+        url = f"{quote('services', team, service)}/{str(path).lstrip('/')}"
+        repeatable = bool(key) or method in SAFE_METHODS
+        answer = self._session.client.send(
+            method, url, data.encode() if data else None, headers, repeatable
+        )
+        table = answer.table()
+        if answer.status >= 400:
+            raise to_error(answer.status, table)
+        text = answer.body.decode(errors="replace").rstrip("\n")
+        told = {"status": answer.status, "daemon": answer.daemon, "body": text}
+        return self._session.show(told, text)
+
+    def explain(self, subject: str, *names: str) -> str:
+        """Explain ``job TEAM ID``, ``worker ID`` or ``request ID``.
+
+        Prints every kept decision with its instant, reason, alternatives and the
+        configuration version under which it was taken.
+        """
+        parts = "/".join([str(subject), *(str(name) for name in names)])
+        table = self._session.client.call("GET", quote("explain", *parts.split("/")))
+        return self._session.show(table, rendering.explanation(table))
 
-    def status(self, daemon: str) -> str:
-        """Show what a daemon knows at a glance."""
-        return urllib3.request("GET", f"http://{daemon}/v1/status").data.decode()
+    def status(self) -> str:
+        """Show members, zones, shards, queues, and what waits and why."""
+        client = self._session.client
+        first = client.call("GET", quote("status"))
+        addresses = {item["member_id"]: item["address"] for item in first["members"]}
+        statuses, unreachable = [first], []
+        for name, address in sorted(addresses.items()):
+            try:
+                answer = client.send_once(address, "GET", quote("status"))
+                statuses.append(answer.table())
+            except PoplarlbError:
+                unreachable.append(f"{name} ({address})")
+        known = [item for item in statuses if "member_id" in item]
+        text = rendering.status_text(known, unreachable)
+        return self._session.show({"daemons": known, "silent": unreachable}, text)
 
 
-def main() -> None:
-    """Run one command."""
-    fire.Fire(Commands, name="poplarlb")
+def main(arguments: list[str] | None = None) -> None:
+    """Run one command and exit with its code."""
+    given = sys.argv[1:] if arguments is None else arguments
+    # A bare --json would take the next word as its value.
+    given = ["--json=True" if item == "--json" else item for item in given]
+    as_json = "--json=True" in given
+    try:
+        fire.Fire(Commands, command=given, name="poplarlb")
+    except PoplarlbError as error:
+        table = {"code": error.code, "detail": error.detail}
+        text = f"{error.code}: {error.detail}"
+        print(json_module.dumps(table) if as_json else text, file=sys.stderr)
+        sys.exit(EXIT_CODES.get(error.code, 1))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/poplarlb/client.py
@@ -0,0 +1,197 @@
+"""A client of the daemons' HTTP doors that tries one address after another."""
+
+import http
+import json
+import os
+import random
+import time
+import urllib.parse
+
+import urllib3
+from attrs import Factory, define, frozen
+
+from poplarlb import exceptions
+from poplarlb.exceptions import (
+    BadRequestError,
+    NotRunError,
+    OutcomeUnknownError,
+    PoplarlbError,
+)
+
+DAEMONS_VARIABLE = "POPLARLB_DAEMONS"
+SECRET_VARIABLE = "POPLARLB_OPERATOR_SECRET"
+AUTHORITY_VARIABLE = "POPLARLB_TLS_AUTHORITY"
+ATTEMPT_HEADER = "Poplarlb-Attempt"
+CONNECT_TIMEOUT_S = 1.0
+READ_TIMEOUT_S = 35.0
+ROUNDS = 8
+ROUND_PAUSE_S = 0.5
+NOT_RUN_CODES = frozenset({"not_run", "rate_limited"})
+UNKNOWN_CODES = frozenset({"outcome_unknown", "store_unavailable"})
+
+_ERRORS = {
+    kind.code: kind
+    for kind in vars(exceptions).values()
+    if isinstance(kind, type) and issubclass(kind, PoplarlbError)
+}
+
+
+@frozen
+class Answer:
+    """A daemon's whole answer."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    daemon: str
+
+    def table(self) -> dict:
+        """Return the JSON object in the body; an empty one if there is none."""
+        try:
+            value = json.loads(self.body)
+        except ValueError:
+            return {}
+        return value if isinstance(value, dict) else {}
+
+
+@define
+class Client:
+    """Calls daemons by their addresses, the first that answers first.
+
+    :param daemons: ``host:port`` or whole ``https://host:port`` addresses.
+    :param secret: the operators' secret, sent with every call if set.
+    """
+
+    daemons: list[str]
+    secret: str = ""
+    authority: str = ""
+    pool: urllib3.PoolManager = Factory(
+        lambda self: urllib3.PoolManager(
+            retries=False, ca_certs=self.authority or None
+        ),
+        takes_self=True,
+    )
+
+    @classmethod
+    def from_environment(cls, daemons: str = "") -> "Client":
+        """Return a client for a comma-separated list, or the environment's.
+
+        :raises BadRequestError: if neither names a daemon.
+        """
+        listed = daemons or os.environ.get(DAEMONS_VARIABLE, "")
+        addresses = [item.strip() for item in listed.split(",") if item.strip()]
+        if not addresses:
+            raise BadRequestError(
+                f"no daemon named: give --daemons host:port,... or {DAEMONS_VARIABLE}"
+            )
+        return cls(
+            addresses,
+            os.environ.get(SECRET_VARIABLE, ""),
+            os.environ.get(AUTHORITY_VARIABLE, ""),
+        )
+
+    def call(
+        self, method: str, path: str, table: dict | None = None, repeatable: bool = True
+    ) -> dict:
+        """Return the JSON answer of the first daemon that gives one.
+
+        :param repeatable: whether a call whose outcome is unknown may be made
+            again; true for reads and for changes with an id of their own.
+        :raises PoplarlbError: the refusal, or the lack of any answer.
+        """
+        body = None if table is None else json.dumps(table).encode()
+        answer = self.send(method, path, body, {}, repeatable)
+        found = answer.table()
+        if answer.status >= http.HTTPStatus.BAD_REQUEST:
+            raise to_error(answer.status, found)
+        return found
+
+    def send(
+        self,
+        method: str,
+        path: str,
+        body: bytes | None,
+        headers: dict[str, str],
+        repeatable: bool,
+    ) -> Answer:
+        """Return the whole answer, of whatever status.
+
+        A call that was certainly not run is tried at the next address. One whose
+        outcome is unknown is tried again only if it is repeatable.
+
+        :raises NotRunError: if no daemon could be reached.
+        :raises OutcomeUnknownError: if the outcome of a call can't be known.
+        """
+        last: Answer | None = None
+        unknown = ""
+        sendings = 0
+        for attempt in range(ROUNDS * len(self.daemons)):
+            daemon = self.daemons[attempt % len(self.daemons)]
+            if attempt and attempt % len(self.daemons) == 0:
+                time.sleep(ROUND_PAUSE_S * (1 + random.random()))
+            numbered = {**headers, ATTEMPT_HEADER: str(sendings + 1)}
+            try:
+                last = self.send_once(daemon, method, path, body, numbered)
+                sendings += 1
+            except NotRunError:
+                continue
+            except OutcomeUnknownError as error:
+                sendings += 1
+                unknown = error.detail
+                if not repeatable:
+                    raise
+                continue
+            code = last.table().get("code", "")
+            if code in UNKNOWN_CODES and repeatable:
+                unknown = str(last.table().get("detail", ""))
+                continue
+            if code not in NOT_RUN_CODES or unknown:
+                return last
+        if unknown:
+            raise OutcomeUnknownError(unknown)
+        if last is not None:
+            return last
+        raise NotRunError(f"none of {', '.join(self.daemons)} could be reached")
+
+    def send_once(
+        self,
+        daemon: str,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        headers: dict[str, str] | None = None,
+    ) -> Answer:
+        """Return one daemon's answer.
+
+        :raises NotRunError: if it could not be connected to.
+        :raises OutcomeUnknownError: if the connection failed later.
+        """
+        base = daemon if "://" in daemon else f"http://{daemon}"
+        sent = dict(headers or {})
+        if self.secret:
+            sent.setdefault("Authorization", f"Bearer {self.secret}")
+        timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=READ_TIMEOUT_S)
+        try:
+            answer = self.pool.request(
+                method, base + path, body=body, headers=sent, timeout=timeout
+            )
+        except (
+            urllib3.exceptions.NewConnectionError,
+            urllib3.exceptions.ConnectTimeoutError,
+        ) as error:
+            raise NotRunError(f"{daemon}: {error}") from error
+        except urllib3.exceptions.HTTPError as error:
+            raise OutcomeUnknownError(f"{daemon}: {error}") from error
+        return Answer(answer.status, dict(answer.headers), answer.data, daemon)
+
+
+def to_error(status: int, table: dict) -> PoplarlbError:
+    """Return the exception that a refusal's JSON describes."""
+    kind = _ERRORS.get(table.get("code", ""), PoplarlbError)
+    parts = [str(table[key]) for key in ("reason", "detail") if table.get(key)]
+    return kind(": ".join(parts) or f"status {status}")
+
+
+def quote(*parts: str) -> str:
+    """Return a path below ``/v1`` of the given parts."""
+    return "/v1/" + "/".join(urllib.parse.quote(str(part), safe="") for part in parts)
--- a/poplarlb/coordination/context.py
+++ b/poplarlb/coordination/context.py
@@ -1,21 +1,26 @@
 """What all state machines of one daemon may read."""
 
+import collections
 import itertools
 
 from attrs import Factory, define
 
 from poplarlb.coordination.sharding import ShardMap
 from poplarlb.settings import Settings
+from poplarlb.state.changes import Change
 from poplarlb.state.models import Worker
 from poplarlb.state.templates import ConfigView
 
+STAGED_LIMIT = 5_000
+
 
 @define
 class NodeContext:
     """The daemon's settings, its view of the configuration, and the host list.
 
     ``view_confirmed_ms`` is when the last read that confirmed the view was sent.
-    Only the machine that keeps a field may change it.
+    Only the machine that keeps a field may change it. ``staged`` holds the latest
+    changes of all shards, for the metrics.
     """
 
     settings: Settings
@@ -23,6 +28,9 @@
     view_confirmed_ms: int = 0
     workers: dict[str, Worker] = Factory(dict)
     workers_by_shard: dict[str, list[Worker]] = Factory(dict)
+    staged: collections.deque[Change] = Factory(
+        lambda: collections.deque(maxlen=STAGED_LIMIT)
+    )
     call_ids: itertools.count = Factory(lambda: itertools.count(1))
 
     def set_workers(self, workers: tuple[Worker, ...], shards: ShardMap) -> None:
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -16,6 +16,7 @@
 from poplarlb.coordination.router import choose_shard
 from poplarlb.coordination.shard_host import ShardHost
 from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.coordination.status import node_status
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason
@@ -286,36 +287,12 @@
         return self.hosts[shard].handle(ports.ApiRequested(call_id, body), now_ms)
 
     def _status(self, now_ms: int) -> api.Status:
-        members = [
-            api.MemberStatus(
-                peer.member.member_id,
-                peer.member.zone,
-                peer.member.api_address,
-                self.membership.answers(peer.member.member_id, now_ms),
-                peer.heartbeat.view_version if peer.heartbeat else 0,
-                now_ms - peer.heard_ms,
-            )
-            for peer in self.membership.peers.values()
-        ]
-        shards = [
-            api.ShardStatus(
-                shard,
-                record.owner if record else "",
-                record.epoch if record else 0,
-                "open" if self._is_open(shard) else "elsewhere",
-            )
-            for shard, record in (
-                (shard, self.ownership.owner_of(shard)) for shard in self.shards.shards
-            )
-        ]
-        return api.Status(
-            self.own.member_id,
-            self.context.view.version,
-            now_ms - self.context.view_confirmed_ms,
-            tuple(members),
-            tuple(shards),
-            tuple((e.zone, e.state.value) for e in self.context.view.zones),
+        return node_status(
+            self.own,
+            self.context,
+            self.shards,
+            self.membership,
+            self.ownership,
+            self.hosts,
+            now_ms,
         )
-
-    def _is_open(self, shard: str) -> bool:
-        return shard in self.hosts and self.hosts[shard].open
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -159,6 +159,7 @@
 
     def _stage(self, effects: Effects, now_ms: int) -> list[ShardCommand]:
         ticket = self.journal.last_ticket
+        self.context.staged.extend(effects.changes)
         if effects.changes:
             entry = codec.encode(tuple(effects.changes), CHANGES, _CONVERTER)
             ticket = self.journal.stage(entry, effects.urgent)
--- a/poplarlb/transport/meter.py
+++ b/poplarlb/transport/meter.py
@@ -7,7 +7,9 @@
 from poplarlb.coordination.node import Node
 from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
+from poplarlb.state import changes
 from poplarlb.state.models import TaskKey
+from poplarlb.state.shard_state import PlaceKey
 from poplarlb.transport.peers import PeerTransport
 
 PENDING_LIMIT = 10_000
@@ -24,12 +26,13 @@
     seen_shards: set[str] = Factory(set)
     node: Node | None = None
     peers: PeerTransport | None = None
+    clock: Callable[[], int] | None = None
 
     def watch(
         self, node: Node, peers: PeerTransport, now_ms: Callable[[], int]
     ) -> None:
         """Let the gauges read the node whenever metrics are collected."""
-        self.node, self.peers = node, peers
+        self.node, self.peers, self.clock = node, peers, now_ms
         metrics, context = self.metrics, node.context
         metrics.watch(
             metrics.view_age, lambda: (now_ms() - context.view_confirmed_ms) / 1000
@@ -62,6 +65,25 @@
                     self.calls[call_id] = body
         for command in commands:
             self._note_command(command)
+        staged = self.node.context.staged
+        while staged:
+            self._note_change(staged.popleft())
+
+    def _note_change(self, change: changes.Change) -> None:
+        match change:
+            case changes.DecisionTaken(decision=decision):
+                self.metrics.count_decision(decision)
+            case changes.PlaceRunning(key=key, number=number):
+                self._note_start(PlaceKey(key, number))
+
+    def _note_start(self, key: PlaceKey) -> None:
+        for host in self.node.hosts.values():
+            place = host.machine.core.state.places.get(key) if host.open else None
+            if place is not None and place.spec.submitted_ms:
+                wait_ms = self.clock() - place.spec.submitted_ms
+                work_class = place.spec.work_class
+                self.metrics.observe_start(key.key.team, work_class, wait_ms)
+                return
 
     def _note_command(self, command: ports.Command) -> None:
         match command:
