--- a/poplarlb/coordination/placement.py
+++ b/poplarlb/coordination/placement.py
@@ -132,13 +132,26 @@
     def _batch_cost(self, room: WorkerRoom) -> float:
         share = self.reserved.cpu_millis / max(1, room.worker.capacity.cpu_millis)
         harm = sum(
-            self._protection(task.spec)
-            * self.harm.added(service_of(task.spec), self.spec, share)
+            self._protection(task.spec) * self._harm_to(task.spec, room, share)
             for task in room.tasks
             if task.spec.service
         )
         return self.settings.harm_weight * harm + self._room_cost(room, 1)
 
+    def _harm_to(self, replica: TaskSpec, room: WorkerRoom, share: float) -> float:
+        """Return the growth of the squared slowdown of a replica at a worker.
+
+        The square makes the last of many harmful tasks the costliest.
+        """
+        name = service_of(replica)
+        before = sum(
+            self.harm.added(name, task.spec, cpu_share(task, room.worker))
+            for task in room.tasks
+            if not task.spec.service
+        )
+        added = self.harm.added(name, self.spec, share)
+        return added * (1 + before + added / 2)
+
     def _protection(self, replica: TaskSpec) -> float:
         service = self.view.service(replica.key.team, replica.service)
         return service.weight if service else 1.0
