Placement: leave workers without services to the most harmful work

Cause: mild tasks took the workers without replicas, harmful ones the others. Change: such a worker costs what a typical task would harm elsewhere.

--- a/poplarlb/coordination/interference.py
+++ b/poplarlb/coordination/interference.py
@@ -122,6 +122,12 @@
             return self.settings.harm_prior
         return max(0.0, pair.mean)
 
+    def typical(self) -> float:
+        """Return the harm of a typical pair by a whole worker's worth."""
+        if not self.pairs:
+            return 0.0
+        return statistics.fmean(pair.mean for pair in self.pairs.values())
+
     def confidence(self, service: str, kind: str) -> float:
         """Return how settled a pair's harm is, from 0 to 1."""
         pair = self.pairs.get((service, kind))
--- a/poplarlb/coordination/placement.py
+++ b/poplarlb/coordination/placement.py
@@ -131,13 +131,25 @@
 
     def _batch_cost(self, room: WorkerRoom) -> float:
         share = self.reserved.cpu_millis / max(1, room.worker.capacity.cpu_millis)
+        replicas = [task.spec for task in room.tasks if task.spec.service]
         harm = sum(
-            self._protection(task.spec) * self._harm_to(task.spec, room, share)
-            for task in room.tasks
-            if task.spec.service
+            self._protection(spec) * self._harm_to(spec, room, share)
+            for spec in replicas
         )
+        if not replicas:
+            harm = self._opportunity_cost(share)
         return self.settings.harm_weight * harm + self._room_cost(room, 1)
 
+    def _opportunity_cost(self, share: float) -> float:
+        """Return the cost of using a worker without services.
+
+        It is the harm that a typical task would do elsewhere, so that these
+        workers are left to the tasks that do more.
+        """
+        team = self.view.team(self.spec.key.team)
+        weights = [service.weight for service in team.services] if team else []
+        return max(weights, default=0.0) * self.harm.typical() * share
+
     def _harm_to(self, replica: TaskSpec, room: WorkerRoom, share: float) -> float:
         """Return the growth of the squared slowdown of a replica at a worker.
 
--- a/poplarlb/coordination/rooms.py
+++ b/poplarlb/coordination/rooms.py
@@ -110,6 +110,9 @@
         :param share: the task's part of the worker's processors.
         """
 
+    def typical(self) -> float:
+        """Return the harm of a typical pair by a whole worker's worth."""
+
 
 def kind_of(spec: TaskSpec) -> str:
     """Return the name under which tasks that behave alike are learned."""
