--- a/poplarlb/coordination/leases.py
+++ b/poplarlb/coordination/leases.py
@@ -25,9 +25,9 @@
 class Contact:
     """What this owner knows of its contact with one worker.
 
-    ``lease_until_ms`` is the latest lease end that it sent; ``answered_ms`` is
-    when the last answered call was sent; ``strays`` are attempts that the worker
-    runs and the state doesn't know.
+    ``lease_until_ms`` is the latest lease end that it sent; ``answered_ms`` and
+    ``failed_ms`` are when the last answered and the last failed call were sent;
+    ``strays`` are attempts that the worker runs and the state doesn't know.
     """
 
     worker: Worker
@@ -35,6 +35,7 @@
     next_call_ms: int = 0
     lease_until_ms: int = 0
     answered_ms: int = 0
+    failed_ms: int = 0
     clock_checked: bool = False
     strays: tuple[PlaceKey, ...] = ()
     calls: dict[int, SentCall] = Factory(dict)
@@ -143,6 +144,7 @@
         if call is None:
             return None
         if isinstance(event.result, ports.WorkerFailed):
+            contact.failed_ms = max(contact.failed_ms, call.sent_ms)
             retry_ms = self.core.now_ms + RETRY_MS
             contact.next_call_ms = min(contact.next_call_ms, retry_ms)
             return None
@@ -190,7 +192,9 @@
 
         Leases sent by this owner count from its own last renewal. An earlier
         owner may renew until its proof is older than the horizon, unless it
-        released the shard.
+        released the shard. The worker must also have failed to answer a call
+        sent after that: an owner that was paused would otherwise give up a task
+        whose success the worker can still report.
         """
         margin_ms = self.core.context.settings.tasks.clock_margin_ms
         contact = self.by_worker.get(place.attempt.worker_id)
@@ -198,6 +202,8 @@
         ends_ms = max(own_ms, place.attempt.start_before_ms)
         if place.attempt.epoch != self.core.epoch:
             ends_ms = max(ends_ms, self._earlier_leases_end())
+        if contact is not None and contact.failed_ms <= ends_ms:
+            return False
         return self.core.now_ms > ends_ms + margin_ms
 
     def _earlier_leases_end(self) -> int:
