--- /dev/null
+++ b/poplarlb/coordination/backoff.py
@@ -0,0 +1,28 @@
+"""Waiting times between repetitions of a failed store call."""
+
+from attrs import define
+
+LEAST_WAIT_MS = 100
+MOST_WAIT_MS = 2_000
+
+
+@define
+class Backoff:
+    """Doubles the wait after each failure in a row, up to a limit."""
+
+    failures: int = 0
+    until_ms: int = 0
+
+    def ready(self, now_ms: int) -> bool:
+        """Tell whether the wait after the last failure is over."""
+        return now_ms >= self.until_ms
+
+    def succeed(self) -> None:
+        """Forget earlier failures."""
+        self.failures = 0
+        self.until_ms = 0
+
+    def fail(self, now_ms: int) -> None:
+        """Count a failure and start the next wait."""
+        self.until_ms = now_ms + min(MOST_WAIT_MS, LEAST_WAIT_MS << self.failures)
+        self.failures = min(self.failures + 1, MOST_WAIT_MS.bit_length())
--- a/poplarlb/coordination/budget.py
+++ b/poplarlb/coordination/budget.py
@@ -1,9 +1,29 @@
-"""A token bucket over the daemon's calls to the platform's store."""
+"""The daemon's share of the store's call rates, and who may use it first."""
 
-from attrs import define
+import collections
+import enum
 
+from attrs import Factory, define, frozen
+
+from poplarlb.protocol import ports
 from poplarlb.settings import StoreSettings
 
+FAIR_TURN = 4
+VITAL_KEYS = ("owners/", "members/", "config/")
+
+
+@frozen
+class UrgentStoreCall(ports.StoreCall):
+    """A store call on which urgent work waits."""
+
+
+class CallPriority(enum.IntEnum):
+    """Who goes first while the budget is short."""
+
+    VITAL = 0
+    URGENT = 1
+    REGULAR = 2
+
 
 @define
 class CallBudget:
@@ -29,3 +49,61 @@
         gained = max(0, now_ms - self.filled_ms) * self.settings.calls_per_s / 1000
         self.tokens = min(self.settings.burst_calls, self.tokens + gained)
         self.filled_ms = max(self.filled_ms, now_ms)
+
+
+@define
+class StoreCallQueue:
+    """Holds store calls back while the budget is short.
+
+    Vital calls (membership, ownership and configuration) go first, then urgent
+    commits, then the rest. Every ``FAIR_TURN``-th call is the one that has waited
+    longest of all, so that no priority starves.
+    """
+
+    budget: CallBudget
+    waiting: dict[CallPriority, collections.deque] = Factory(
+        lambda: {priority: collections.deque() for priority in CallPriority}
+    )
+    pushed: int = 0
+    released: int = 0
+
+    def __len__(self) -> int:
+        """Return how many calls wait."""
+        return sum(len(calls) for calls in self.waiting.values())
+
+    def push(self, call: ports.StoreCall) -> None:
+        """Queue a call."""
+        self.pushed += 1
+        self.waiting[self.priority_of(call)].append((self.pushed, call))
+
+    def release(self, now_ms: int) -> list[ports.StoreCall]:
+        """Return the calls that the budget allows now, in order."""
+        calls = []
+        while len(self) and self.budget.take(now_ms):
+            calls.append(self._next())
+        return calls
+
+    def priority_of(self, call: ports.StoreCall) -> CallPriority:
+        """Return the call's priority."""
+        prefix = self.budget.settings.prefix
+        vital = tuple(prefix + name for name in VITAL_KEYS)
+        match call.operation:
+            case ports.StoreLeaseGrant() | ports.StoreLeaseRenew():
+                return CallPriority.VITAL
+            case ports.StoreRead(prefix=key) if key.startswith(vital):
+                return CallPriority.VITAL
+            case ports.StoreWrite(key=key) | ports.StoreDelete(key=key) if (
+                key.startswith(vital)
+            ):
+                return CallPriority.VITAL
+        if isinstance(call, UrgentStoreCall):
+            return CallPriority.URGENT
+        return CallPriority.REGULAR
+
+    def _next(self) -> ports.StoreCall:
+        self.released += 1
+        queues = [calls for calls in self.waiting.values() if calls]
+        chosen = queues[0]
+        if self.released % FAIR_TURN == 0:
+            chosen = min(queues, key=lambda calls: calls[0][0])
+        return chosen.popleft()[1]
--- a/poplarlb/coordination/journal.py
+++ b/poplarlb/coordination/journal.py
@@ -2,12 +2,21 @@
 
 import enum
 
-from attrs import define, field, frozen
+from attrs import Factory, define, evolve, field, frozen
 
+from poplarlb.coordination.backoff import Backoff
+from poplarlb.coordination.budget import UrgentStoreCall
 from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.recovery import Recovery, RecoveryPhase
+from poplarlb.coordination.ring import JournalEntry, ShardKeys
+from poplarlb.coordination.snapshots import SnapshotBody, SnapshotWriter
+from poplarlb.coordination.staging import Batch, StagingQueue
 from poplarlb.protocol import codec, ports
 from poplarlb.settings import JournalSettings
 
+SNAPSHOT_AFTER_BYTES = 1 << 20
+SNAPSHOT_WANTED_PERIOD_MS = 1_000
+
 
 class JournalPhase(enum.StrEnum):
     """Where a journal stands."""
@@ -60,19 +69,29 @@
 JournalOutput = ports.StoreCall | Recovered | Committed | SnapshotWanted | Deposed
 
 
+@define
+class _Append:
+    """The entry that holds its slot until its fate is known."""
+
+    entry: JournalEntry
+    value: bytes
+    ticket: int
+    urgent: bool
+    call_id: int = 0
+    doubtful: bool = False
+
+
 @frozen
-class _Batch:
-    """One journal entry: who wrote it and what was staged."""
+class _Offer:
+    """A state that holds everything staged up to ``ticket``."""
 
-    writer: str
-    epoch: int
-    sequence: int
-    entries: tuple[bytes, ...]
+    state: bytes
+    ticket: int
 
 
 @define
 class Journal:
-    """Appends staged entries to the shard's slots and recovers them.
+    """Appends staged items to the shard's ring and recovers them.
 
     :param writer: this daemon and incarnation, unique for ever.
     :param epoch: the epoch under which the shard was claimed.
@@ -84,96 +103,289 @@
     epoch: int
     phase: JournalPhase = JournalPhase.RECOVERING
     next_sequence: int = 1
-    last_ticket: int = 0
-    staged: list[bytes] = field(factory=list)
-    in_flight: _Batch | None = None
-    in_flight_ticket: int = 0
-    in_flight_call: int = 0
-    recovered: list[_Batch] = field(factory=list)
+    committed_ticket: int = 0
+    versions: dict[str, int] = Factory(dict)
+    staging: StagingQueue | None = None
+    append: _Append | None = None
+    backoff: Backoff = field(factory=Backoff)
+    offer: _Offer | None = None
+    recovery: Recovery | None = None
+    snapshots: SnapshotWriter | None = None
+    bytes_since_snapshot: int = 0
     next_commit_ms: int = 0
+    next_wanted_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Prepare recovery."""
+        self.staging = StagingQueue(self.settings.entry_limit_bytes)
+        self.recovery = Recovery(self.context, self.keys)
+        self.snapshots = SnapshotWriter(
+            self.context, self.keys, self.writer, self.epoch
+        )
 
     @property
     def settings(self) -> JournalSettings:
         """The journal's settings."""
         return self.context.settings.journal
 
+    @property
+    def last_ticket(self) -> int:
+        """The ticket of the last staged item."""
+        return self.staging.last_ticket
+
+    @property
+    def keys(self) -> ShardKeys:
+        """The shard's keys in the store."""
+        return ShardKeys(self.prefix(), self.settings.ring_slots)
+
+    @property
+    def ring_full(self) -> bool:
+        """Whether the next slot holds an entry that no snapshot covers."""
+        oldest = self.next_sequence - self.settings.ring_slots
+        return oldest > self.snapshots.covered
+
     def prefix(self) -> str:
         """Return the prefix of the shard's keys in the store."""
         return f"{self.context.settings.store.prefix}shards/{self.shard}/"
 
     def stage(self, entry: bytes, urgent: bool = False) -> int:
-        """Queue an entry for the next commit and return its ticket."""
-        self.staged.append(entry)
-        self.last_ticket += 1
-        if urgent:
-            self.next_commit_ms = 0
-        return self.last_ticket
+        """Queue an item for the next commit and return its ticket."""
+        return self.staging.stage(entry, urgent)
 
     def offer_snapshot(self, data: bytes) -> None:
-        """Take a snapshot of the shard's state, all staged changes included."""
+        """Take a snapshot of the shard's state, all staged changes included.
+
+        Ignored while an earlier one is being written, and before recovery.
+        """
+        busy = self.offer is not None or self.snapshots.job is not None
+        if self.phase is JournalPhase.OPEN and not busy:
+            self.offer = _Offer(data, self.last_ticket)
+
+    def step_down(self) -> Deposed:
+        """Give up the shard; nothing more is written."""
+        return self._depose(self.append.ticket if self.append else 0)
+
+    def advance(self, now_ms: int) -> list[JournalOutput]:
+        """Return what may be done now; call it after an urgent ``stage``."""
+        match self.phase:
+            case JournalPhase.RECOVERING:
+                return self._recover(now_ms)
+            case JournalPhase.OPEN:
+                return self._work(now_ms)
+        return []
 
     def handle(
         self, event: ports.Tick | ports.StoreReplied, now_ms: int
     ) -> list[JournalOutput]:
         """Advance the journal and return store calls and what happened."""
-        match event:
-            case ports.Tick():
-                return self._tick(now_ms)
-            case ports.StoreReplied(call_id=call_id, result=result):
-                if call_id == self.in_flight_call:
-                    return self._settle(result, now_ms)
-        return []
+        if self.phase is JournalPhase.DEPOSED:
+            return []
+        outputs: list[JournalOutput] = []
+        if isinstance(event, ports.StoreReplied):
+            if not self._owns_call(event.call_id):
+                return []
+            outputs = self._settle(event, now_ms)
+        return [*outputs, *self.advance(now_ms)]
+
+    def _owns_call(self, call_id: int) -> bool:
+        return (
+            (self.append is not None and call_id == self.append.call_id)
+            or (self.recovery is not None and call_id == self.recovery.call_id)
+            or self.snapshots.takes(call_id)
+        )
 
-    def _tick(self, now_ms: int) -> list[JournalOutput]:
-        if self.in_flight_call:
+    def _settle(self, event: ports.StoreReplied, now_ms: int) -> list[JournalOutput]:
+        if self.append is not None and event.call_id == self.append.call_id:
+            return self._settle_append(event.result, now_ms)
+        if self.recovery is not None and event.call_id == self.recovery.call_id:
+            self.recovery.settle(event.result, now_ms)
+            if self.recovery.highest_epoch > self.epoch:
+                return [self.step_down()]
             return []
-        if self.phase is JournalPhase.RECOVERING and self.in_flight is None:
-            return self._call(ports.StoreRead(self.prefix() + "log/"))
-        if self.in_flight is not None:
-            return self._append()
-        if self.staged and now_ms >= self.next_commit_ms:
-            self.next_commit_ms = now_ms + self.settings.commit_period_ms
-            self._make_batch()
-            return self._append()
+        self.snapshots.settle(event.call_id, event.result, now_ms)
+        rival = self.snapshots.rival
+        if rival is None:
+            return []
+        if rival.epoch >= self.epoch:
+            return [self.step_down()]
+        self.snapshots.rival = None
+        if self.phase is JournalPhase.RECOVERING:
+            self._begin_again(now_ms)
         return []
 
-    def _make_batch(self) -> None:
-        self.in_flight = _Batch(
-            self.writer, self.epoch, self.next_sequence, tuple(self.staged)
-        )
-        self.in_flight_ticket = self.last_ticket
-        self.staged.clear()
-
-    def _append(self) -> list[JournalOutput]:
-        key = f"{self.prefix()}log/{self.in_flight.sequence:012d}"
-        value = codec.encode(self.in_flight, _Batch)
-        return self._call(ports.StoreWrite(key, value, 0))
+    # --- recovery ------------------------------------------------------------------
+
+    def _recover(self, now_ms: int) -> list[JournalOutput]:
+        if self.recovery.phase is not RecoveryPhase.DONE:
+            calls = self.recovery.step(now_ms)
+            if self.recovery.phase is not RecoveryPhase.DONE:
+                return calls
+        if self.append is None and self.snapshots.job is None:
+            self._take_over()
+        if self.snapshots.job is not None:
+            return self.snapshots.step(now_ms)
+        return self._push_append(now_ms)
+
+    def _take_over(self) -> None:
+        found = self.recovery
+        if self.snapshots.covered <= found.covered:
+            self.snapshots.adopt(found.head, found.head_version, found.part_versions())
+        self.versions = dict(found.versions)
+        self.next_sequence = found.next_sequence
+        if self.ring_full:
+            self._start_snapshot(evolve(found.body(), tail=b""))
+            return
+        self._begin_append(Batch())
+
+    def _begin_again(self, now_ms: int) -> None:
+        self.append = None
+        self.snapshots.job = None
+        self.recovery = Recovery(self.context, self.keys)
+        self.recovery.backoff.fail(now_ms)
+
+    # --- group commit --------------------------------------------------------------
+
+    def _work(self, now_ms: int) -> list[JournalOutput]:
+        outputs: list[JournalOutput] = []
+        if self.append is None:
+            self._start_offer()
+            self._make_batch(now_ms)
+        outputs.extend(self._push_append(now_ms))
+        outputs.extend(self._fold(now_ms))
+        outputs.extend(self.snapshots.step(now_ms))
+        if self._snapshot_due() and now_ms >= self.next_wanted_ms:
+            self.next_wanted_ms = now_ms + SNAPSHOT_WANTED_PERIOD_MS
+            outputs.append(SnapshotWanted())
+        return outputs
+
+    def _make_batch(self, now_ms: int) -> None:
+        if self.ring_full:
+            return
+        if now_ms < self.next_commit_ms and not self.staging.urgent:
+            return
+        # The entry ends where a snapshot on offer ends, so that the snapshot
+        # covers whole entries.
+        batch = self.staging.take(self.offer.ticket if self.offer else self.last_ticket)
+        if batch is not None:
+            self.next_commit_ms = now_ms + self.settings.commit_period_ms
+            self._begin_append(batch)
 
-    def _call(self, operation: ports.StoreOperation) -> list[JournalOutput]:
-        self.in_flight_call = self.context.next_call()
-        return [ports.StoreCall(self.in_flight_call, operation)]
+    def _begin_append(self, batch: Batch) -> None:
+        entry = JournalEntry(
+            self.writer, self.epoch, self.next_sequence, batch.items, batch.continued
+        )
+        value = codec.encode(entry, JournalEntry)
+        self.append = _Append(entry, value, batch.ticket, batch.urgent)
 
-    def _settle(self, result: ports.StoreResult, now_ms: int) -> list[JournalOutput]:
-        self.in_flight_call = 0
+    def _push_append(self, now_ms: int) -> list[JournalOutput]:
+        append = self.append
+        if append is None or append.call_id or not self.backoff.ready(now_ms):
+            return []
+        key = self.keys.slot(append.entry.sequence)
+        operation: ports.StoreOperation = ports.StoreRead(key)
+        if not append.doubtful:
+            version = self.versions.get(key, 0)
+            operation = ports.StoreWrite(key, append.value, version)
+        append.call_id = self.context.next_call()
+        kind = UrgentStoreCall if append.urgent else ports.StoreCall
+        return [kind(append.call_id, operation)]
+
+    def _settle_append(
+        self, result: ports.StoreResult, now_ms: int
+    ) -> list[JournalOutput]:
+        self.append.call_id = 0
         match result:
+            case ports.StoreWritten(applied=True, version=version):
+                return self._commit(version)
+            case ports.StoreWritten():
+                self.append.doubtful = True
             case ports.StoreEntries(entries=entries):
-                self.recovered = [codec.decode(e.value, _Batch) for e in entries]
-                self.next_sequence = len(self.recovered) + 1
-                self._make_batch()
-                return self._append()
-            case ports.StoreWritten(applied=True):
-                return self._committed()
-            case ports.StoreWritten(applied=False):
-                self.phase = JournalPhase.DEPOSED
-                return [Deposed(self.in_flight_ticket - 1, self.in_flight_ticket)]
+                return self._compare(entries[0] if entries else None, now_ms)
+            case _:
+                self.append.doubtful = True
+                self.backoff.fail(now_ms)
         return []
 
-    def _committed(self) -> list[JournalOutput]:
-        self.next_sequence += 1
-        self.in_flight = None
+    def _compare(
+        self, found: ports.StoreEntry | None, now_ms: int
+    ) -> list[JournalOutput]:
+        key = self.keys.slot(self.append.entry.sequence)
+        version = found.version if found else 0
+        if version == self.versions.get(key, 0):
+            self.append.doubtful = False
+            return []
+        entry = codec.decode(found.value, JournalEntry)
+        if entry.same_write(self.append.entry):
+            return self._commit(version)
+        if self.phase is JournalPhase.RECOVERING and entry.epoch < self.epoch:
+            self._begin_again(now_ms)
+            return []
+        # An entry of the same sequence fills the place that ours would have; a
+        # later one may have replaced ours after the new owner recovered it.
+        unsettled = entry.sequence != self.append.entry.sequence
+        return [self._depose(self.append.ticket if unsettled else 0)]
+
+    def _commit(self, version: int) -> list[JournalOutput]:
+        append = self.append
+        self.append = None
+        self.backoff.succeed()
+        self.versions[self.keys.slot(append.entry.sequence)] = version
+        self.next_sequence = append.entry.sequence + 1
+        self.bytes_since_snapshot += len(append.value)
         if self.phase is JournalPhase.RECOVERING:
+            body = self.recovery.body()
+            self.recovery = None
             self.phase = JournalPhase.OPEN
-            entries = tuple(e for batch in self.recovered for e in batch.entries)
-            self.recovered = []
-            return [Recovered(b"", entries)]
-        return [Committed(self.in_flight_ticket)]
+            return [Recovered(body.state, body.items)]
+        if append.ticket <= self.committed_ticket:
+            return []
+        self.committed_ticket = append.ticket
+        return [Committed(append.ticket)]
+
+    def _depose(self, unsettled_ticket: int) -> Deposed:
+        self.phase = JournalPhase.DEPOSED
+        self.staging.pieces.clear()
+        unsettled = max(unsettled_ticket, self.committed_ticket)
+        return Deposed(self.committed_ticket, unsettled)
+
+    # --- snapshots -----------------------------------------------------------------
+
+    def _start_offer(self) -> None:
+        offer = self.offer
+        if offer is None or self.committed_ticket < offer.ticket:
+            return
+        self.offer = None
+        covered = self.next_sequence - 1 <= self.snapshots.covered
+        if self.snapshots.job is None and not covered:
+            self._start_snapshot(SnapshotBody(offer.state))
+
+    def _start_snapshot(self, body: SnapshotBody) -> None:
+        self.bytes_since_snapshot = 0
+        self.snapshots.start(body, self.next_sequence - 1)
+
+    def _snapshot_due(self) -> bool:
+        if self.offer is not None or self.snapshots.job is not None:
+            return False
+        entries = self.next_sequence - 1 - self.snapshots.covered
+        limit = min(self.settings.snapshot_every, self.settings.ring_slots // 2)
+        return entries >= limit or self.bytes_since_snapshot >= SNAPSHOT_AFTER_BYTES
+
+    def _fold(self, now_ms: int) -> list[JournalOutput]:
+        """Free a full ring without the owner's help.
+
+        The staged changes that a snapshot on offer holds can't commit while the
+        ring is full, so the old snapshot and the ring are read and written back
+        as one snapshot.
+        """
+        if not self.ring_full or self.append is not None or self.snapshots.job:
+            self.recovery = None
+            return []
+        if self.recovery is None:
+            self.recovery = Recovery(self.context, self.keys)
+        if self.recovery.phase is not RecoveryPhase.DONE:
+            return self.recovery.step(now_ms)
+        found = self.recovery
+        self.recovery = None
+        if found.next_sequence == self.next_sequence:
+            self._start_snapshot(found.body())
+        return []
--- /dev/null
+++ b/poplarlb/coordination/recovery.py
@@ -0,0 +1,139 @@
+"""Reads a shard's snapshot and ring as one consistent whole."""
+
+import enum
+
+from attrs import Factory, define, field
+
+from poplarlb.coordination.backoff import Backoff
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.ring import (
+    JournalEntry,
+    ShardKeys,
+    SnapshotHead,
+    join_items,
+)
+from poplarlb.coordination.snapshots import SnapshotBody
+from poplarlb.exceptions import SettingsError
+from poplarlb.protocol import codec, ports
+
+
+class RecoveryPhase(enum.StrEnum):
+    """What is read next."""
+
+    SNAPSHOT = "snapshot"
+    LOG = "log"
+    CONFIRM = "confirm"
+    DONE = "done"
+
+
+@define
+class Recovery:
+    """Reads until snapshot and ring fit together.
+
+    ``highest_epoch`` is the highest that was met anywhere. The other results
+    hold once ``phase`` is ``DONE``.
+    """
+
+    context: NodeContext
+    keys: ShardKeys
+    phase: RecoveryPhase = RecoveryPhase.SNAPSHOT
+    call_id: int = 0
+    head: SnapshotHead | None = None
+    head_version: int = 0
+    parts: dict[str, ports.StoreEntry] = Factory(dict)
+    entries: list[JournalEntry] = Factory(list)
+    versions: dict[str, int] = Factory(dict)
+    highest_epoch: int = 0
+    restarts: int = 0
+    backoff: Backoff = field(factory=Backoff)
+
+    @property
+    def covered(self) -> int:
+        """The last entry that the snapshot covers."""
+        return self.head.sequence if self.head else 0
+
+    @property
+    def next_sequence(self) -> int:
+        """The sequence after the last entry that was read."""
+        return self.covered + len(self.entries) + 1
+
+    def body(self) -> SnapshotBody:
+        """Return the snapshot and everything staged since.
+
+        :raises ProtocolError: if the snapshot is damaged.
+        """
+        body = SnapshotBody()
+        if self.head is not None:
+            parts = (self.parts[key].value for key in self.keys.parts(self.head))
+            body = SnapshotBody.decode(b"".join(parts))
+        joined = join_items(self.entries, self.head, body.tail)
+        return SnapshotBody(body.state, body.items + joined.items, joined.tail)
+
+    def part_versions(self) -> dict[str, int]:
+        """Return all parts that were found, named by the head or not."""
+        return {key: entry.version for key, entry in self.parts.items()}
+
+    def step(self, now_ms: int) -> list[ports.StoreCall]:
+        """Return the next read, if none is in flight."""
+        if self.call_id or not self.backoff.ready(now_ms):
+            return []
+        match self.phase:
+            case RecoveryPhase.SNAPSHOT:
+                operation = ports.StoreRead(self.keys.snapshot)
+            case RecoveryPhase.LOG:
+                operation = ports.StoreRead(self.keys.log)
+            case RecoveryPhase.CONFIRM:
+                operation = ports.StoreRead(self.keys.head, self.head_version)
+            case _:
+                return []
+        self.call_id = self.context.next_call()
+        return [ports.StoreCall(self.call_id, operation)]
+
+    def settle(self, result: ports.StoreResult, now_ms: int) -> None:
+        """Take the result of the read in flight."""
+        self.call_id = 0
+        if not isinstance(result, ports.StoreEntries):
+            self.backoff.fail(now_ms)
+            return
+        match self.phase:
+            case RecoveryPhase.SNAPSHOT:
+                fits = self._take_snapshot(result.entries)
+                self.phase = RecoveryPhase.LOG
+            case RecoveryPhase.LOG:
+                fits = self._take_log(result.entries)
+                self.phase = RecoveryPhase.CONFIRM
+            case _:
+                fits = not result.entries
+                self.phase = RecoveryPhase.DONE
+        if fits:
+            self.backoff.succeed()
+            return
+        self.phase = RecoveryPhase.SNAPSHOT
+        self.restarts += 1
+        self.backoff.fail(now_ms)
+
+    def _take_snapshot(self, found: tuple[ports.StoreEntry, ...]) -> bool:
+        self.parts = {entry.key: entry for entry in found}
+        head = self.parts.pop(self.keys.head, None)
+        self.head = codec.decode(head.value, SnapshotHead) if head else None
+        self.head_version = head.version if head else 0
+        if self.head is None:
+            return True
+        self.highest_epoch = max(self.highest_epoch, self.head.epoch)
+        named = self.keys.parts(self.head)
+        sizes = [len(self.parts[key].value) for key in named if key in self.parts]
+        return len(sizes) == len(named) and sum(sizes) == self.head.size_bytes
+
+    def _take_log(self, found: tuple[ports.StoreEntry, ...]) -> bool:
+        self.versions = {entry.key: entry.version for entry in found}
+        read = [(e.key, codec.decode(e.value, JournalEntry)) for e in found]
+        for key, entry in read:
+            if key != self.keys.slot(entry.sequence):
+                raise SettingsError(f"{key} was written with other ring_slots")
+        epochs = [entry.epoch for _, entry in read]
+        self.highest_epoch = max([self.highest_epoch, *epochs])
+        newer = [entry for _, entry in read if entry.sequence > self.covered]
+        self.entries = sorted(newer, key=lambda entry: entry.sequence)
+        # A gap, or an entry beyond the ring, was written while we read.
+        last = self.entries[-1].sequence if self.entries else self.covered
+        return last == self.covered + len(self.entries)
--- /dev/null
+++ b/poplarlb/coordination/staging.py
@@ -0,0 +1,72 @@
+"""What waits for a shard's next commit, divided into journal entries."""
+
+import collections
+
+from attrs import Factory, define, frozen
+
+ITEM_OVERHEAD_BYTES = 8
+
+
+@frozen
+class _Piece:
+    """A staged item, or a piece of one that is too long for one entry."""
+
+    ticket: int
+    data: bytes
+    last: bool
+
+
+@frozen
+class Batch:
+    """The items of one entry.
+
+    ``ticket`` is the last whose item ends here, 0 if there is none.
+    ``continued`` tells that the last item goes on in the next entry.
+    """
+
+    items: tuple[bytes, ...] = ()
+    ticket: int = 0
+    continued: bool = False
+    urgent: bool = False
+
+
+@define
+class StagingQueue:
+    """Numbers staged items with tickets and hands them out in batches."""
+
+    limit_bytes: int
+    last_ticket: int = 0
+    urgent: bool = False
+    pieces: collections.deque[_Piece] = Factory(collections.deque)
+
+    def stage(self, item: bytes, urgent: bool) -> int:
+        """Queue an item and return its ticket."""
+        self.last_ticket += 1
+        size = self.limit_bytes
+        self.pieces.extend(
+            _Piece(self.last_ticket, item[at : at + size], at + size >= len(item))
+            for at in range(0, max(1, len(item)), size)
+        )
+        self.urgent = self.urgent or urgent
+        return self.last_ticket
+
+    def take(self, last_ticket: int) -> Batch | None:
+        """Return the next batch of items up to a ticket, if there is any."""
+        chosen: list[_Piece] = []
+        size = 0
+        while self.pieces and self.pieces[0].ticket <= last_ticket:
+            size += len(self.pieces[0].data) + ITEM_OVERHEAD_BYTES
+            if chosen and size > self.limit_bytes:
+                break
+            chosen.append(self.pieces.popleft())
+        if not chosen:
+            return None
+        urgent = self.urgent
+        self.urgent = urgent and bool(self.pieces)
+        ended = [piece.ticket for piece in chosen if piece.last]
+        return Batch(
+            tuple(piece.data for piece in chosen),
+            ended[-1] if ended else 0,
+            not chosen[-1].last,
+            urgent,
+        )
--- /dev/null
+++ b/tests/coordination/test_journal.py
@@ -0,0 +1,333 @@
+"""Fuzz of the journal: committed items appear once, in order, in every recovery."""
+
+import sys
+import unittest
+
+import cbor2
+from attrs import Factory, define
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from poplarlb.coordination.budget import UrgentStoreCall
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.journal import (
+    Committed,
+    Deposed,
+    Journal,
+    JournalPhase,
+    Recovered,
+    SnapshotWanted,
+)
+from poplarlb.protocol import ports
+from poplarlb.settings import JournalSettings, Settings
+from tests.standins.store import KeyTable
+
+RING = JournalSettings(
+    ring_slots=4, snapshot_every=2, snapshot_part_bytes=1_000, entry_limit_bytes=1_000
+)
+FATES = ("answered", "answered", "answer lost", "not sent", "late")
+PICK = st.integers(0, 7)
+
+
+@define
+class Owner:
+    """A daemon that owns the shard, or thinks so; its state is a list of items."""
+
+    journal: Journal
+    obedient: bool
+    items: list[bytes] = Factory(list)
+    base: int = 0
+    pending: list[ports.StoreCall] = Factory(list)
+
+    def view(self, ticket: int) -> list[bytes]:
+        """Return the items that the owner takes to be durable."""
+        return self.items[: self.base + ticket]
+
+
+@define
+class JournalWorld:
+    """Owners, the store between them, and the oracle."""
+
+    table: KeyTable = Factory(KeyTable)
+    owners: list[Owner] = Factory(list)
+    late: list[ports.StoreOperation] = Factory(list)
+    now_ms: int = 0
+    epoch: int = 0
+    serial: int = 0
+    durable: list[bytes] = Factory(list)
+    newest: int = 0
+    never: set[bytes] = Factory(set)
+
+    def add(self, obedient: bool) -> Owner:
+        """Start the next owner."""
+        self.epoch += 1
+        context = NodeContext(Settings("d", "kochi", journal=RING))
+        name = f"d{self.epoch}/1"
+        owner = Owner(Journal(context, "kochi/0", name, self.epoch), obedient)
+        self.owners.append(owner)
+        return owner
+
+    def kill(self, owner: Owner) -> None:
+        """End an owner; what it sent may still arrive."""
+        self.owners.remove(owner)
+        self.late.extend(call.operation for call in owner.pending)
+
+    def stage(self, owner: Owner, size: int, urgent: bool) -> None:
+        """Let an open owner stage a new item."""
+        if owner.journal.phase is JournalPhase.OPEN:
+            self.serial += 1
+            item = f"{self.serial}:".encode().ljust(size, b".")
+            owner.items.append(item)
+            ticket = owner.journal.stage(item, urgent)
+            assert len(owner.items) == owner.base + ticket
+
+    def offer(self, owner: Owner) -> None:
+        """Let an owner offer its state."""
+        owner.journal.offer_snapshot(cbor2.dumps(owner.items))
+
+    def tick(self, owner: Owner, passed_ms: int) -> None:
+        """Let time pass."""
+        self.now_ms += passed_ms
+        self.feed(owner, ports.Tick())
+
+    def deliver(self, owner: Owner, pick: int, fate: str) -> None:
+        """Settle one of an owner's calls."""
+        if not owner.pending:
+            return
+        call = owner.pending.pop(pick % len(owner.pending))
+        result = ports.StoreFailed()
+        match fate:
+            case "answered":
+                result = self.table.execute(call.operation)
+            case "answer lost":
+                self.table.execute(call.operation)
+            case "late":
+                self.late.append(call.operation)
+        self.feed(owner, ports.StoreReplied(call.call_id, result))
+
+    def run(self, owner: Owner, steps: int) -> None:
+        """Let an owner work while everything is prompt."""
+        for _ in range(steps):
+            self.tick(owner, 100)
+            while owner.pending:
+                self.deliver(owner, 0, "answered")
+
+    def feed(self, owner: Owner, event: ports.Tick | ports.StoreReplied) -> None:
+        """Hand an event to an owner's journal and check what it says."""
+        for output in owner.journal.handle(event, self.now_ms):
+            match output:
+                case ports.StoreCall():
+                    owner.pending.append(output)
+                case SnapshotWanted() if owner.obedient:
+                    self.offer(owner)
+                case Recovered():
+                    self.check_recovered(owner, output)
+                case Committed(ticket=ticket):
+                    self.check_committed(owner, owner.view(ticket))
+                case Deposed():
+                    assert owner.journal.epoch < self.epoch, "deposed by nobody"
+                    unsettled = owner.base + output.unsettled_ticket
+                    self.never.update(owner.items[unsettled:])
+                    self.check_never()
+
+    def check_recovered(self, owner: Owner, recovered: Recovered) -> None:
+        """Check that nothing durable is missing, moved or doubled."""
+        snapshot = cbor2.loads(recovered.snapshot) if recovered.snapshot else []
+        owner.items = [*snapshot, *recovered.entries]
+        owner.base = len(owner.items)
+        assert len(set(owner.items)) == len(owner.items), "doubled"
+        if owner.journal.epoch < self.newest:
+            # Its takeover landed before the newer one's, and it hears so late.
+            assert owner.items == self.durable[: owner.base], "lost or reordered"
+            return
+        assert owner.items[: len(self.durable)] == self.durable, "lost or reordered"
+        self.newest = owner.journal.epoch
+        self.durable = list(owner.items)
+        self.check_never()
+
+    def check_committed(self, owner: Owner, view: list[bytes]) -> None:
+        """Check that only the newest owner adds to what is durable."""
+        if view != self.durable[: len(view)]:
+            assert owner.journal.epoch == self.newest, "a deposed owner committed"
+            assert view[: len(self.durable)] == self.durable, "lost or reordered"
+            self.durable = view
+        self.check_never()
+
+    def check_never(self) -> None:
+        """Check that what was given up did not come back."""
+        assert not self.never.intersection(self.durable), "came back"
+
+    def finish(self) -> None:
+        """Check that recovery ends, work goes on, and no part is left over."""
+        for owner in list(self.owners):
+            self.kill(owner)
+        for operation in self.late:
+            self.table.execute(operation)
+        owner = self.add(obedient=True)
+        self.run(owner, 60)
+        assert owner.journal.phase is JournalPhase.OPEN, "recovery does not end"
+        for _ in range(3 * RING.ring_slots):
+            self.stage(owner, 20, True)
+            self.run(owner, 3)
+        self.run(owner, 40)
+        assert owner.journal.committed_ticket == owner.journal.last_ticket, "stuck"
+        keys = owner.journal.keys
+        head = owner.journal.snapshots.head
+        found = {key for key in self.table.items if key.startswith(keys.snapshot)}
+        assert found == {keys.head, *keys.parts(head)}, "parts left over"
+
+
+class JournalMachine(RuleBasedStateMachine):
+    """Random owners, faults and order of events."""
+
+    def __init__(self) -> None:
+        """Start with an empty store."""
+        super().__init__()
+        self.world = JournalWorld()
+
+    def pick(self, number: int) -> Owner:
+        """Return one of the owners."""
+        return self.world.owners[number % len(self.world.owners)]
+
+    @precondition(lambda self: len(self.world.owners) < 3)
+    @rule(obedient=st.booleans(), steps=st.sampled_from((0, 2, 8)))
+    def start(self, obedient: bool, steps: int) -> None:
+        """Claim the shard with a new owner."""
+        self.world.run(self.world.add(obedient), steps)
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK)
+    def kill(self, number: int) -> None:
+        """End an owner."""
+        self.world.kill(self.pick(number))
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK, count=st.integers(1, 3), size=st.sampled_from((8, 8, 600, 2500)))
+    def stage(self, number: int, count: int, size: int) -> None:
+        """Stage some items."""
+        for _ in range(count):
+            self.world.stage(self.pick(number), size, count == 1)
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK)
+    def offer(self, number: int) -> None:
+        """Offer a snapshot unasked."""
+        self.world.offer(self.pick(number))
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK, passed_ms=st.sampled_from((0, 50, 100, 2_000)))
+    def tick(self, number: int, passed_ms: int) -> None:
+        """Let time pass at one owner."""
+        self.world.tick(self.pick(number), passed_ms)
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK, picks=st.lists(st.tuples(PICK, st.sampled_from(FATES))))
+    def deliver(self, number: int, picks: list) -> None:
+        """Settle some of an owner's calls, with time between them."""
+        owner = self.pick(number)
+        for pick, fate in picks:
+            self.world.deliver(owner, pick, fate)
+            self.world.tick(owner, 100 if fate == "answered" else 2_000)
+
+    @precondition(lambda self: self.world.owners)
+    @rule(number=PICK, steps=st.integers(1, 6))
+    def run_promptly(self, number: int, steps: int) -> None:
+        """Let an owner work without faults."""
+        self.world.run(self.pick(number), steps)
+
+    @precondition(lambda self: self.world.late)
+    @rule(pick=PICK)
+    def land_late(self, pick: int) -> None:
+        """Let a delayed call take effect."""
+        late = self.world.late
+        self.world.table.execute(late.pop(pick % len(late)))
+
+    @invariant()
+    def late_calls_bounded(self) -> None:
+        """Drop the oldest delayed calls for good."""
+        del self.world.late[:-6]
+
+    def teardown(self) -> None:
+        """Check the end of the run."""
+        self.world.finish()
+
+
+def run_fuzz(examples: int, steps: int) -> None:
+    """Run the machine; raises on the first failure."""
+    chosen = settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+    )
+    run_state_machine_as_test(JournalMachine, settings=chosen)
+
+
+class JournalTest(unittest.TestCase):
+    """The journal under faults, and its group commit without any."""
+
+    def test_fuzz(self) -> None:
+        """Delays, lost answers, deaths, overlaps and wraps lose nothing."""
+        run_fuzz(120, 50)
+
+    def test_divided_item_survives_fold(self) -> None:
+        """A ring that fills in the middle of a divided item loses no piece."""
+        for owners in range(1, 6):
+            with self.subTest(owners=owners):
+                world = JournalWorld()
+                for _ in range(owners):
+                    owner = world.add(obedient=False)
+                    world.run(owner, 2)
+                world.stage(owner, 2_500, False)
+                world.run(owner, 1)
+                world.finish()
+
+    def test_group_commit(self) -> None:
+        """Items share an entry for a commit period; urgent ones don't wait."""
+        world = JournalWorld()
+        owner = world.add(obedient=False)
+        world.run(owner, 1)
+        before = owner.journal.next_sequence
+        for _ in range(5):
+            world.stage(owner, 20, False)
+        world.run(owner, 1)
+        self.assertEqual(owner.journal.next_sequence, before + 1)
+        self.assertEqual(owner.journal.committed_ticket, 5)
+        world.stage(owner, 20, False)
+        self.assertEqual(owner.journal.advance(world.now_ms), [])
+        world.stage(owner, 20, True)
+        (call,) = owner.journal.advance(world.now_ms)
+        self.assertIsInstance(call, UrgentStoreCall)
+
+    def test_full_ring_holds_back(self) -> None:
+        """While no snapshot can be written nothing is overwritten or lost."""
+        world = JournalWorld()
+        owner = world.add(obedient=True)
+        world.run(owner, 1)
+        for _ in range(40):
+            world.stage(owner, 20, True)
+            world.tick(owner, 500)
+            for call in list(owner.pending):
+                fate = "answered"
+                if "/part/" in getattr(call.operation, "key", ""):
+                    fate = "not sent"
+                world.deliver(owner, owner.pending.index(call), fate)
+        self.assertTrue(owner.journal.ring_full)
+        slots = [k for k in world.table.items if k.startswith(owner.journal.keys.log)]
+        self.assertEqual(len(slots), RING.ring_slots)
+        world.run(owner, 60)
+        self.assertEqual(owner.journal.committed_ticket, 40)
+        world.finish()
+
+
+if __name__ == "__main__":
+    run_fuzz(int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/standins/store.py
+++ b/tests/standins/store.py
@@ -1,5 +1,7 @@
 """A stand-in for the platform's key-value store, speaking its v3 JSON gateway.
 
+``KeyTable`` is the store itself, driven with a hand-held clock; ``StoreStandIn``
+serves it over HTTP with faults and call counts.
 Run by hand: ``python -m tests.standins.store --port 2379``.
 """
 
@@ -12,16 +14,10 @@
 
 from attrs import Factory, define
 
+from poplarlb.protocol import ports
 from tests.standins.http import Answer, serve
 
-
-@define
-class StoreFaults:
-    """What goes wrong at the store."""
-
-    down: bool = False
-    delay_ms: int = 0
-    lose_answers: int = 0
+VALUE_LIMIT_BYTES = 1 << 20
 
 
 @define
@@ -34,17 +30,129 @@
 
 
 @define
-class StoreStandIn:
-    """Keys with versions, leases, call counts and faults; safe for threads."""
+class Lease:
+    """When a lease lapses unless it is renewed."""
+
+    ttl_s: int
+    end_ms: int
+
+
+@define
+class KeyTable:
+    """Keys with versions and leases; nothing lapses but in ``expire``."""
 
     items: dict[str, Item] = Factory(dict)
-    leases: dict[int, tuple[int, float]] = Factory(dict)
+    leases: dict[int, Lease] = Factory(dict)
     revision: int = 1
+
+    def execute(
+        self, operation: ports.StoreOperation, now_ms: int = 0
+    ) -> ports.StoreResult:
+        """Carry out one operation as the adapter and the store would together."""
+        self.expire(now_ms)
+        match operation:
+            case ports.StoreRead(prefix=prefix, newer_than=newer):
+                found = self.range(prefix, prefix[:-1] + chr(ord(prefix[-1]) + 1))
+                entries = tuple(
+                    ports.StoreEntry(key, item.value, item.version)
+                    for key, item in found
+                    if item.version > newer
+                )
+                return ports.StoreEntries(entries, self.revision)
+            case ports.StoreWrite():
+                return self._write(operation)
+            case ports.StoreDelete(key=key, expected_version=expected):
+                applied = self.version_of(key) == expected
+                if applied:
+                    self.delete(key)
+                return ports.StoreWritten(applied, self.revision)
+            case ports.StoreLeaseGrant(ttl_s=ttl_s):
+                return ports.StoreLease(self.grant(ttl_s, now_ms), ttl_s)
+            case ports.StoreLeaseRenew(lease_id=lease_id):
+                return ports.StoreLease(lease_id, self.renew(lease_id, now_ms))
+        raise TypeError(f"not a store operation: {operation!r}")
+
+    def _write(self, write: ports.StoreWrite) -> ports.StoreResult:
+        if len(write.value) > VALUE_LIMIT_BYTES:
+            return ports.StoreFailed("the value is too large")
+        if write.lease_id and write.lease_id not in self.leases:
+            return ports.StoreFailed("no such lease")
+        if self.version_of(write.key) != write.expected_version:
+            return ports.StoreWritten(False, self.revision)
+        self.put(write.key, write.value, write.lease_id)
+        return ports.StoreWritten(True, self.revision)
+
+    def version_of(self, key: str) -> int:
+        """Return a key's version, 0 if it is absent."""
+        return self.items[key].version if key in self.items else 0
+
+    def range(self, first: str, end: str) -> list[tuple[str, Item]]:
+        """Return the keys from ``first`` up to ``end``, in order."""
+        return sorted(pair for pair in self.items.items() if first <= pair[0] < end)
+
+    def put(self, key: str, value: bytes, lease: int) -> None:
+        """Set a key."""
+        self.revision += 1
+        self.items[key] = Item(value, self.revision, lease)
+
+    def delete(self, key: str) -> None:
+        """Remove a key if it is there."""
+        self.revision += 1
+        self.items.pop(key, None)
+
+    def grant(self, ttl_s: int, now_ms: int) -> int:
+        """Return the id of a new lease."""
+        self.revision += 1
+        lease = self.revision * 1000
+        self.leases[lease] = Lease(ttl_s, now_ms + ttl_s * 1000)
+        return lease
+
+    def renew(self, lease: int, now_ms: int) -> int:
+        """Extend a lease; returns 0 if it has lapsed."""
+        if lease not in self.leases:
+            return 0
+        found = self.leases[lease]
+        found.end_ms = now_ms + found.ttl_s * 1000
+        return found.ttl_s
+
+    def expire(self, now_ms: int) -> None:
+        """Drop lapsed leases and their keys."""
+        lapsed = {name for name, lease in self.leases.items() if lease.end_ms < now_ms}
+        for lease in lapsed:
+            del self.leases[lease]
+        for key in [key for key, item in self.items.items() if item.lease in lapsed]:
+            self.delete(key)
+
+
+@define
+class StoreFaults:
+    """What goes wrong at the store.
+
+    ``lose_answers`` calls take effect and are not answered; ``fail_calls`` calls
+    are refused before they take effect.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: int = 0
+    fail_calls: int = 0
+
+
+@define
+class StoreStandIn:
+    """Serves a key table; safe for threads. Counts calls by kind."""
+
+    table: KeyTable = Factory(KeyTable)
     calls: collections.Counter[str] = Factory(collections.Counter)
     transferred_bytes: int = 0
     faults: StoreFaults = Factory(StoreFaults)
     lock: threading.Lock = Factory(threading.Lock)
 
+    @property
+    def items(self) -> dict[str, Item]:
+        """The keys."""
+        return self.table.items
+
     def answer(self, method: str, path: str, body: bytes, _: dict) -> Answer:
         """Answer one HTTP call."""
         if path == "/control":
@@ -54,15 +162,20 @@
         if self.faults.down:
             return Answer(drop=True)
         with self.lock:
-            self._expire()
-            result = self._dispatch(path, json.loads(body))
+            answer = self._answer_locked(path, body)
+            self.transferred_bytes += len(body) + len(answer.body)
+        return answer
+
+    def _answer_locked(self, path: str, body: bytes) -> Answer:
+        if self.faults.fail_calls:
+            self.faults.fail_calls -= 1
+            return Answer.of({"code": 14, "message": "unavailable"}, 503)
+        now_ms = time.monotonic_ns() // 1_000_000
+        self.table.expire(now_ms)
+        answer = self._dispatch(path, json.loads(body), now_ms)
         if self.faults.lose_answers:
             self.faults.lose_answers -= 1
             return Answer(drop=True)
-        if result is None:
-            return Answer.of({"error": "unknown call"}, 404)
-        answer = Answer.of(result)
-        self.transferred_bytes += len(body) + len(answer.body)
         return answer
 
     def _control(self, wanted: dict) -> Answer:
@@ -71,46 +184,30 @@
         counts = dict(self.calls, transferred_bytes=self.transferred_bytes)
         return Answer.of(counts)
 
-    def _dispatch(self, path: str, body: dict) -> dict | None:
+    def _dispatch(self, path: str, body: dict, now_ms: int) -> Answer:
         self.calls[path.removeprefix("/v3/")] += 1
         match path:
             case "/v3/kv/range":
-                return self._range(body)
+                return Answer.of(self._range(body))
             case "/v3/kv/txn":
                 return self._transact(body)
             case "/v3/lease/grant":
-                self.revision += 1
-                lease = self.revision * 1000
                 ttl_s = int(body["TTL"])
-                self.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
-                return {"header": self._header(), "ID": str(lease), "TTL": str(ttl_s)}
+                lease = self.table.grant(ttl_s, now_ms)
+                result = {"header": self._header(), "ID": str(lease), "TTL": str(ttl_s)}
+                return Answer.of(result)
             case "/v3/lease/keepalive":
-                return {"result": self._keep_alive(int(body["ID"]))}
-        return None
+                lease = int(body["ID"])
+                ttl_s = self.table.renew(lease, now_ms)
+                return Answer.of({"result": {"ID": str(lease), "TTL": str(ttl_s)}})
+        return Answer.of({"error": "unknown call"}, 404)
 
     def _header(self) -> dict:
-        return {"revision": str(self.revision)}
-
-    def _keep_alive(self, lease: int) -> dict:
-        if lease not in self.leases:
-            return {"ID": str(lease), "TTL": "0"}
-        ttl_s = self.leases[lease][0]
-        self.leases[lease] = (ttl_s, time.monotonic() + ttl_s)
-        return {"ID": str(lease), "TTL": str(ttl_s)}
-
-    def _expire(self) -> None:
-        now = time.monotonic()
-        lapsed = {lease for lease, (_, end) in self.leases.items() if end < now}
-        for lease in lapsed:
-            del self.leases[lease]
-        gone = [key for key, item in self.items.items() if item.lease in lapsed]
-        for key in gone:
-            del self.items[key]
-        self.revision += bool(gone)
+        return {"revision": str(self.table.revision)}
 
     def _range(self, body: dict) -> dict:
-        first = base64.b64decode(body["key"]).decode()
-        end = base64.b64decode(body.get("range_end", "")).decode()
+        first = _text(body["key"])
+        end = _text(body["range_end"]) if "range_end" in body else first + "\x00"
         least = int(body.get("min_mod_revision", 0))
         found = [
             {
@@ -118,32 +215,39 @@
                 "value": base64.b64encode(item.value).decode(),
                 "mod_revision": str(item.version),
             }
-            for key, item in sorted(self.items.items())
-            if (first <= key < end if end else key == first) and item.version >= least
+            for key, item in self.table.range(first, end)
+            if item.version >= least
         ]
         return {"header": self._header(), "kvs": found, "count": str(len(found))}
 
-    def _transact(self, body: dict) -> dict:
+    def _transact(self, body: dict) -> Answer:
         for compare in body["compare"]:
-            key = base64.b64decode(compare["key"]).decode()
-            version = self.items[key].version if key in self.items else 0
+            version = self.table.version_of(_text(compare["key"]))
             if version != int(compare["mod_revision"]):
-                return {"header": self._header(), "succeeded": False}
-        self.revision += 1
+                return Answer.of({"header": self._header(), "succeeded": False})
         for change in body["success"]:
-            self._change(change)
-        return {"header": self._header(), "succeeded": True}
-
-    def _change(self, change: dict) -> None:
-        if "request_put" in change:
-            put = change["request_put"]
-            key = base64.b64decode(put["key"]).decode()
-            value = base64.b64decode(put["value"])
-            lease = int(put.get("lease", 0))
-            self.items[key] = Item(value, self.revision, lease)
-        else:
-            delete = change["request_delete_range"]
-            self.items.pop(base64.b64decode(delete["key"]).decode(), None)
+            refusal = self._change(change)
+            if refusal is not None:
+                return refusal
+        return Answer.of({"header": self._header(), "succeeded": True})
+
+    def _change(self, change: dict) -> Answer | None:
+        if "request_delete_range" in change:
+            self.table.delete(_text(change["request_delete_range"]["key"]))
+            return None
+        put = change["request_put"]
+        value = base64.b64decode(put["value"])
+        lease = int(put.get("lease", 0))
+        if len(value) > VALUE_LIMIT_BYTES:
+            return Answer.of({"code": 3, "message": "request is too large"}, 400)
+        if lease and lease not in self.table.leases:
+            return Answer.of({"code": 5, "message": "requested lease not found"}, 404)
+        self.table.put(_text(put["key"]), value, lease)
+        return None
+
+
+def _text(encoded: str) -> str:
+    return base64.b64decode(encoded).decode()
 
 
 def main() -> None:
