--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -26,7 +26,7 @@
 from poplarlb.state.changes import Change, TaskAccepted
 from poplarlb.state.models import Reason
 from poplarlb.state.shard_state import ShardState
-from poplarlb.state.snapshot import decode_state, encode_state
+from poplarlb.state.snapshot import SnapshotWriter, decode_state
 
 CHANGES = tuple[Change, ...]
 UNCOMMITTED_LIMIT = 1_000
@@ -65,6 +65,7 @@
     summaries: Callable[[], Sequence[ShardSummary]] = tuple
     proof_ms: int = 0
     machine: ShardMachine | None = None
+    writer: SnapshotWriter | None = None
     waiting: collections.deque[_Waiting] = Factory(collections.deque)
     committed_ticket: int = 0
     leaving: bool = False
@@ -162,6 +163,8 @@
         if effects.changes:
             entry = codec.encode(tuple(effects.changes), CHANGES, _CONVERTER)
             ticket = self.journal.stage(entry, effects.urgent)
+            for change in effects.changes:
+                self.writer.note(change)
         accepted = {
             change.spec.key
             for change in effects.changes
@@ -206,8 +209,8 @@
         return commands
 
     def _offer_snapshot(self) -> None:
-        if self.machine is not None and not self.broken:
-            self.journal.offer_snapshot(encode_state(self.machine.core.state))
+        if self.writer is not None and not self.broken:
+            self.journal.offer_snapshot(self.writer.encode())
 
     def _recover(self, recovered: Recovered, now_ms: int) -> None:
         """Rebuild the state; a record that can't be read keeps the shard closed."""
@@ -228,6 +231,7 @@
             self.proof_ms,
         )
         self.machine = ShardMachine(core)
+        self.writer = SnapshotWriter(state)
 
     def _replay(self, recovered: Recovered) -> ShardState:
         kept = self.context.settings.tasks.decisions_kept
@@ -235,10 +239,18 @@
         if recovered.snapshot:
             state = decode_state(recovered.snapshot, kept)
         for entry in recovered.entries:
-            for change in codec.decode(entry, CHANGES, _CONVERTER):
+            for change in self.decode_changes(entry):
                 state.apply(change)
         return state
 
+    @staticmethod
+    def decode_changes(entry: bytes) -> CHANGES:
+        """Return the changes of one journal entry.
+
+        :raises ProtocolError: if the entry can't be read.
+        """
+        return codec.decode(entry, CHANGES, _CONVERTER)
+
     def _drop_waiting(self, deposed: Deposed) -> list[ShardCommand]:
         """Answer the callers whose commits failed; drop all other commands."""
         answers = [
--- a/poplarlb/state/snapshot.py
+++ b/poplarlb/state/snapshot.py
@@ -1,31 +1,40 @@
 """Encodes a shard's tables for its snapshot, and decodes them."""
 
 import collections
+import io
 
 import cattrs
 import cbor2
-from attrs import frozen
+from attrs import define, field, frozen
 
 from poplarlb.exceptions import ProtocolError
 from poplarlb.state import changes
-from poplarlb.state.models import Decision
+from poplarlb.state.models import Decision, TaskKey
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord, ShardState, TaskRecord
 
 FORMAT = 1
 
 
 @frozen
-class ShardTables:
-    """The record of a shard in the order in which it is written."""
+class SmallTables:
+    """The tables of a shard that are short enough to encode each time."""
 
-    tasks: tuple[TaskRecord, ...] = ()
-    places: tuple[PlaceRecord, ...] = ()
     refused: tuple[changes.PlaceRefused, ...] = ()
     tombstones: tuple[changes.PlaceForgotten, ...] = ()
     quota_granted: tuple[changes.QuotaGranted, ...] = ()
     quota_received: tuple[changes.QuotaReceived, ...] = ()
     released: changes.EpochReleased | None = None
-    decisions: tuple[Decision, ...] = ()
+
+
+@frozen
+class Parts:
+    """A snapshot: each record is encoded by itself."""
+
+    format: int
+    tasks: tuple[bytes, ...]
+    places: tuple[bytes, ...]
+    decisions: tuple[bytes, ...]
+    small: bytes
 
 
 def _make_converter() -> cattrs.Converter:
@@ -37,19 +46,83 @@
 _CONVERTER = _make_converter()
 
 
+def _encode(record: object) -> bytes:
+    return cbor2.dumps(_CONVERTER.unstructure(record))
+
+
+def _decode(data: bytes, kind: type) -> object:
+    stream = io.BytesIO(data)
+    raw = cbor2.load(stream)
+    if stream.tell() != len(data):
+        raise ValueError("more bytes than one record has")
+    return _CONVERTER.structure(raw, kind)
+
+
+@define
+class SnapshotWriter:
+    """Encodes a state again and again, each time only what has changed."""
+
+    state: ShardState
+    tasks: dict[TaskKey, bytes] = field(factory=dict, repr=False)
+    places: dict[PlaceKey, bytes] = field(factory=dict, repr=False)
+    decisions: collections.deque[bytes] = field(init=False, repr=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Encode the decisions that the state has already."""
+        kept = self.state.decisions.maxlen
+        self.decisions = collections.deque(map(_encode, self.state.decisions), kept)
+
+    def note(self, change: changes.Change) -> None:
+        """Take note of a change that was applied to the state."""
+        match change:
+            case changes.DecisionTaken(decision=decision):
+                self.decisions.append(_encode(decision))
+            case changes.TaskAccepted(spec=spec):
+                self.tasks.pop(spec.key, None)
+            case changes.PlaceTaken():
+                pass
+            case _:
+                self._drop(change)
+
+    def _drop(self, change: changes.Change) -> None:
+        key = getattr(change, "key", None)
+        number = getattr(change, "number", 0)
+        self.tasks.pop(key, None)
+        self.places.pop(PlaceKey(key, number), None)
+
+    def encode(self) -> bytes:
+        """Return the CBOR bytes of the state."""
+        state = self.state
+        self._fill(self.tasks, state.tasks)
+        self._fill(self.places, state.places)
+        small = SmallTables(
+            tuple(state.refused.values()),
+            tuple(state.tombstones.values()),
+            tuple(state.quota_granted.values()),
+            tuple(state.quota_received.values()),
+            state.released,
+        )
+        parts = Parts(
+            FORMAT,
+            tuple(self.tasks.values()),
+            tuple(self.places.values()),
+            tuple(self.decisions),
+            _encode(small),
+        )
+        return _encode(parts)
+
+    @staticmethod
+    def _fill(encoded: dict, records: dict) -> None:
+        for key in [key for key in encoded if key not in records]:
+            del encoded[key]
+        for key, record in records.items():
+            if key not in encoded:
+                encoded[key] = _encode(record)
+
+
 def encode_state(state: ShardState) -> bytes:
     """Return the CBOR bytes of a shard's state."""
-    tables = ShardTables(
-        tuple(state.tasks.values()),
-        tuple(state.places.values()),
-        tuple(state.refused.values()),
-        tuple(state.tombstones.values()),
-        tuple(state.quota_granted.values()),
-        tuple(state.quota_received.values()),
-        state.released,
-        tuple(state.decisions),
-    )
-    return cbor2.dumps((FORMAT, _CONVERTER.unstructure(tables)))
+    return SnapshotWriter(state).encode()
 
 
 def decode_state(data: bytes, decisions_kept: int) -> ShardState:
@@ -58,27 +131,28 @@
     :raises ProtocolError: if the bytes are cut short or of another format.
     """
     try:
-        format_number, raw = cbor2.loads(data)
-        if format_number != FORMAT:
-            raise ValueError(f"format {format_number}, not {FORMAT}")
-        tables = _CONVERTER.structure(raw, ShardTables)
+        parts = _decode(data, Parts)
+        if parts.format != FORMAT:
+            raise ValueError(f"format {parts.format}, not {FORMAT}")
+        return _to_state(parts, decisions_kept)
     except Exception as error:
         raise ProtocolError(f"not a shard's snapshot: {error}") from error
-    return _to_state(tables, decisions_kept)
 
 
-def _to_state(tables: ShardTables, decisions_kept: int) -> ShardState:
+def _to_state(parts: Parts, decisions_kept: int) -> ShardState:
+    small = _decode(parts.small, SmallTables)
+    tasks = [_decode(item, TaskRecord) for item in parts.tasks]
+    places = [_decode(item, PlaceRecord) for item in parts.places]
+    decisions = [_decode(item, Decision) for item in parts.decisions]
     state = ShardState(
-        tasks={item.spec.key: item for item in tables.tasks},
-        places={
-            PlaceKey(item.spec.key, item.attempt.number): item for item in tables.places
-        },
-        refused={PlaceKey(item.key, item.number): item for item in tables.refused},
-        tombstones={item.key: item for item in tables.tombstones},
-        quota_granted={(item.team, item.shard): item for item in tables.quota_granted},
-        quota_received={item.team: item for item in tables.quota_received},
-        released=tables.released,
-        decisions=collections.deque(tables.decisions, decisions_kept),
+        tasks={item.spec.key: item for item in tasks},
+        places={PlaceKey(p.spec.key, p.attempt.number): p for p in places},
+        refused={PlaceKey(item.key, item.number): item for item in small.refused},
+        tombstones={item.key: item for item in small.tombstones},
+        quota_granted={(item.team, item.shard): item for item in small.quota_granted},
+        quota_received={item.team: item for item in small.quota_received},
+        released=small.released,
+        decisions=collections.deque(decisions, decisions_kept),
     )
     state.derive()
     return state
--- /dev/null
+++ b/tests/coordination/shard_world.py
@@ -0,0 +1,439 @@
+"""Shard hosts on one hand-held clock, with a journal and a network that fail."""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+
+from attrs import Factory, define, evolve, field, frozen
+
+from poplarlb.coordination.admission import Admission
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.effects import SendShard
+from poplarlb.coordination.journal import (
+    Committed,
+    Deposed,
+    JournalPhase,
+    Recovered,
+    SnapshotWanted,
+)
+from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.protocol import api, codec, messages, ports
+from poplarlb.settings import (
+    ConfigSettings,
+    MemberSettings,
+    PlatformSettings,
+    Settings,
+    ShardSettings,
+    TaskSettings,
+)
+from poplarlb.state.models import HostState, Resources, TaskSpec, Worker, ZoneState
+from poplarlb.state.templates import ConfigView, ZoneEntry
+from tests.standins.worker import HistoryRow, WorkerModel
+
+START_MS = 1_700_000_000_000
+TICK_MS = 50
+PROOF_PERIOD_MS = 500
+SNAPSHOT_EVERY = 5
+
+SETTINGS = Settings(
+    "unnamed",
+    "a",
+    platform=PlatformSettings(worker_timeout_ms=400),
+    members=MemberSettings(orphan_horizon_ms=10_000),
+    shards=ShardSettings(("a", "b"), 1),
+    tasks=TaskSettings(
+        lease_ms=2_000, renew_period_ms=500, clock_margin_ms=100, start_window_ms=1_500
+    ),
+    config=ConfigSettings(staleness_ms=1_500),
+)
+
+
+@define
+class Log:
+    """What the store holds of one shard's journal."""
+
+    epoch: int = 0
+    entries: list[bytes] = Factory(list)
+    snapshot: bytes = b""
+    covered: int = 0
+
+
+@define
+class Batch:
+    """An append on its way: its fate is known at the store before its owner."""
+
+    entries: tuple[bytes, ...]
+    ticket: int
+    applied: bool | None = None
+    answered: bool = False
+
+
+@define
+class FakeJournal:
+    """The journal's interface over a ``Log``; appends land late or not at all."""
+
+    world: "ShardWorld"
+    daemon: "FakeDaemon"
+    log: Log
+    epoch: int
+    phase: JournalPhase = JournalPhase.RECOVERING
+    last_ticket: int = 0
+    committed: int = 0
+    base: int = 0
+    staged: list[bytes] = Factory(list)
+    batch: Batch | None = None
+    offered: tuple[int, bytes] | None = None
+    appends: int = 0
+
+    def stage(self, entry: bytes, urgent: bool = False) -> int:
+        """Queue an entry."""
+        self.staged.append(entry)
+        self.last_ticket += 1
+        return self.last_ticket
+
+    def offer_snapshot(self, data: bytes) -> None:
+        """Keep a snapshot until all that it holds is committed."""
+        self.offered = (self.last_ticket, data)
+
+    def handle(self, event: ports.Event, now_ms: int) -> list:
+        """Recover, append, settle."""
+        if self.phase is JournalPhase.DEPOSED:
+            return []
+        if self.phase is JournalPhase.RECOVERING:
+            return self._recover()
+        outputs = self._settle() if self.batch else []
+        if self.phase is JournalPhase.OPEN and not self.batch and self.staged:
+            self._append()
+        return outputs
+
+    def _recover(self) -> list:
+        if self.daemon.no_store:
+            return []
+        if self.log.epoch != self.epoch:
+            self.phase = JournalPhase.DEPOSED
+            return [Deposed(0, 0)]
+        self.phase = JournalPhase.OPEN
+        self.base = len(self.log.entries)
+        since = tuple(self.log.entries[self.log.covered :])
+        return [Recovered(self.log.snapshot, since)]
+
+    def _append(self) -> None:
+        self.batch = Batch(tuple(self.staged), self.last_ticket)
+        self.staged.clear()
+        self.appends += 1
+        self._send(self.batch)
+
+    def _send(self, batch: Batch) -> None:
+        """Land some time later; an append that a cut swallows is tried again."""
+        there_ms = self.world.chance.randint(1, 30)
+        back_ms = self.world.chance.choice((1, 5, 20, 400))
+
+        def land() -> None:
+            if self.daemon.no_store:
+                self.world.after(200, land)
+                return
+            batch.applied = self.log.epoch == self.epoch
+            if batch.applied:
+                self.log.entries.extend(batch.entries)
+            self.world.after(back_ms, answer)
+
+        def answer() -> None:
+            batch.answered = True
+
+        self.world.after(there_ms, land)
+
+    def _settle(self) -> list:
+        batch = self.batch
+        if not batch.answered:
+            return []
+        if not batch.applied:
+            self.phase = JournalPhase.DEPOSED
+            return [Deposed(self.committed, self.committed)]
+        self.batch = None
+        self.committed = batch.ticket
+        self._keep_snapshot()
+        outputs = [Committed(batch.ticket)]
+        if self.appends % SNAPSHOT_EVERY == 0:
+            outputs.append(SnapshotWanted())
+        return outputs
+
+    def _keep_snapshot(self) -> None:
+        if self.offered is None or self.offered[0] > self.committed:
+            return
+        if self.log.epoch == self.epoch and not self.daemon.no_store:
+            ticket, self.log.snapshot = self.offered
+            self.log.covered = self.base + ticket
+        self.offered = None
+
+
+@define
+class FakeDaemon:
+    """A process that owns shards: it may be paused, cut off or dead."""
+
+    name: str
+    context: NodeContext
+    hosts: dict[str, ShardHost] = Factory(dict)
+    alive: bool = True
+    paused: bool = False
+    no_store: bool = False
+    cut_workers: set[str] = Factory(set)
+    inbox: list[tuple[str, ports.Event]] = Factory(list)
+
+
+@frozen
+class Answered:
+    """A call and its answer."""
+
+    call: api.ApiBody
+    result: api.ApiResult
+    asked_ms: int
+    at_ms: int
+
+
+@define
+class ShardWorld:
+    """Daemons, logs, workers and messages of a few shards."""
+
+    seed: int = 0
+    settings: Settings = SETTINGS
+    workers_per_zone: int = 2
+    capacity: Resources = Resources(2_000, 2_000, 1)
+    now_ms: int = START_MS
+    view: ConfigView = ConfigView(version=1)
+    queue: list = Factory(list)
+    order: itertools.count = Factory(itertools.count)
+    logs: dict[str, Log] = Factory(dict)
+    daemons: dict[str, FakeDaemon] = Factory(dict)
+    owners: dict[str, str] = Factory(dict)
+    workers: dict[str, WorkerModel] = Factory(dict)
+    offsets_ms: dict[str, int] = Factory(dict)
+    pending: dict[int, tuple[api.ApiBody, int, str]] = Factory(dict)
+    answers: list[Answered] = Factory(list)
+    worker_delay_ms: int = 10
+    lose: float = 0.0
+    repeat: float = 0.0
+    shards: ShardMap = field(init=False)
+    chance: random.Random = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build workers and daemons, and give each daemon one shard."""
+        self.chance = random.Random(self.seed)
+        self.shards = ShardMap.from_settings(self.settings.shards)
+        for zone in self.settings.shards.zones:
+            for number in range(self.workers_per_zone):
+                name = f"{zone}-w{number}"
+                worker = Worker(name, zone, f"{zone}-r0", name, self.capacity)
+                self.workers[name] = WorkerModel(worker)
+                self.offsets_ms[name] = self.chance.choice((-60, 0, 60))
+        for number, shard in enumerate(self.shards.shards):
+            self.logs[shard] = Log()
+            self.start_daemon(f"d{number}")
+            self.take_over(shard, f"d{number}")
+
+    # --- time ---------------------------------------------------------------------
+
+    def after(self, delay_ms: int, action: Callable[[], None]) -> None:
+        """Run an action later."""
+        entry = (self.now_ms + delay_ms, next(self.order), action)
+        heapq.heappush(self.queue, entry)
+
+    def run(self, duration_ms: int) -> None:
+        """Advance the clock."""
+        end_ms = self.now_ms + duration_ms
+        while self.queue and self.queue[0][0] <= end_ms:
+            self.now_ms, _, action = heapq.heappop(self.queue)
+            action()
+        self.now_ms = end_ms
+
+    # --- daemons --------------------------------------------------------------------
+
+    def start_daemon(self, name: str) -> None:
+        """Start a daemon that owns nothing yet."""
+        context = NodeContext(self.settings, call_ids=self.order)
+        daemon = FakeDaemon(name, context)
+        self.daemons[name] = daemon
+        self._read_store(daemon)
+        self._tick(daemon)
+
+    def take_over(self, shard: str, name: str) -> None:
+        """Give a shard to a daemon; the earlier owner learns it from the store."""
+        log = self.logs[shard]
+        log.epoch += 1
+        self.owners[shard] = name
+        daemon = self.daemons[name]
+        daemon.hosts[shard] = ShardHost(
+            daemon.context,
+            self.shards,
+            shard,
+            log.epoch,
+            FakeJournal(self, daemon, log, log.epoch),
+            Admission(daemon.context, shard, log.epoch),
+            self.summaries,
+            self.now_ms,
+        )
+
+    def summaries(self) -> list[messages.ShardSummary]:
+        """Return what the present owners say of their shards."""
+        hosts = (self.daemons[self.owners[s]].hosts.get(s) for s in self.shards.shards)
+        found = (host.summary() for host in hosts if host is not None)
+        return [summary for summary in found if summary is not None]
+
+    def kill(self, name: str) -> None:
+        """End a daemon; its callers hear nothing more."""
+        daemon = self.daemons[name]
+        daemon.alive = False
+        daemon.hosts.clear()
+        for call_id in [c for c, item in self.pending.items() if item[2] == name]:
+            body, asked_ms, _ = self.pending.pop(call_id)
+            fault = api.Fault("outcome_unknown", "no_owner")
+            self.answers.append(Answered(body, fault, asked_ms, self.now_ms))
+
+    def wake(self, name: str) -> None:
+        """Let a paused daemon handle what waited for it."""
+        daemon = self.daemons[name]
+        daemon.paused = False
+        waiting, daemon.inbox = daemon.inbox, []
+        for shard, event in waiting:
+            self._deliver(daemon, shard, event)
+
+    def _read_store(self, daemon: FakeDaemon) -> None:
+        """Confirm the view and the ownership, timed at the sending."""
+        sent_ms = self.now_ms
+        if not daemon.alive:
+            return
+        if not daemon.paused and not daemon.no_store:
+            view = self.view
+            held = {shard: log.epoch for shard, log in self.logs.items()}
+            delay_ms = self.chance.randint(1, 20)
+            self.after(delay_ms, lambda: self._confirm(daemon, view, held, sent_ms))
+        self.after(PROOF_PERIOD_MS, lambda: self._read_store(daemon))
+
+    def _confirm(
+        self, daemon: FakeDaemon, view: ConfigView, held: dict[str, int], sent_ms: int
+    ) -> None:
+        if daemon.paused:
+            return
+        if view.version >= daemon.context.view.version:
+            daemon.context.view = view
+            daemon.context.view_confirmed_ms = sent_ms
+        daemon.context.workers = {
+            name: model.worker for name, model in self.workers.items()
+        }
+        for shard, host in list(daemon.hosts.items()):
+            if held[shard] == host.epoch:
+                host.proof_ms = sent_ms
+            elif held[shard] > host.epoch:
+                del daemon.hosts[shard]
+
+    def _tick(self, daemon: FakeDaemon) -> None:
+        if not daemon.alive:
+            return
+        if not daemon.paused:
+            for shard in list(daemon.hosts):
+                self._deliver(daemon, shard, ports.Tick())
+        self.after(TICK_MS, lambda: self._tick(daemon))
+
+    def _deliver(self, daemon: FakeDaemon, shard: str, event: ports.Event) -> None:
+        if daemon.paused:
+            daemon.inbox.append((shard, event))
+            return
+        host = daemon.hosts.get(shard)
+        if host is None:
+            return
+        for command in host.handle(event, self.now_ms):
+            self._carry_out(daemon, shard, command)
+
+    def _carry_out(self, daemon: FakeDaemon, shard: str, command: object) -> None:
+        match command:
+            case ports.WorkerCall():
+                self._call_worker(daemon, shard, command)
+            case SendShard(message=message):
+                self._send(message)
+            case ports.ApiAnswer(call_id=call_id, result=result):
+                item = self.pending.pop(call_id, None)
+                if item is not None:
+                    answer = Answered(item[0], result, item[1], self.now_ms)
+                    self.answers.append(answer)
+
+    def _send(self, message: messages.ShardMessage) -> None:
+        if self.chance.random() < self.lose:
+            return
+        data = codec.encode(message, messages.PeerMessage)
+        for _ in range(1 + (self.chance.random() < self.repeat)):
+            decoded = codec.decode(data, messages.PeerMessage)
+            event = ports.PeerReceived("peer", decoded)
+            delay_ms = self.chance.choice((1, 5, 30, 30, 2_000))
+            self.after(delay_ms, lambda event=event: self._arrive(event))
+
+    def _arrive(self, event: ports.PeerReceived) -> None:
+        shard = event.message.recipient
+        daemon = self.daemons[self.owners[shard]]
+        if daemon.alive:
+            self._deliver(daemon, shard, event)
+
+    def _call_worker(
+        self, daemon: FakeDaemon, shard: str, call: ports.WorkerCall
+    ) -> None:
+        there_ms = self.chance.randint(1, self.worker_delay_ms)
+        lost = self.chance.random() < self.lose
+
+        def arrive() -> None:
+            name = call.worker_id
+            model = self.workers[name]
+            result = None
+            if not model.faults.dead and name not in daemon.cut_workers:
+                result = model.take_batch(
+                    call.batch, self.now_ms + self.offsets_ms[name]
+                )
+            if result is None or lost:
+                result = ports.WorkerFailed("no answer")
+            event = ports.WorkerReplied(call.call_id, name, result)
+            delay_ms = self.chance.randint(1, 10)
+            self.after(delay_ms, lambda: self._deliver(daemon, shard, event))
+
+        self.after(there_ms, arrive)
+
+    # --- callers and operators --------------------------------------------------------
+
+    def ask(self, body: api.ApiBody, shard: str) -> None:
+        """Send a call to the owner of a shard."""
+        name = self.owners[shard]
+        daemon = self.daemons[name]
+        if not daemon.alive:
+            return
+        call_id = next(self.order)
+        self.pending[call_id] = (body, self.now_ms, name)
+        self._deliver(daemon, shard, ports.ApiRequested(call_id, body))
+
+    def submit(self, spec: TaskSpec) -> None:
+        """Submit a task at its home shard."""
+        self.ask(api.SubmitTask(spec), self.shards.home_of_task(spec.key))
+
+    def set_zone(self, zone: str, state: ZoneState) -> None:
+        """Take a zone out or bring it back; committed at an instant of its own."""
+        self.run(1)
+        others = tuple(entry for entry in self.view.zones if entry.zone != zone)
+        self.view = evolve(
+            self.view,
+            version=self.view.version + 1,
+            zones=(*others, ZoneEntry(zone, state)),
+        )
+        call = api.SetZone(f"c{self.view.version}", "asha", zone, state)
+        result = api.ConfigChanged(self.view.version)
+        self.answers.append(Answered(call, result, self.now_ms, self.now_ms))
+
+    def set_host(self, name: str, state: HostState) -> None:
+        """Change what the host list says of a worker."""
+        model = self.workers[name]
+        model.worker = evolve(model.worker, state=state)
+
+    def history(self) -> list[HistoryRow]:
+        """Return what the workers did, by the true clock."""
+        rows = []
+        for name, model in self.workers.items():
+            model.advance(self.now_ms + self.offsets_ms[name])
+            offset_ms = self.offsets_ms[name]
+            rows.extend(evolve(r, at_ms=r.at_ms - offset_ms) for r in model.history)
+        return sorted(rows, key=lambda row: row.at_ms)
--- /dev/null
+++ b/tests/coordination/test_shard_fuzz.py
@@ -0,0 +1,325 @@
+"""Shard machines under faults, judged by what workers and callers saw."""
+
+import os
+import unittest
+
+from attrs import define
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
+
+from poplarlb.coordination.policy import (
+    EvictionWanted,
+    Policy,
+    Relief,
+    WorkerRoom,
+)
+from poplarlb.protocol import api
+from poplarlb.state.models import (
+    HostState,
+    Reason,
+    Resources,
+    TaskKey,
+    TaskPhase,
+    TaskSpec,
+    WorkClass,
+    ZoneState,
+)
+from poplarlb.state.templates import ConfigView
+from tests.coordination.shard_world import ShardWorld
+from tests.harness import oracle
+
+QUIET_MS = 120_000
+ZONES = st.sampled_from(("a", "b"))
+WORKERS = st.sampled_from(("a-w0", "a-w1", "b-w0", "b-w1"))
+SHARDS = st.sampled_from(("a/0", "b/0"))
+CLASSES = st.sampled_from((WorkClass.URGENT, WorkClass.ORDINARY, WorkClass.PATIENT))
+TASKS = st.integers(0, 11)
+RUN_TIMES = st.sampled_from((500, 2_000, 10_000, 30_000))
+
+
+def check_resumed(world: ShardWorld) -> list[oracle.Violation]:
+    """Work that was stopped with a checkpoint goes on from it."""
+    found = []
+    saved: dict[str, str] = {}
+    for row in world.history():
+        if row.what == "stopped":
+            saved[row.subject] = row.detail
+        elif row.what == "lapsed":
+            saved.pop(row.subject, None)
+        elif row.what == "start":
+            wanted = saved.pop(row.subject, row.detail)
+            if row.detail != wanted:
+                detail = f"{row.subject} from {row.detail!r}, not {wanted!r}"
+                found.append(oracle.Violation("resumes from its checkpoint", detail))
+    return found
+
+
+def check_ended(world: ShardWorld) -> list[oracle.Violation]:
+    """Return starts of tasks that a caller was told have ended.
+
+    A success that nobody saw before the worker's lease ran out can't count: the
+    owner must take the attempt for lost.
+    """
+    told: dict[str, int] = {}
+    for answer in world.answers:
+        match answer.result:
+            case api.TaskView(phase=TaskPhase.ENDED, spec=spec):
+                subject = f"{spec.key.team}/{spec.key.task_id}"
+                told.setdefault(subject, answer.at_ms)
+    return [
+        oracle.Violation("ended work never runs again", f"{row.subject} #{row.attempt}")
+        for row in world.history()
+        if row.what == "start" and row.at_ms > told.get(row.subject, world.now_ms)
+    ]
+
+
+def check_one_place(world: ShardWorld) -> list[oracle.Violation]:
+    """No task runs in two places at once."""
+    found = oracle.check_one_place(world)
+    return [item for item in found if item.promise == "one place at a time"]
+
+
+def check_attempts(world: ShardWorld) -> list[oracle.Violation]:
+    """Return attempts that do not grow; a crash allows the same one again."""
+    found = []
+    latest: dict[str, int] = {}
+    crashed: set[str] = set()
+    for row in world.history():
+        if row.what == "crashed":
+            crashed.add(row.subject)
+        if row.what != "start":
+            continue
+        least = latest.get(row.subject, 0) + (row.subject not in crashed)
+        if row.attempt < least:
+            detail = f"{row.subject} #{row.attempt}, not #{least}"
+            found.append(oracle.Violation("resumes exactly once", detail))
+        latest[row.subject] = row.attempt
+        crashed.discard(row.subject)
+    return found
+
+
+def check_promises(world: ShardWorld) -> list[oracle.Violation]:
+    """Return every violation so far."""
+    return [
+        *check_one_place(world),
+        *check_ended(world),
+        *oracle.check_capacity(world),
+        *check_attempts(world),
+        *oracle.check_zones(world),
+        *oracle.check_not_run(world),
+    ]
+
+
+@define
+class EvictingPolicy(Policy):
+    """Evicts one task, wherever it is, at the next relief."""
+
+    key: TaskKey | None = None
+
+    def plan_relief(
+        self, rooms: list[WorkerRoom], view: ConfigView, now_ms: int
+    ) -> list[Relief]:
+        """Return the eviction once."""
+        key, self.key = self.key, None
+        return [
+            EvictionWanted(
+                room.worker.worker_id, key, task.attempt, Reason.SERVICE_BREACH
+            )
+            for room in rooms
+            for task in room.tasks
+            if task.spec.key == key
+        ]
+
+
+class ShardFuzz(RuleBasedStateMachine):
+    """Two shards, each with an owner, four workers, and every fault at hand."""
+
+    @initialize(seed=st.integers(0, 1 << 30))
+    def begin(self, seed: int) -> None:
+        """Start with everything well."""
+        self.world = ShardWorld(seed)
+        self.daemons = 2
+        self.lost_contact = False
+        self.world.run(1_500)
+
+    @rule(number=TASKS, work_class=CLASSES, big=st.booleans(), run=RUN_TIMES)
+    def submit(self, number: int, work_class: WorkClass, big: bool, run: int) -> None:
+        """Submit a task, or submit it again."""
+        size = Resources(1_500 if big else 600, 500)
+        key = TaskKey("dairy", f"j{number}")
+        spec = TaskSpec(key, work_class, size, run)
+        known = [
+            answer.call.spec
+            for answer in self.world.answers
+            if isinstance(answer.call, api.SubmitTask) and answer.call.spec.key == key
+        ]
+        self.world.submit(known[0] if known else spec)
+
+    @rule(number=TASKS)
+    def cancel(self, number: int) -> None:
+        """Cancel a task."""
+        key = TaskKey("dairy", f"j{number}")
+        self.world.ask(api.CancelTask(key), self.world.shards.home_of_task(key))
+
+    @rule(step=st.sampled_from((50, 200, 700, 1_000, 3_000, 13_000)))
+    def advance(self, step: int) -> None:
+        """Let time pass."""
+        self.world.run(step)
+        self.show_all()
+        self.check()
+
+    def show_all(self) -> None:
+        """Look at every task that was submitted."""
+        keys = {
+            answer.call.spec.key
+            for answer in self.world.answers
+            if isinstance(answer.call, api.SubmitTask)
+        }
+        for key in sorted(keys):
+            self.world.ask(api.ShowTask(key), self.world.shards.home_of_task(key))
+
+    @rule(number=TASKS)
+    def evict(self, number: int) -> None:
+        """Evict a task wherever it holds a place."""
+        key = TaskKey("dairy", f"j{number}")
+        for daemon in self.world.daemons.values():
+            for host in daemon.hosts.values():
+                if host.open and not daemon.paused:
+                    core = host.machine.core
+                    core.policy = EvictingPolicy(core.policy.settings, key)
+
+    @rule(
+        shard=SHARDS,
+        how=st.sampled_from(("kill", "pause", "cut", "clean")),
+        blind=st.booleans(),
+    )
+    def replace_owner(self, shard: str, how: str, blind: bool) -> None:
+        """Move a shard to a new daemon while the old one is in trouble."""
+        old = self.world.owners[shard]
+        daemon = self.world.daemons[old]
+        if how == "kill":
+            self.world.kill(old)
+        elif how == "pause":
+            daemon.paused = True
+        elif how == "cut":
+            daemon.no_store = True
+        name = f"d{self.daemons}"
+        self.daemons += 1
+        self.world.start_daemon(name)
+        if blind:
+            self.lost_contact = True
+            self.world.daemons[name].cut_workers.update(self.world.workers)
+        for other, owner in list(self.world.owners.items()):
+            if other == shard or (owner == old and not daemon.alive):
+                self.world.take_over(other, name)
+
+    @rule(shard=SHARDS, step=st.sampled_from((4_000, 13_500)))
+    def orphan_workers(self, shard: str, step: int) -> None:
+        """Cut an owner off from the store, and its heir from the workers."""
+        self.replace_owner(shard, "cut", True)
+        self.advance(step)
+
+    @rule()
+    def wake_all(self) -> None:
+        """Wake every paused daemon."""
+        for name, daemon in self.world.daemons.items():
+            if daemon.alive and daemon.paused:
+                self.world.wake(name)
+
+    @rule()
+    def mend_store(self) -> None:
+        """Let every daemon reach the store again."""
+        for daemon in self.world.daemons.values():
+            daemon.no_store = False
+
+    @rule(shard=SHARDS, pause=st.booleans())
+    def trouble_owner(self, shard: str, pause: bool) -> None:
+        """Pause an owner or cut it off from the store, without a takeover."""
+        daemon = self.world.daemons[self.world.owners[shard]]
+        if pause:
+            daemon.paused = True
+        else:
+            daemon.no_store = True
+
+    @rule(shard=SHARDS, worker=WORKERS, cut=st.booleans())
+    def cut_worker(self, shard: str, worker: str, cut: bool) -> None:
+        """Cut the present owner off from a worker, or mend that."""
+        daemon = self.world.daemons[self.world.owners[shard]]
+        self.lost_contact = self.lost_contact or cut
+        if cut:
+            daemon.cut_workers.add(worker)
+        else:
+            daemon.cut_workers.discard(worker)
+
+    @rule(worker=WORKERS)
+    def crash_worker(self, worker: str) -> None:
+        """Restart a worker with nothing running."""
+        self.lost_contact = True
+        now_ms = self.world.now_ms + self.world.offsets_ms[worker]
+        self.world.workers[worker].crash(now_ms)
+
+    @rule(worker=WORKERS, state=st.sampled_from(HostState))
+    def list_host(self, worker: str, state: HostState) -> None:
+        """Change what the host list says, rightly or not."""
+        self.world.set_host(worker, state)
+
+    @rule(zone=ZONES, state=st.sampled_from(ZoneState))
+    def set_zone(self, zone: str, state: ZoneState) -> None:
+        """Take a zone out or bring it back."""
+        self.world.set_zone(zone, state)
+
+    @rule(lose=st.sampled_from((0.0, 0.3)), repeat=st.sampled_from((0.0, 0.5)))
+    def set_network(self, lose: float, repeat: float) -> None:
+        """Lose and repeat messages, or stop that."""
+        self.world.lose = lose
+        self.world.repeat = repeat
+        self.lost_contact = self.lost_contact or bool(lose)
+
+    @rule(delay=st.sampled_from((10, 300, 3_000)))
+    def slow_workers(self, delay: int) -> None:
+        """Delay calls on their way to workers."""
+        self.world.worker_delay_ms = delay
+        self.lost_contact = self.lost_contact or delay > 300
+
+    def check(self) -> None:
+        """Fail on any violation."""
+        found = check_promises(self.world)
+        if not self.lost_contact:
+            found.extend(check_resumed(self.world))
+        assert not found, found
+
+    def teardown(self) -> None:
+        """Mend everything; all accepted work must end, and once only."""
+        if not hasattr(self, "world"):
+            return
+        world = self.world
+        world.lose = world.repeat = 0.0
+        world.worker_delay_ms = 10
+        for worker in world.workers:
+            world.set_host(worker, HostState.LIVE)
+        for zone in ("a", "b"):
+            world.set_zone(zone, ZoneState.IN)
+        for daemon in world.daemons.values():
+            daemon.cut_workers.clear()
+        self.mend_store()
+        self.wake_all()
+        world.run(QUIET_MS)
+        self.check()
+        found = oracle.check_finished(world)
+        assert not found, found
+
+
+ShardFuzzTest = ShardFuzz.TestCase
+ShardFuzzTest.settings = settings(
+    max_examples=int(os.environ.get("SHARD_FUZZ_EXAMPLES", "25")),
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    derandomize=True,
+    suppress_health_check=list(HealthCheck),
+    phases=(Phase.generate, Phase.shrink),
+)
+
+if __name__ == "__main__":
+    unittest.main()
