--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -7,7 +7,7 @@
 
 from poplarlb.coordination.admission import Admission
 from poplarlb.coordination.budget import CallBudget
-from poplarlb.coordination.config import ConfigKeeper
+from poplarlb.coordination.config import ConfigKeeper, PeerView
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import SendShard
 from poplarlb.coordination.journal import Journal
@@ -16,11 +16,13 @@
 from poplarlb.coordination.router import choose_shard
 from poplarlb.coordination.shard_host import ShardHost
 from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.coordination.status import node_status
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason
 
 FORWARD_TIMEOUT_MS = 5_000
+SUMMARY_PERIOD_MS = 250
 
 
 @frozen
@@ -57,6 +59,8 @@
     forwarding: dict[int, _Forwarding] = Factory(dict)
     forwarded: dict[int, _ForwardedCall] = Factory(dict)
     next_hosts_ms: int = 0
+    summarized_ms: int = 0
+    latest_summaries: tuple[messages.ShardSummary, ...] = ()
 
     def __attrs_post_init__(self) -> None:
         """Build the parts."""
@@ -64,7 +68,7 @@
         self.shards = ShardMap.from_settings(self.settings.shards)
         self.membership = Membership(self.context, self.own)
         self.ownership = Ownership(self.context, self.membership, self.shards)
-        self.config = ConfigKeeper(self.context)
+        self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
@@ -83,7 +87,7 @@
             case ports.WorkerReplied():
                 outputs = self._to_hosts(event, now_ms)
             case ports.HostsListed(workers=workers):
-                self.context.workers = {item.worker_id: item for item in workers}
+                self.context.set_workers(workers, self.shards)
             case ports.ApiRequested():
                 outputs = self._route(event, now_ms)
             case ports.PeerReceived():
@@ -94,8 +98,8 @@
 
     def _tick(self, event: ports.Tick, now_ms: int) -> list:
         outputs = [
-            *self.config.handle(event, now_ms),
-            *self.membership.handle(event, now_ms, self._own_summaries()),
+            *self.config.handle(event, now_ms, self._peer_views(now_ms)),
+            *self.membership.handle(event, now_ms, self._own_summaries(now_ms)),
             *self.ownership.handle(event, now_ms),
             *self._to_hosts(event, now_ms),
             *self._expire_forwarding(now_ms),
@@ -107,6 +111,13 @@
         self.delayed_calls.clear()
         return [*delayed, *outputs]
 
+    def _peer_views(self, now_ms: int) -> tuple[PeerView, ...]:
+        return tuple(
+            PeerView(name, peer.member.peer_address, peer.heartbeat.view_version)
+            for name, peer in self.membership.peers.items()
+            if peer.heartbeat is not None and self.membership.answers(name, now_ms)
+        )
+
     def _to_hosts(self, event: ports.Event, now_ms: int) -> list:
         for shard, host in self.hosts.items():
             host.proof_ms = self.ownership.proof_ms(shard)
@@ -157,9 +168,13 @@
             self.ownership.proof_ms(record.shard),
         )
 
-    def _own_summaries(self) -> tuple[messages.ShardSummary, ...]:
+    def _own_summaries(self, now_ms: int) -> tuple[messages.ShardSummary, ...]:
+        if now_ms - self.summarized_ms < SUMMARY_PERIOD_MS:
+            return self.latest_summaries
+        self.summarized_ms = now_ms
         found = (host.summary() for host in self.hosts.values())
-        return tuple(summary for summary in found if summary is not None)
+        self.latest_summaries = tuple(item for item in found if item is not None)
+        return self.latest_summaries
 
     def summaries(self) -> list[messages.ShardSummary]:
         """Return the newest summary of each shard, our own included."""
@@ -168,7 +183,7 @@
             for peer in self.membership.peers.values()
             if peer.heartbeat is not None
         )
-        return [*self._own_summaries(), *itertools.chain.from_iterable(heard)]
+        return [*self.latest_summaries, *itertools.chain.from_iterable(heard)]
 
     # --- calls and their owners ---------------------------------------------------
 
@@ -245,6 +260,8 @@
         match event.message:
             case messages.Heartbeat():
                 return self.membership.handle(event, now_ms)
+            case messages.ViewWanted() | messages.ViewOffer():
+                return self.config.handle(event, now_ms)
             case messages.ShardMessage(recipient=shard) if shard in self.hosts:
                 return self.hosts[shard].handle(event, now_ms)
             case messages.Forward(call_id=their_call, shard=shard, body=body):
@@ -270,36 +287,12 @@
         return self.hosts[shard].handle(ports.ApiRequested(call_id, body), now_ms)
 
     def _status(self, now_ms: int) -> api.Status:
-        members = [
-            api.MemberStatus(
-                peer.member.member_id,
-                peer.member.zone,
-                peer.member.api_address,
-                self.membership.answers(peer.member.member_id, now_ms),
-                peer.heartbeat.view_version if peer.heartbeat else 0,
-                now_ms - peer.heard_ms,
-            )
-            for peer in self.membership.peers.values()
-        ]
-        shards = [
-            api.ShardStatus(
-                shard,
-                record.owner if record else "",
-                record.epoch if record else 0,
-                "open" if self._is_open(shard) else "elsewhere",
-            )
-            for shard, record in (
-                (shard, self.ownership.owner_of(shard)) for shard in self.shards.shards
-            )
-        ]
-        return api.Status(
-            self.own.member_id,
-            self.context.view.version,
-            now_ms - self.context.view_confirmed_ms,
-            tuple(members),
-            tuple(shards),
-            tuple((e.zone, e.state.value) for e in self.context.view.zones),
+        return node_status(
+            self.own,
+            self.context,
+            self.shards,
+            self.membership,
+            self.ownership,
+            self.hosts,
+            now_ms,
         )
-
-    def _is_open(self, shard: str) -> bool:
-        return shard in self.hosts and self.hosts[shard].open
