Membership and ownership that settle lost answers and never churn

Cause: a lost answer of a registration or a claim was never settled, nobody gave a shard away, an owner without proof went on for ever, and heartbeats grew with the square of the members.

Change: registration as a machine of its own (a lapsed lease registers again, doubt is read back, clean removal when stopping); reads of members and owners only of what changed; claims wait a grace after an outage and are never made on a member that answers; the horizon without proof; hand-over to the preferred member, one at a time, four while stopping; the second named at the claim, with the earlier ones kept until collected, and changed by repeated compare-and-swap. Heartbeats slow down beyond ten peers, a lapsed peer is probed at the full rate, and summaries go within a byte budget that each peer has a share of (a budget in common starved the later peers).

--- a/poplarlb/coordination/membership.py
+++ b/poplarlb/coordination/membership.py
@@ -1,20 +1,36 @@
 """Which daemons are members: store leases and peer heartbeats."""
 
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.gossip import Gossip
+from poplarlb.coordination.registration import Registration
 from poplarlb.coordination.sharding import Member
 from poplarlb.protocol import codec, messages, ports
 
+READ_PERIOD_MS = 1_500
+FULL_READ_PERIOD_MS = 30_000
+FULL_READ_MS_PER_PEER = 100
+PEERS_AT_FULL_RATE = 10
+SILENT_HEARTBEATS = 3
+FORGET_AFTER_MS = 600_000
+
 
 @define
 class HeardMember:
-    """A member and the last heartbeat that came from it."""
+    """A member and the last heartbeat that came from it.
+
+    ``heartbeat.summaries`` holds the newest summary of each of its shards.
+    """
 
     member: Member
     registered: bool = True
     heard_ms: int = 0
     heartbeat: messages.Heartbeat | None = None
+    registered_since_ms: int = 0
+    unregistered_since_ms: int = 0
+    sent_ms: int = 0
+    next_beat_ms: int = 0
 
 
 @define
@@ -24,24 +40,81 @@
     context: NodeContext
     own: Member
     peers: dict[str, HeardMember] = Factory(dict)
-    lease_id: int = 0
-    own_version: int = 0
+    registration: Registration | None = None
+    gossip: Gossip | None = None
     store_contact_ms: int = 0
-    calls: dict[int, int] = Factory(dict)
-    next_step_ms: int = 0
-    next_heartbeat_ms: int = 0
     stopping: bool = False
+    read_call: int = 0
+    read_sent_ms: int = 0
+    read_revision: int = 0
+    read_full: bool = False
+    next_read_ms: int = 0
+    next_full_read_ms: int = 0
+    registration_sent_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts."""
+        settings = self.context.settings.members
+        self.registration = Registration(self.context, self.own)
+        self.gossip = Gossip(settings.gossip_bytes_per_s)
+
+    @property
+    def registered(self) -> bool:
+        """Whether our own record is in the store, as far as we know."""
+        return self.registration.version != 0
+
+    @property
+    def left(self) -> bool:
+        """Whether our own record was removed after ``leave``."""
+        return self.registration.left
+
+    def leave(self) -> None:
+        """Begin to stop: heartbeats say so and no shard is taken any more."""
+        self.stopping = True
+
+    def deregister(self) -> None:
+        """Remove our record from the store; ``left`` tells when it is done."""
+        self.registration.leaving = True
 
     def live_members(self, now_ms: int) -> list[Member]:
         """Return the registered members, this daemon included unless stopping."""
-        peers = [p.member for p in self.peers.values() if p.registered]
+        peers = [
+            peer.member
+            for peer in self.peers.values()
+            if peer.registered and not _stops(peer)
+        ]
         return peers if self.stopping else [self.own, *peers]
 
     def answers(self, member_id: str, now_ms: int) -> bool:
         """Tell whether the member was heard from lately."""
         peer = self.peers.get(member_id)
-        limit = self.context.settings.members.suspect_after_ms
-        return peer is not None and now_ms - peer.heard_ms < limit
+        return peer is not None and now_ms - peer.heard_ms < self._silence_ms()
+
+    def is_settled(self, member_id: str, now_ms: int) -> bool:
+        """Tell whether a member answers and has been registered for a while."""
+        grace_ms = self.context.settings.members.registration_grace_ms
+        peer = self.peers.get(member_id)
+        return (
+            peer is not None
+            and peer.registered
+            and now_ms - peer.registered_since_ms >= grace_ms
+            and self.answers(member_id, now_ms)
+        )
+
+    def is_gone(self, member_id: str, now_ms: int) -> bool:
+        """Tell whether a member is not registered and has not answered since.
+
+        A member whose lease lapsed is sent heartbeats at the full rate, so one
+        that lives answers within ``suspect_after_ms``.
+        """
+        if member_id == self.own.member_id:
+            return False
+        peer = self.peers.get(member_id)
+        if peer is None:
+            return True
+        since_ms = max(peer.heard_ms, peer.unregistered_since_ms)
+        silence_ms = self.context.settings.members.suspect_after_ms
+        return not peer.registered and now_ms - since_ms >= silence_ms
 
     def address_of(self, member_id: str) -> str:
         """Return a member's address for daemons, or an empty string."""
@@ -57,90 +130,171 @@
         """Advance membership and return store calls and heartbeats."""
         match event:
             case ports.Tick():
-                return [*self._step(now_ms), *self._heartbeats(now_ms, summaries)]
+                calls = [*self._register(now_ms), *self._read(now_ms)]
+                return [*calls, *self._heartbeats(now_ms, summaries)]
             case ports.StoreReplied(call_id=call_id, result=result):
-                if call_id in self.calls:
-                    return self._settle(result, self.calls.pop(call_id), now_ms)
+                return self._settle(call_id, result, now_ms)
             case ports.PeerReceived(
                 sender=sender, message=messages.Heartbeat() as beat
             ):
-                self._heard(sender, beat, now_ms)
+                self._hear(sender, beat, now_ms)
         return []
 
-    def _heard(self, sender: str, beat: messages.Heartbeat, now_ms: int) -> None:
-        if sender in self.peers:
-            self.peers[sender].heard_ms = now_ms
-            self.peers[sender].heartbeat = beat
+    # --- the store -----------------------------------------------------------------
 
-    def _prefix(self) -> str:
-        return self.context.settings.store.prefix + "members/"
+    def _register(self, now_ms: int) -> list[ports.StoreCall]:
+        calls = self.registration.step(now_ms)
+        if calls:
+            self.registration_sent_ms = now_ms
+        return calls
 
-    def _call(self, operation: ports.StoreOperation, now_ms: int) -> ports.StoreCall:
-        call_id = self.context.next_call()
-        self.calls[call_id] = now_ms
-        return ports.StoreCall(call_id, operation)
-
-    def _step(self, now_ms: int) -> list[ports.Command]:
-        if now_ms < self.next_step_ms or self.calls:
+    def _read(self, now_ms: int) -> list[ports.StoreCall]:
+        if self.read_call or now_ms < self.next_read_ms:
             return []
-        settings = self.context.settings.members
-        self.next_step_ms = now_ms + settings.lease_s * 1000 // 4
-        if self.lease_id == 0:
-            return [self._call(ports.StoreLeaseGrant(settings.lease_s), now_ms)]
-        return [
-            self._call(ports.StoreLeaseRenew(self.lease_id), now_ms),
-            self._call(ports.StoreRead(self._prefix()), now_ms),
-        ]
+        self.next_read_ms = now_ms + READ_PERIOD_MS
+        self.read_full = self._full_read_due(now_ms)
+        if self.read_full:
+            period_ms = FULL_READ_MS_PER_PEER * len(self.peers)
+            self.next_full_read_ms = now_ms + max(READ_PERIOD_MS, period_ms)
+        self.read_call = self.context.next_call()
+        self.read_sent_ms = now_ms
+        newer_than = 0 if self.read_full else self.read_revision
+        operation = ports.StoreRead(
+            self.context.settings.store.prefix + "members/", newer_than
+        )
+        return [ports.StoreCall(self.read_call, operation)]
+
+    def _full_read_due(self, now_ms: int) -> bool:
+        # Only a full read shows which records have vanished.
+        if self.read_revision == 0:
+            return True
+        if now_ms < self.next_full_read_ms:
+            return False
+        silent = any(
+            peer.registered and not self.answers(name, now_ms)
+            for name, peer in self.peers.items()
+        )
+        return silent or now_ms >= self.next_full_read_ms + FULL_READ_PERIOD_MS
 
     def _settle(
-        self, result: ports.StoreResult, sent_ms: int, now_ms: int
+        self, call_id: int, result: ports.StoreResult, now_ms: int
     ) -> list[ports.Command]:
-        if not isinstance(result, ports.StoreFailed):
-            self.store_contact_ms = max(self.store_contact_ms, sent_ms)
-        match result:
-            case ports.StoreLease(ttl_s=0):
-                self.lease_id = 0
-                self.own_version = 0
-                self.next_step_ms = now_ms
-            case ports.StoreLease(lease_id=lease_id) if lease_id != self.lease_id:
-                self.lease_id = lease_id
-                return [self._register(now_ms)]
-            case ports.StoreEntries(entries=entries):
-                self._read_members(entries)
+        answered = not isinstance(result, ports.StoreFailed)
+        if call_id == self.registration.call_id:
+            self.registration.settle(result, now_ms)
+            if answered:
+                self._note_contact(self.registration_sent_ms)
+            return self._register(now_ms)
+        if call_id == self.read_call:
+            self.read_call = 0
+            if isinstance(result, ports.StoreEntries):
+                self._note_contact(self.read_sent_ms)
+                self._take_members(result, now_ms)
         return []
 
-    def _register(self, now_ms: int) -> ports.StoreCall:
-        value = codec.encode(self.own, Member)
-        key = self._prefix() + self.own.member_id
-        write = ports.StoreWrite(key, value, self.own_version, self.lease_id)
-        self.next_step_ms = now_ms
-        return self._call(write, now_ms)
-
-    def _read_members(self, entries: tuple[ports.StoreEntry, ...]) -> None:
-        seen = [codec.decode(entry.value, Member) for entry in entries]
-        for peer in self.peers.values():
-            peer.registered = False
-        for member in seen:
-            if member.member_id == self.own.member_id:
+    def _note_contact(self, sent_ms: int) -> None:
+        self.store_contact_ms = max(self.store_contact_ms, sent_ms)
+
+    def _take_members(self, result: ports.StoreEntries, now_ms: int) -> None:
+        self.read_revision = result.revision
+        found = [codec.decode(entry.value, Member) for entry in result.entries]
+        others = {m.member_id: m for m in found if m.member_id != self.own.member_id}
+        for name, member in others.items():
+            self._take_member(name, member, now_ms)
+        if not self.read_full:
+            return
+        for name, peer in list(self.peers.items()):
+            if name in others:
                 continue
-            peer = self.peers.setdefault(member.member_id, HeardMember(member))
-            peer.member = member
+            if peer.registered:
+                peer.registered = False
+                peer.unregistered_since_ms = now_ms
+                peer.next_beat_ms = now_ms
+            since_ms = max(peer.heard_ms, peer.unregistered_since_ms)
+            if now_ms - since_ms >= FORGET_AFTER_MS:
+                del self.peers[name]
+                self.gossip.forget(name)
+
+    def _take_member(self, name: str, member: Member, now_ms: int) -> None:
+        peer = self.peers.get(name)
+        if peer is None or peer.member != member:
+            self.gossip.forget(name)
+            peer = HeardMember(member, False, peer.heard_ms if peer else 0)
+            self.peers[name] = peer
+        if not peer.registered:
             peer.registered = True
+            peer.registered_since_ms = now_ms
+
+    # --- heartbeats ----------------------------------------------------------------
+
+    def _period_ms(self) -> int:
+        # Grows with the number of peers, which bounds the messages sent in all.
+        settings = self.context.settings.members
+        peers = max(len(self.peers), PEERS_AT_FULL_RATE)
+        return settings.heartbeat_ms * peers // PEERS_AT_FULL_RATE
+
+    def _silence_ms(self) -> int:
+        settings = self.context.settings.members
+        return max(settings.suspect_after_ms, SILENT_HEARTBEATS * self._period_ms())
+
+    def _hear(self, sender: str, beat: messages.Heartbeat, now_ms: int) -> None:
+        peer = self.peers.get(sender)
+        if peer is None or beat.incarnation < peer.member.incarnation:
+            return
+        peer.heard_ms = now_ms
+        known = peer.heartbeat.summaries if peer.heartbeat else ()
+        merged = {item.shard: item for item in (*known, *beat.summaries)}
+        peer.heartbeat = evolve(beat, summaries=tuple(merged.values()))
+        self._drop_outdated(sender, beat.summaries)
+        # A peer that sends sooner than we would wants to know whether we live.
+        full_rate_ms = self.context.settings.members.heartbeat_ms
+        if now_ms - peer.sent_ms >= full_rate_ms:
+            peer.next_beat_ms = now_ms
+
+    def _drop_outdated(
+        self, sender: str, summaries: tuple[messages.ShardSummary, ...]
+    ) -> None:
+        newest = {item.shard: item.epoch for item in summaries}
+        for name, peer in self.peers.items():
+            if name == sender or peer.heartbeat is None:
+                continue
+            kept = tuple(
+                item
+                for item in peer.heartbeat.summaries
+                if item.epoch >= newest.get(item.shard, 0)
+            )
+            if len(kept) < len(peer.heartbeat.summaries):
+                peer.heartbeat = evolve(peer.heartbeat, summaries=kept)
 
     def _heartbeats(
         self, now_ms: int, summaries: tuple[messages.ShardSummary, ...]
     ) -> list[ports.Command]:
-        if now_ms < self.next_heartbeat_ms:
-            return []
-        self.next_heartbeat_ms = now_ms + self.context.settings.members.heartbeat_ms
+        return [
+            self._beat(name, peer, now_ms, summaries)
+            for name, peer in self.peers.items()
+            if now_ms >= peer.next_beat_ms
+        ]
+
+    def _beat(
+        self,
+        name: str,
+        peer: HeardMember,
+        now_ms: int,
+        summaries: tuple[messages.ShardSummary, ...],
+    ) -> ports.SendPeer:
+        full_rate_ms = self.context.settings.members.heartbeat_ms
+        period_ms = self._period_ms() if peer.registered else full_rate_ms
+        peer.next_beat_ms = now_ms + period_ms
+        peer.sent_ms = now_ms
         beat = messages.Heartbeat(
             self.own.incarnation,
             self.context.view.version,
             now_ms - self.store_contact_ms,
-            summaries,
+            self.gossip.choose(name, summaries, now_ms),
             self.stopping,
         )
-        return [
-            ports.SendPeer(name, peer.member.peer_address, beat)
-            for name, peer in self.peers.items()
-        ]
+        return ports.SendPeer(name, peer.member.peer_address, beat)
+
+
+def _stops(peer: HeardMember) -> bool:
+    return peer.heartbeat is not None and peer.heartbeat.stopping
--- a/poplarlb/coordination/ownership.py
+++ b/poplarlb/coordination/ownership.py
@@ -1,16 +1,25 @@
 """Which daemon owns which shard: compare-and-swap on owner records."""
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.sharding import ShardMap, owner_order
+from poplarlb.coordination.sharding import Member, ShardMap, choose_second, owner_order
 from poplarlb.protocol import codec, ports
 
+READ_PERIOD_MS = 1_000
+MOVE_PERIOD_MS = 2_000
+MOVES_WHILE_STOPPING = 4
+EARLIER_SECONDS_KEPT = 8
+
 
 @frozen
 class OwnerRecord:
-    """Who owns a shard, under which epoch, and who holds its key marks."""
+    """Who owns a shard, under which epoch, and who holds its key marks.
+
+    ``earlier_seconds`` were named under earlier epochs and may hold marks that
+    no owner has collected yet; ``name_second`` clears them.
+    """
 
     shard: str
     owner: str
@@ -18,6 +27,7 @@
     incarnation: int = 0
     second: str = ""
     members: tuple[str, ...] = ()
+    earlier_seconds: tuple[str, ...] = ()
 
 
 @frozen
@@ -29,12 +39,28 @@
 
 @frozen
 class ShardLost:
-    """Another daemon owns the shard; step down at once."""
+    """Another daemon owns the shard, or may; step down at once."""
 
     shard: str
 
 
-OwnershipOutput = ports.StoreCall | ShardAcquired | ShardLost
+@frozen
+class HandOverWanted:
+    """The shard should move to ``member_id``: flush it, then call ``hand_over``."""
+
+    shard: str
+    member_id: str
+
+
+OwnershipOutput = ports.StoreCall | ShardAcquired | ShardLost | HandOverWanted
+
+
+@frozen
+class _Write:
+    """A write of an owner record that is in flight."""
+
+    record: OwnerRecord
+    sent_ms: int
 
 
 @define
@@ -47,19 +73,26 @@
     records: dict[str, OwnerRecord] = Factory(dict)
     versions: dict[str, int] = Factory(dict)
     held: dict[str, int] = Factory(dict)
+    used: dict[str, int] = Factory(dict)
     proofs_ms: dict[str, int] = Factory(dict)
-    claims: dict[int, OwnerRecord] = Factory(dict)
+    writes: dict[int, _Write] = Factory(dict)
+    unsettled: dict[str, int] = Factory(dict)
+    naming: dict[str, str] = Factory(dict)
+    moving: dict[str, int] = Factory(dict)
     read_call: int = 0
     read_sent_ms: int = 0
-    read_done: bool = False
+    read_revision: int = 0
+    read_answered_ms: int = 0
     next_read_ms: int = 0
+    next_move_ms: int = 0
+    claims_from_ms: int = 0
 
     def owner_of(self, shard: str) -> OwnerRecord | None:
         """Return the last known owner record of a shard."""
         return self.records.get(shard)
 
     def proof_ms(self, shard: str) -> int:
-        """Return when the last read that proved our ownership was sent."""
+        """Return when the last call that proved our ownership was sent."""
         return self.proofs_ms.get(shard, 0)
 
     def handle(
@@ -68,84 +101,249 @@
         """Advance ownership; returns store calls and changes of ownership."""
         match event:
             case ports.Tick():
-                return [*self._read(now_ms), *self._claim(now_ms)]
+                return [
+                    *self._expire(now_ms),
+                    *self._read(now_ms),
+                    *self._claim(now_ms),
+                    *self._name_seconds(now_ms),
+                    *self._move(now_ms),
+                ]
             case ports.StoreReplied(call_id=call_id, result=result):
                 if call_id == self.read_call:
-                    return self._settle_read(result)
-                if call_id in self.claims:
-                    return self._settle_claim(self.claims.pop(call_id), result)
+                    return self._settle_read(result, now_ms)
+                if call_id in self.writes:
+                    return self._settle_write(call_id, result, now_ms)
         return []
 
+    def hand_over(self, shard: str, now_ms: int) -> list[OwnershipOutput]:
+        """Name the preferred live member as owner, with the next epoch.
+
+        The shard must be flushed and must take no more decisions. Nothing is done
+        if no other member may take it; ``HandOverWanted`` then comes again.
+        """
+        target = self._target(shard, now_ms)
+        if shard not in self.held or self._is_written(shard) or target is None:
+            return []
+        return [self._write(self._next_record(shard, target, now_ms), now_ms)]
+
+    def name_second(self, shard: str, member_id: str) -> None:
+        """Name the member that holds the key marks of a shard that we own.
+
+        Call it only when the marks of the earlier ones have been collected;
+        ``certain_second`` shows when it is done.
+        """
+        if shard in self.held:
+            self.naming[shard] = member_id
+
+    def certain_second(self, shard: str) -> str:
+        """Return who holds a shard's key marks, or nothing while that changes."""
+        record = self.records.get(shard)
+        if record is None or shard in self.naming:
+            return ""
+        return record.second
+
+    # --- reading -------------------------------------------------------------------
+
     def _prefix(self) -> str:
         return self.context.settings.store.prefix + "owners/"
 
     def _read(self, now_ms: int) -> list[OwnershipOutput]:
         if now_ms < self.next_read_ms or self.read_call:
             return []
-        self.next_read_ms = now_ms + 1_000
+        self.next_read_ms = now_ms + READ_PERIOD_MS
         self.read_call = self.context.next_call()
         self.read_sent_ms = now_ms
-        return [ports.StoreCall(self.read_call, ports.StoreRead(self._prefix()))]
+        operation = ports.StoreRead(self._prefix(), self.read_revision)
+        return [ports.StoreCall(self.read_call, operation)]
 
-    def _settle_read(self, result: ports.StoreResult) -> list[OwnershipOutput]:
+    def _settle_read(
+        self, result: ports.StoreResult, now_ms: int
+    ) -> list[OwnershipOutput]:
         self.read_call = 0
         if not isinstance(result, ports.StoreEntries):
             return []
-        self.read_done = True
+        self._note_answer(now_ms)
+        self.read_revision = max(self.read_revision, result.revision)
         outputs: list[OwnershipOutput] = []
         for entry in result.entries:
             record = codec.decode(entry.value, OwnerRecord)
-            self.records[record.shard] = record
-            self.versions[record.shard] = entry.version
-            if self.held.get(record.shard) == record.epoch:
-                self.proofs_ms[record.shard] = self.read_sent_ms
-            elif record.shard in self.held:
-                del self.held[record.shard]
-                outputs.append(ShardLost(record.shard))
+            if entry.version > self.versions.get(record.shard, 0):
+                outputs.extend(self._take(record, entry.version, self.read_sent_ms))
+        for shard in self.held:
+            self._prove(shard, self.read_sent_ms)
+        self.unsettled = {
+            shard: failed_ms
+            for shard, failed_ms in self.unsettled.items()
+            if failed_ms > self.read_sent_ms
+        }
+        return outputs
+
+    def _note_answer(self, now_ms: int) -> None:
+        settings = self.context.settings.members
+        if now_ms - self.read_answered_ms >= settings.lease_s * 1000 // 2:
+            # Leases may have lapsed while the store was away; their holders get
+            # time to register again.
+            self.claims_from_ms = now_ms + settings.registration_grace_ms
+        self.read_answered_ms = now_ms
+
+    def _take(
+        self, record: OwnerRecord, version: int, sent_ms: int
+    ) -> list[OwnershipOutput]:
+        """Take in a newer record; returns what it changes for us."""
+        shard = record.shard
+        self.records[shard] = record
+        self.versions[shard] = version
+        if self.naming.get(shard) == record.second and not record.earlier_seconds:
+            del self.naming[shard]
+        if self.held.get(shard) == record.epoch:
+            return []
+        outputs: list[OwnershipOutput] = self._drop(shard)
+        if self._names_us(record) and record.epoch > self.used.get(shard, 0):
+            self.held[shard] = record.epoch
+            self.used[shard] = record.epoch
+            self._prove(shard, sent_ms)
+            outputs.append(ShardAcquired(record))
         return outputs
 
+    def _names_us(self, record: OwnerRecord) -> bool:
+        own = self.membership.own
+        ours = (own.member_id, own.incarnation)
+        return (record.owner, record.incarnation) == ours
+
+    def _drop(self, shard: str) -> list[OwnershipOutput]:
+        self.moving.pop(shard, None)
+        self.naming.pop(shard, None)
+        if self.held.pop(shard, None) is None:
+            return []
+        return [ShardLost(shard)]
+
+    def _prove(self, shard: str, sent_ms: int) -> None:
+        self.proofs_ms[shard] = max(sent_ms, self.proofs_ms.get(shard, 0))
+
+    def _expire(self, now_ms: int) -> list[OwnershipOutput]:
+        horizon_ms = self.context.settings.members.orphan_horizon_ms
+        expired = [s for s in self.held if now_ms - self.proofs_ms[s] >= horizon_ms]
+        return [output for shard in expired for output in self._drop(shard)]
+
+    # --- writing -------------------------------------------------------------------
+
+    def _is_written(self, shard: str) -> bool:
+        flying = any(write.record.shard == shard for write in self.writes.values())
+        return flying or shard in self.unsettled
+
+    def _write(self, record: OwnerRecord, now_ms: int) -> ports.StoreCall:
+        version = self.versions.get(record.shard, 0)
+        call_id = self.context.next_call()
+        self.writes[call_id] = _Write(record, now_ms)
+        value = codec.encode(record, OwnerRecord)
+        operation = ports.StoreWrite(self._prefix() + record.shard, value, version)
+        return ports.StoreCall(call_id, operation)
+
+    def _settle_write(
+        self, call_id: int, result: ports.StoreResult, now_ms: int
+    ) -> list[OwnershipOutput]:
+        write = self.writes.pop(call_id)
+        shard = write.record.shard
+        match result:
+            case ports.StoreWritten(applied=True, version=version):
+                if version <= self.versions.get(shard, 0):
+                    return []
+                self._note_proof(write)
+                return self._take(write.record, version, write.sent_ms)
+        # A read sent from now on shows whether the write took effect; until then
+        # nothing more is written for the shard.
+        self.unsettled[shard] = now_ms
+        if isinstance(result, ports.StoreWritten):
+            self.next_read_ms = now_ms
+        return []
+
+    def _note_proof(self, write: _Write) -> None:
+        if self.held.get(write.record.shard) == write.record.epoch:
+            self._prove(write.record.shard, write.sent_ms)
+
+    def _next_record(self, shard: str, owner: Member, now_ms: int) -> OwnerRecord:
+        old = self.records.get(shard)
+        live = self.membership.live_members(now_ms)
+        second = choose_second(shard, owner, live)
+        if old is None:
+            return OwnerRecord(shard, owner.member_id, 1, owner.incarnation, second)
+        earlier = dict.fromkeys([*old.earlier_seconds, old.second])
+        earlier.pop("", None)
+        epoch = max(old.epoch, self.used.get(shard, 0)) + 1
+        return OwnerRecord(
+            shard,
+            owner.member_id,
+            epoch,
+            owner.incarnation,
+            second,
+            earlier_seconds=tuple(earlier)[-EARLIER_SECONDS_KEPT:],
+        )
+
+    def _name_seconds(self, now_ms: int) -> list[OwnershipOutput]:
+        # Repeated until the record changes, so that no earlier write of the name
+        # can take effect afterwards.
+        return [
+            self._write(
+                evolve(self.records[shard], second=member_id, earlier_seconds=()),
+                now_ms,
+            )
+            for shard, member_id in self.naming.items()
+            if not self._is_written(shard)
+        ]
+
+    # --- claims --------------------------------------------------------------------
+
     def _claim(self, now_ms: int) -> list[OwnershipOutput]:
-        if not self.read_done or self.membership.own_version == -1:
+        ready = self.membership.registered and not self.membership.stopping
+        if not ready or not self.read_answered_ms:
             return []
         live = self.membership.live_members(now_ms)
-        claimed = {record.shard for record in self.claims.values()}
         return [
-            self._claim_one(shard)
+            self._write(self._next_record(shard, self.membership.own, now_ms), now_ms)
             for shard in self.shards.shards
             if shard not in self.held
-            and shard not in claimed
-            and self._wanted(shard, live, now_ms)
+            and self._wants(shard, live, now_ms)
+            and not self._is_written(shard)
         ]
 
-    def _wanted(self, shard: str, live: list, now_ms: int) -> bool:
-        order = owner_order(shard, live)
-        if not order or order[0].member_id != self.membership.own.member_id:
-            return False
+    def _wants(self, shard: str, live: list[Member], now_ms: int) -> bool:
         record = self.records.get(shard)
-        if record is None or record.owner == self.membership.own.member_id:
+        own = self.membership.own
+        if record is not None and record.owner == own.member_id:
+            return True
+        if owner_order(shard, live)[0].member_id != own.member_id:
+            return False
+        if record is None:
             return True
-        registered = any(member.member_id == record.owner for member in live)
-        return not registered and not self.membership.answers(record.owner, now_ms)
+        gone = self.membership.is_gone(record.owner, now_ms)
+        return gone and now_ms >= self.claims_from_ms
 
-    def _claim_one(self, shard: str) -> OwnershipOutput:
-        own = self.membership.own
-        old = self.records.get(shard)
-        epoch = old.epoch + 1 if old else 1
-        record = OwnerRecord(shard, own.member_id, epoch, own.incarnation)
-        call_id = self.context.next_call()
-        self.claims[call_id] = record
-        value = codec.encode(record, OwnerRecord)
-        version = self.versions.get(shard, 0)
-        write = ports.StoreWrite(self._prefix() + shard, value, version)
-        return ports.StoreCall(call_id, write)
+    # --- moves ---------------------------------------------------------------------
 
-    def _settle_claim(
-        self, record: OwnerRecord, result: ports.StoreResult
-    ) -> list[OwnershipOutput]:
-        match result:
-            case ports.StoreWritten(applied=True, version=version):
-                self.records[record.shard] = record
-                self.versions[record.shard] = version
-                self.held[record.shard] = record.epoch
-                return [ShardAcquired(record)]
-        return []
+    def _move(self, now_ms: int) -> list[OwnershipOutput]:
+        """Ask for shards to be handed over, a few at a time."""
+        stopping = self.membership.stopping
+        limit = MOVES_WHILE_STOPPING if stopping else 1
+        self.moving = {s: t for s, t in self.moving.items() if now_ms - t < 10_000}
+        if now_ms < self.next_move_ms and not stopping:
+            return []
+        wanted = [
+            HandOverWanted(shard, target.member_id)
+            for shard, target in ((s, self._target(s, now_ms)) for s in self.held)
+            if target is not None and shard not in self.moving
+        ]
+        chosen = wanted[: max(0, limit - len(self.moving))]
+        for output in chosen:
+            self.moving[output.shard] = now_ms
+            self.next_move_ms = now_ms + MOVE_PERIOD_MS
+        return chosen
+
+    def _target(self, shard: str, now_ms: int) -> Member | None:
+        """Return the member that should have a shard of ours, if it can now."""
+        own = self.membership.own
+        for member in owner_order(shard, self.membership.live_members(now_ms)):
+            if member.member_id == own.member_id:
+                return None
+            if self.membership.is_settled(member.member_id, now_ms):
+                return member
+        return None
--- /dev/null
+++ b/poplarlb/coordination/registration.py
@@ -0,0 +1,124 @@
+"""Keeps this daemon's member record in the store under a lease."""
+
+from attrs import define, field
+
+from poplarlb.coordination.backoff import Backoff
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.sharding import Member
+from poplarlb.protocol import codec, ports
+
+
+@define
+class Registration:
+    """Grants, registers, renews, and registers again when the lease lapsed.
+
+    One call is in flight at a time. ``version`` is that of our record in the
+    store, 0 while there is none. ``left`` tells that it was removed on purpose.
+    """
+
+    context: NodeContext
+    own: Member
+    lease_id: int = 0
+    version: int = 0
+    expected_version: int = 0
+    doubtful: bool = False
+    leaving: bool = False
+    left: bool = False
+    superseded: bool = False
+    call_id: int = 0
+    operation: ports.StoreOperation | None = None
+    next_renewal_ms: int = 0
+    backoff: Backoff = field(factory=Backoff)
+
+    @property
+    def key(self) -> str:
+        """The key of our record."""
+        prefix = self.context.settings.store.prefix
+        return f"{prefix}members/{self.own.member_id}"
+
+    def step(self, now_ms: int) -> list[ports.StoreCall]:
+        """Return the next call, if one is due."""
+        if self.call_id or self.left or not self.backoff.ready(now_ms):
+            return []
+        self.operation = self._next_operation(now_ms)
+        if self.operation is None:
+            return []
+        self.call_id = self.context.next_call()
+        return [ports.StoreCall(self.call_id, self.operation)]
+
+    def _next_operation(self, now_ms: int) -> ports.StoreOperation | None:
+        if self.doubtful:
+            return ports.StoreRead(self.key)
+        if self.leaving:
+            return ports.StoreDelete(self.key, self.version)
+        if self.superseded:
+            return None
+        lease_s = self.context.settings.members.lease_s
+        if self.lease_id == 0:
+            return ports.StoreLeaseGrant(lease_s)
+        if self.version == 0:
+            value = codec.encode(self.own, Member)
+            return ports.StoreWrite(
+                self.key, value, self.expected_version, self.lease_id
+            )
+        if now_ms < self.next_renewal_ms:
+            return None
+        self.next_renewal_ms = now_ms + lease_s * 1000 // 3
+        return ports.StoreLeaseRenew(self.lease_id)
+
+    def settle(self, result: ports.StoreResult, now_ms: int) -> None:
+        """Take the result of the call in flight."""
+        self.call_id = 0
+        self.backoff.succeed()
+        match result:
+            case ports.StoreLease(ttl_s=0):
+                self._lapse()
+            case ports.StoreLease(lease_id=lease_id):
+                self.lease_id = lease_id
+            case ports.StoreWritten(applied=True) if self._deletes:
+                self.left = True
+            case ports.StoreWritten(applied=True, version=version):
+                self._register(version, now_ms)
+            case ports.StoreWritten():
+                self.doubtful = True
+            case ports.StoreEntries(entries=entries):
+                self._compare(entries)
+            case _:
+                self._fail(now_ms)
+
+    @property
+    def _deletes(self) -> bool:
+        return isinstance(self.operation, ports.StoreDelete)
+
+    def _fail(self, now_ms: int) -> None:
+        self.backoff.fail(now_ms)
+        if isinstance(self.operation, ports.StoreWrite):
+            # The lease may have lapsed, or hold a record that we don't know of;
+            # the next registration gets a new one.
+            self.lease_id = 0
+        if isinstance(self.operation, ports.StoreWrite | ports.StoreDelete):
+            self.doubtful = True
+
+    def _lapse(self) -> None:
+        self.lease_id = 0
+        self.version = 0
+        self.expected_version = 0
+
+    def _register(self, version: int, now_ms: int) -> None:
+        self.version = version
+        lease_s = self.context.settings.members.lease_s
+        self.next_renewal_ms = now_ms + lease_s * 1000 // 3
+
+    def _compare(self, entries: tuple[ports.StoreEntry, ...]) -> None:
+        self.doubtful = False
+        found = next((entry for entry in entries if entry.key == self.key), None)
+        self.expected_version = found.version if found else 0
+        if found is None:
+            self.left = self.leaving
+            self.version = 0
+            return
+        member = codec.decode(found.value, Member)
+        self.superseded = member.incarnation > self.own.incarnation
+        if self.leaving:
+            self.version = found.version
+            self.left = self.superseded
--- a/poplarlb/coordination/sharding.py
+++ b/poplarlb/coordination/sharding.py
@@ -80,3 +80,15 @@
         members,
         key=lambda m: (m.zone == zone, -score(shard, m.member_id)),
     )
+
+
+def choose_second(shard: str, owner: Member, members: Iterable[Member]) -> str:
+    """Return the member that should hold the shard's key marks beside its owner.
+
+    It is the next by preference, in another zone than the owner if there is one.
+    """
+    others = [m for m in members if m.member_id != owner.member_id]
+    order = owner_order(shard, others)
+    elsewhere = (m for m in order if m.zone != owner.zone)
+    chosen = next(elsewhere, order[0] if order else None)
+    return chosen.member_id if chosen else ""
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -48,6 +48,7 @@
     orphan_horizon_ms: int = field(
         default=1_800_000, validator=_between(10_000, 7_200_000)
     )
+    gossip_bytes_per_s: int = field(default=4_000, validator=_between(100, 10_000_000))
 
 
 @frozen
--- /dev/null
+++ b/tests/coordination/test_budget.py
@@ -0,0 +1,80 @@
+"""The budget over store calls: its rate, its order, and that nothing starves."""
+
+import collections
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplarlb.coordination.budget import (
+    CallBudget,
+    CallPriority,
+    StoreCallQueue,
+    UrgentStoreCall,
+)
+from poplarlb.protocol import ports
+from poplarlb.settings import StoreSettings
+
+SETTINGS = StoreSettings(calls_per_s=10, burst_calls=5)
+PREFIX = SETTINGS.prefix
+MAKERS = {
+    CallPriority.VITAL: lambda n: ports.StoreCall(n, ports.StoreLeaseRenew(1)),
+    CallPriority.URGENT: lambda n: UrgentStoreCall(
+        n, ports.StoreWrite(f"{PREFIX}shards/a/log/0001", b"", 0)
+    ),
+    CallPriority.REGULAR: lambda n: ports.StoreCall(
+        n, ports.StoreRead(f"{PREFIX}shards/a/log/")
+    ),
+}
+
+
+class BudgetTest(unittest.TestCase):
+    """Rate and order of store calls."""
+
+    def setUp(self) -> None:
+        """Start with a full bucket."""
+        self.queue = StoreCallQueue(CallBudget(SETTINGS))
+
+    @settings(derandomize=True, deadline=None, database=None)
+    @given(st.lists(st.tuples(st.sampled_from(CallPriority), st.integers(0, 400))))
+    def test_rate_and_order(self, steps: list) -> None:
+        """No span holds more calls than its share; each priority stays in order."""
+        queue = StoreCallQueue(CallBudget(SETTINGS))
+        released = []
+        now_ms = 0
+        for number, (priority, passed_ms) in enumerate(steps):
+            now_ms += passed_ms
+            queue.push(MAKERS[priority](number))
+            released.extend(queue.release(now_ms))
+            self.assertLessEqual(len(released), 5 + now_ms * 10 / 1000 + 1e-6)
+        released.extend(queue.release(now_ms + 500_000))
+        while len(queue):
+            now_ms += 500_000
+            released.extend(queue.release(now_ms))
+        orders = collections.defaultdict(list)
+        for call in released:
+            orders[queue.priority_of(call)].append(call.call_id)
+        for numbers in orders.values():
+            self.assertEqual(numbers, sorted(numbers))
+        self.assertEqual(len(released), len(steps))
+
+    def test_vital_first_and_none_starve(self) -> None:
+        """Under endless vital calls the others still get their turn."""
+        self.queue.push(MAKERS[CallPriority.REGULAR](1))
+        self.queue.push(MAKERS[CallPriority.URGENT](2))
+        for number in range(3, 40):
+            self.queue.push(MAKERS[CallPriority.VITAL](number))
+        released = self.queue.release(0)
+        self.assertEqual([call.call_id for call in released], [3, 4, 5, 1, 6])
+        released = self.queue.release(1_000)
+        self.assertIn(2, [call.call_id for call in released])
+
+    def test_kinds(self) -> None:
+        """Owner, member and configuration keys are vital; journals are not."""
+        for name in ("owners/", "members/d1", "config/head"):
+            read = ports.StoreCall(1, ports.StoreRead(PREFIX + name))
+            write = ports.StoreCall(1, ports.StoreWrite(PREFIX + name, b"", 0))
+            self.assertIs(self.queue.priority_of(read), CallPriority.VITAL)
+            self.assertIs(self.queue.priority_of(write), CallPriority.VITAL)
+        for priority, make in MAKERS.items():
+            self.assertIs(self.queue.priority_of(make(1)), priority)
--- a/tests/coordination/test_journal.py
+++ b/tests/coordination/test_journal.py
@@ -237,10 +237,14 @@
             self.world.tick(owner, 100 if fate == "answered" else 2_000)
 
     @precondition(lambda self: self.world.owners)
-    @rule(number=PICK, steps=st.integers(1, 6))
-    def run_promptly(self, number: int, steps: int) -> None:
-        """Let an owner work without faults."""
-        self.world.run(self.pick(number), steps)
+    @rule(number=PICK, steps=st.integers(1, 6), busy=st.booleans())
+    def run_promptly(self, number: int, steps: int, busy: bool) -> None:
+        """Let an owner work without faults, with an entry for each step or none."""
+        owner = self.pick(number)
+        for _ in range(steps):
+            if busy:
+                self.world.stage(owner, 8, True)
+            self.world.run(owner, 1)
 
     @precondition(lambda self: self.world.late)
     @rule(pick=PICK)
@@ -291,6 +295,24 @@
                 world.run(owner, 1)
                 world.finish()
 
+    def test_ring_moves_on_during_recovery(self) -> None:
+        """A recovery that the old owner overtakes begins again."""
+        for reads in range(4):
+            with self.subTest(reads=reads):
+                world = JournalWorld()
+                old = world.add(obedient=True)
+                world.run(old, 1)
+                new = world.add(obedient=True)
+                world.tick(new, 100)
+                for _ in range(reads):
+                    world.deliver(new, 0, "answered")
+                for _ in range(3 * RING.ring_slots):
+                    world.stage(old, 8, True)
+                    world.run(old, 2)
+                world.run(new, 60)
+                self.assertIs(new.journal.phase, JournalPhase.OPEN)
+                world.finish()
+
     def test_group_commit(self) -> None:
         """Items share an entry for a commit period; urgent ones don't wait."""
         world = JournalWorld()
--- /dev/null
+++ b/tests/coordination/test_membership.py
@@ -0,0 +1,174 @@
+"""Registration under faults, heartbeats and the budget of gossip."""
+
+import unittest
+
+from attrs import evolve
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.gossip import Gossip
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.sharding import Member
+from poplarlb.protocol import codec, messages, ports
+from poplarlb.settings import Settings
+from poplarlb.state.models import Resources
+from tests.standins.store import KeyTable
+
+SETTINGS = Settings("d1", "kochi")
+KEY = f"{SETTINGS.store.prefix}members/d1"
+STEP_MS = 250
+FREE = Resources(16_000, 60_000, 0)
+
+
+def make_member(name: str, incarnation: int = 1) -> Member:
+    """Return a member."""
+    return Member(name, "kochi", f"{name}:1", f"{name}:2", incarnation)
+
+
+def make_summary(number: int, queued: int = 0, endpoints: int = 10):
+    """Return a shard's summary."""
+    items = tuple(
+        messages.EndpointSummary("dairy", f"service-{n}", 4, 20, queued)
+        for n in range(endpoints)
+    )
+    shard = f"kochi/{number}"
+    return messages.ShardSummary(shard, 3, "kochi", FREE, FREE, queued, items)
+
+
+class MembershipTest(unittest.TestCase):
+    """One daemon against the store and silent or talking peers."""
+
+    def setUp(self) -> None:
+        """Start with an empty store."""
+        self.table = KeyTable()
+        self.now_ms = 1_000_000
+        self.membership = Membership(NodeContext(SETTINGS), make_member("d1"))
+        self.sent: list[ports.SendPeer] = []
+
+    def step(self, fate: str = "answered") -> None:
+        """Tick once and settle all calls alike."""
+        self.now_ms += STEP_MS
+        pending = list(self.membership.handle(ports.Tick(), self.now_ms))
+        while pending:
+            command = pending.pop(0)
+            if isinstance(command, ports.SendPeer):
+                self.sent.append(command)
+                continue
+            result = ports.StoreFailed()
+            if fate != "not sent":
+                result = self.table.execute(command.operation, self.now_ms)
+            if fate == "answer lost":
+                result = ports.StoreFailed()
+            event = ports.StoreReplied(command.call_id, result)
+            pending.extend(self.membership.handle(event, self.now_ms))
+
+    def run_for(self, span_ms: int, fate: str = "answered") -> None:
+        """Let time pass."""
+        for _ in range(span_ms // STEP_MS):
+            self.step(fate)
+
+    def hear(self, name: str, **fields: object) -> None:
+        """Let a heartbeat arrive."""
+        beat = evolve(messages.Heartbeat(1, 1, 0), **fields)
+        self.membership.handle(ports.PeerReceived(name, beat), self.now_ms)
+
+    def add_peer(self, name: str) -> int:
+        """Register a peer under a lease of its own and return the lease."""
+        lease = self.table.grant(6, self.now_ms)
+        value = codec.encode(make_member(name), Member)
+        self.table.put(f"{SETTINGS.store.prefix}members/{name}", value, lease)
+        return lease
+
+    @settings(derandomize=True, deadline=None, database=None, max_examples=60)
+    @given(
+        st.lists(st.sampled_from(("answered", "answer lost", "not sent")), max_size=60),
+        st.booleans(),
+    )
+    def test_registration_settles(self, fates: list[str], restarted: bool) -> None:
+        """Whatever was lost, the record ends up under a lease that is renewed."""
+        self.setUp()
+        if restarted:
+            older = codec.encode(make_member("d1", 0), Member)
+            self.table.put(KEY, older, self.table.grant(6, self.now_ms))
+        for fate in fates:
+            self.step(fate)
+        self.run_for(10_000)
+        for _ in range(80):
+            self.step()
+            self.assertIn(KEY, self.table.items)
+        found = codec.decode(self.table.items[KEY].value, Member)
+        self.assertEqual(found, self.membership.own)
+        self.membership.deregister()
+        for fate in fates[:20]:
+            self.step(fate)
+        self.run_for(10_000)
+        self.assertTrue(self.membership.left)
+        self.assertNotIn(KEY, self.table.items)
+
+    def test_lapsed_lease_registers_again(self) -> None:
+        """After an outage longer than the lease the same incarnation is back."""
+        self.run_for(2_000)
+        self.run_for(20_000, "not sent")
+        self.table.expire(self.now_ms)
+        self.assertNotIn(KEY, self.table.items)
+        self.run_for(4_000)
+        found = codec.decode(self.table.items[KEY].value, Member)
+        self.assertEqual(found.incarnation, 1)
+
+    def test_superseded(self) -> None:
+        """A newer incarnation under our id is left in place."""
+        newer = codec.encode(make_member("d1", 9), Member)
+        self.table.put(KEY, newer, 0)
+        self.run_for(5_000)
+        self.assertEqual(self.table.items[KEY].value, newer)
+        self.assertFalse(self.membership.registered)
+
+    def test_silent_and_lapsed(self) -> None:
+        """A peer is gone only if its lease lapsed and it answers no more."""
+        for name in ("d2", "d3"):
+            self.add_peer(name)
+        for _ in range(60):
+            self.step()
+            self.hear("d2")
+        self.assertFalse(self.membership.is_gone("d2", self.now_ms))
+        self.assertTrue(self.membership.is_gone("d3", self.now_ms))
+        self.assertEqual(self.membership.live_members(self.now_ms)[0].member_id, "d1")
+        self.assertIn("d3", {command.member_id for command in self.sent[-20:]})
+
+    def test_stopping_peer_is_not_live(self) -> None:
+        """A peer that says that it stops gets no shard."""
+        self.add_peer("d2")
+        self.run_for(2_000)
+        self.hear("d2", stopping=True)
+        names = [m.member_id for m in self.membership.live_members(self.now_ms)]
+        self.assertEqual(names, ["d1"])
+
+    def test_summaries_are_merged(self) -> None:
+        """A heartbeat without summaries keeps the last; a newer epoch wins."""
+        for name in ("d2", "d3"):
+            self.add_peer(name)
+        self.run_for(2_000)
+        self.hear("d2", summaries=(make_summary(1), make_summary(2)))
+        self.hear("d2")
+        self.hear("d3", summaries=(evolve(make_summary(2), epoch=4),))
+        kept = {
+            name: [(s.shard, s.epoch) for s in peer.heartbeat.summaries]
+            for name, peer in self.membership.peers.items()
+        }
+        self.assertEqual(kept, {"d2": [("kochi/1", 3)], "d3": [("kochi/2", 4)]})
+
+    def test_gossip_budget(self) -> None:
+        """Bytes stay within the budget and every peer gets every summary."""
+        gossip = Gossip(4_000)
+        summaries = tuple(make_summary(n, endpoints=20) for n in range(2))
+        got = {f"d{n}": set() for n in range(59)}
+        spent = 0
+        for second in range(120):
+            fresh = tuple(evolve(s, queued=second) for s in summaries)
+            for peer, shards in got.items():
+                for chosen in gossip.choose(peer, fresh, second * 1_000):
+                    spent += len(codec.encode(chosen, messages.ShardSummary))
+                    shards.add(chosen.shard)
+        self.assertLess(spent, 4_000 * 122 + 10_000)
+        self.assertTrue(all(len(shards) == 2 for shards in got.values()))
