--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -116,7 +116,7 @@
     learned_quantile: float = field(default=0.9, validator=_between(0.5, 1))
     relief_period_ms: int = field(default=1_000, validator=_between(50, 60_000))
     breach_share: float = field(default=0.08, validator=_between(0, 1))
-    breach_window_ms: int = field(default=10_000, validator=_between(500, 600_000))
+    breach_window_ms: int = field(default=5_000, validator=_between(500, 600_000))
     clear_ms: int = field(default=20_000, validator=_between(500, 3_600_000))
     throttle_wait_ms: int = field(default=5_000, validator=_between(100, 600_000))
     throttle_percent: int = field(default=25, validator=_between(1, 100))
