Policy: evict only when a service misses its target by far

Memory use stays under a limit, so the bench's model now keeps a quarter of a task's harm. Change: evict only past eviction_factor (3) times the limit of late requests.

--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -5,8 +5,10 @@
     base x lognormal x (1 + sum of harm x cpu share x (0.5 + load))
          x overcommitment of processors x queueing factor
 
-The harm of a pair so grows with the service's load. Reports lag and are noisy.
-A batch task progresses at its throttled share of speed; an eviction costs it
+The harm of a pair so grows with the service's load. ``HARM_KEPT`` of a task's
+harm comes from its memory and stays when its processors are limited. Reports
+lag and are noisy. A batch task progresses at its throttled share of speed; an
+eviction costs it
 ``CHECKPOINT_S`` and ``RESTART_S`` of work, and all its progress if it can't be
 checkpointed. If tasks use more memory than the worker has, the task furthest
 above its reservation fails.
@@ -37,6 +39,7 @@
 USAGE_NOISE = 0.1
 LATENCIES_KEPT = 60
 ROOM_PERIOD_S = 5
+HARM_KEPT = 0.25
 
 
 @define
@@ -76,6 +79,11 @@
         cpu = size.cpu_millis * self.throttle_percent // 100
         return Resources(cpu, size.memory_mb)
 
+    def pressure(self) -> float:
+        """Return the processors' worth of harm that the task does."""
+        limited = HARM_KEPT + (1 - HARM_KEPT) * self.throttle_percent / 100
+        return self.job.true_size.cpu_millis * limited
+
 
 @define
 class FakeWorker:
@@ -134,7 +142,7 @@
         """Return the factor on the service's latency here."""
         cpu = self.worker.capacity.cpu_millis
         harm = sum(
-            task.job.kind.harm * task.used().cpu_millis / cpu
+            task.job.kind.harm * task.pressure() / cpu
             for task in self.tasks
             if task.job and task.stop_at_s is None
         )
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/relief.py
@@ -230,7 +230,7 @@
         cooldown_ms = self.settings.worker_cooldown_ms
         if record.evicted_ms is not None and now_ms - record.evicted_ms < cooldown_ms:
             return None
-        if self.budget.left(now_ms) <= 0:
+        if self.budget.left(now_ms) <= 0 or not self._is_severe(room, breached, now_ms):
             return None
         best = max(suspects, key=lambda item: item.harm / item.cost_ms)
         self.budget.take(now_ms)
@@ -244,6 +244,17 @@
             f"{names} slowed by {best.harm:.2f}; costs {best.cost_ms:.0f} ms",
         )
 
+    def _is_severe(
+        self, room: WorkerRoom, breached: Iterable[TaskSpec], now_ms: int
+    ) -> bool:
+        """Tell whether a service misses its target enough to lose batch work."""
+        worker_id = room.worker.worker_id
+        return any(
+            self.breaches.late_share(name, worker_id, now_ms)
+            > self.settings.eviction_factor * self.breaches.limit_of(name)
+            for name in map(service_of, breached)
+        )
+
     def _restore(
         self, room: WorkerRoom, record: WorkerRelief, now_ms: int
     ) -> ThrottleWanted | None:
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -117,6 +117,7 @@
     relief_period_ms: int = field(default=1_000, validator=_between(50, 60_000))
     breach_share: float = field(default=0.08, validator=_between(0, 1))
     breach_window_ms: int = field(default=5_000, validator=_between(500, 600_000))
+    eviction_factor: float = field(default=3.0, validator=_between(1, 100))
     clear_ms: int = field(default=20_000, validator=_between(500, 3_600_000))
     throttle_wait_ms: int = field(default=5_000, validator=_between(100, 600_000))
     throttle_percent: int = field(default=25, validator=_between(1, 100))
