--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -60,7 +60,12 @@
 
 @frozen
 class ViewWanted:
-    """Ask a peer for its configuration."""
+    """Ask a peer for its configuration.
+
+    ``reply_to`` is the asker's address, for a peer that doesn't know it yet.
+    """
+
+    reply_to: str = ""
 
 
 @frozen
@@ -85,12 +90,16 @@
 
 @frozen
 class PlaceAttempt:
-    """The home shard asks another shard to place one attempt of a task."""
+    """The home shard asks another shard to place one attempt of a task.
+
+    A copy that arrives after ``place_before_ms`` is ignored.
+    """
 
     spec: TaskSpec
     attempt: int
     reserved: Resources
     checkpoint: str = ""
+    place_before_ms: int = 0
 
 
 @frozen
