--- a/bench/loads.py
+++ b/bench/loads.py
@@ -10,6 +10,7 @@
 from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
 
 DURATION_S = 300
+JUMP_PERIOD_S = 25
 ZONE_OUT_S = 100
 ZONE_BACK_S = 200
 
@@ -23,6 +24,7 @@
     ZONE_LEAVES = "zone leaves"
     WRONG_SIZES = "wrong sizes"
     FAILING_WORKERS = "failing workers"
+    LOAD_JUMPS = "load jumps"
     SHIFTING = "shifting"
 
 
@@ -144,6 +146,9 @@
             case Shape.MORNING_PEAK:
                 rise = (second - DURATION_S / 2) / (DURATION_S / 8)
                 return 0.4 + 0.55 * math.exp(-(rise**2))
+            case Shape.LOAD_JUMPS:
+                slot = random.Random(f"{self.seed}/{second // JUMP_PERIOD_S}")
+                return slot.choice((0.3, 0.4, 0.9))
             case Shape.SHIFTING:
                 return (0.35, 0.8, 0.5)[second // 60 % 3]
         return 0.5
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/relief.py
@@ -27,6 +27,7 @@
 LONG_LIVED_COST_MS = 60_000
 NEARLY_DONE_SHARE = 0.8
 CAUSE_NEEDED = 0.05
+EVICTION_HARM_NEEDED = 0.1
 RESTORE_BACKOFF_LIMIT = 16
 EVICTABLE = (WorkClass.ORDINARY, WorkClass.PATIENT, WorkClass.LONG_LIVED)
 
@@ -232,7 +233,10 @@
             return None
         if self.budget.left(now_ms) <= 0 or not self._is_severe(room, breached, now_ms):
             return None
-        best = max(suspects, key=lambda item: item.harm / item.cost_ms)
+        guilty = [item for item in suspects if item.harm >= EVICTION_HARM_NEEDED]
+        if not guilty:
+            return None
+        best = max(guilty, key=lambda item: item.harm / item.cost_ms)
         self.budget.take(now_ms)
         record.evicted_ms = now_ms
         names = ", ".join(sorted(service_of(spec) for spec in breached))
