--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -81,6 +81,18 @@
     attempt: int
 
 
+def read_successes(event: ports.Event) -> set[ReportedSuccess]:
+    """Return the successes that an event tells a daemon."""
+    match event:
+        case ports.WorkerReplied(result=ports.WorkerAnswer(report=report)):
+            return {
+                ReportedSuccess(f"{task.key.team}/{task.key.task_id}", task.attempt)
+                for task in report.tasks
+                if task.state == "succeeded"
+            }
+    return set()
+
+
 @define
 class World:
     """Everything outside the nodes, and the clock.
@@ -177,7 +189,7 @@
         if daemon.paused:
             daemon.inbox.append(event)
             return
-        self._note_report(event)
+        self.reported.update(read_successes(event))
         node = daemon.node
         version = node.context.view.version
         commands = node.handle(event, self.now_ms + daemon.clock_offset_ms)
@@ -193,15 +205,6 @@
         for command in commands:
             self._carry_out(daemon, command)
 
-    def _note_report(self, event: ports.Event) -> None:
-        match event:
-            case ports.WorkerReplied(result=ports.WorkerAnswer(report=report)):
-                self.reported.update(
-                    ReportedSuccess(f"{t.key.team}/{t.key.task_id}", t.attempt)
-                    for t in report.tasks
-                    if t.state == "succeeded"
-                )
-
     def _tick(self, daemon: Daemon) -> None:
         node = daemon.node
         if not daemon.alive or node is None:
