--- a/poplarlb/coordination/core.py
+++ b/poplarlb/coordination/core.py
@@ -8,6 +8,7 @@
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import Effects, Resume, SendShard
 from poplarlb.coordination.policy import Policy
+from poplarlb.coordination.quota import QuotaLedger
 from poplarlb.coordination.sharding import ShardMap
 from poplarlb.protocol.messages import ShardBody, ShardMessage, ShardSummary
 from poplarlb.state import changes
@@ -15,6 +16,7 @@
     Alternative,
     Decision,
     Reason,
+    Resources,
     TaskKey,
     TaskSpec,
     Worker,
@@ -53,6 +55,11 @@
     counters: collections.Counter[str] = Factory(collections.Counter)
     listed: dict[str, Worker] | None = None
     own_workers: dict[str, Worker] = Factory(dict)
+    quota: QuotaLedger = None
+
+    def __attrs_post_init__(self) -> None:
+        """Hold the shares of the teams' quotas that the state records."""
+        self.quota = QuotaLedger(self.shard, self.epoch, self.state.quota, self.shards)
 
     def begin(self, now_ms: int) -> None:
         """Start to handle an event."""
@@ -75,6 +82,21 @@
         self.state.apply(change)
         self.effects.changes.append(change)
 
+    def absorb(self, effects: Effects) -> None:
+        """Stage another machine's effects, whose changes are applied already."""
+        self.effects.changes.extend(effects.changes)
+        self.effects.urgent = self.effects.urgent or effects.urgent
+        for command in effects.after_commit:
+            if isinstance(command, SendShard):
+                self.send(command.message.recipient, command.message.body)
+            else:
+                self.effects.after_commit.append(command)
+
+    def quota_allows(self, team: str, extra: Resources) -> bool:
+        """Tell whether the shard may reserve ``extra`` more for a team."""
+        used = self.state.used_by_team.get(team, Resources())
+        return self.quota.may_use(team, used, extra, self.context.view)
+
     def after_commit(self, step: object) -> None:
         """Have the machine take a step once all changes so far are durable."""
         self.effects.after_commit.append(Resume(step))
--- a/poplarlb/coordination/places.py
+++ b/poplarlb/coordination/places.py
@@ -7,7 +7,6 @@
 from poplarlb.coordination.core import ShardCore
 from poplarlb.coordination.leases import Contact, Contacts
 from poplarlb.coordination.policy import Chosen, NotPlaced, PlacedTask, WorkerRoom
-from poplarlb.coordination.quota_split import quota_allows
 from poplarlb.coordination.worker_calls import PlaceReady, WorkerCalls
 from poplarlb.protocol import messages
 from poplarlb.state import changes
@@ -94,7 +93,7 @@
     def try_place(self, request: PlaceRequest) -> Attempt | NotPlaced:
         """Reserve the best worker for an attempt, or tell why there is none."""
         core = self.core
-        if not quota_allows(core, request.spec.key.team, request.reserved):
+        if not core.quota_allows(request.spec.key.team, request.reserved):
             return NotPlaced(Reason.QUOTA_EXCEEDED)
         choice = self._choose(request)
         if isinstance(choice, NotPlaced):
--- a/poplarlb/coordination/queue.py
+++ b/poplarlb/coordination/queue.py
@@ -131,7 +131,9 @@
         if result is None:
             self.waiting.pop(key, None)
             return True
-        shard = self._other_shard(record, reserved, result)
+        shard = ""
+        if result.reason is not Reason.QUOTA_EXCEEDED:
+            shard = self._other_shard(record, reserved, result)
         if shard:
             promise = _Promise(self.core.now_ms + PROMISE_MS, reserved)
             self.promised.setdefault(shard, []).append(promise)
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -12,6 +12,7 @@
 from poplarlb.coordination.leases import Contacts
 from poplarlb.coordination.places import Places
 from poplarlb.coordination.queue import PlacementQueue
+from poplarlb.coordination.quota import QuotaAuthority
 from poplarlb.coordination.replicas import ReplicaKeeper
 from poplarlb.coordination.reports import ReportReader
 from poplarlb.coordination.sharding import shard_zone
@@ -36,6 +37,7 @@
     | messages.AttemptEnded
 )
 TO_HOST = messages.PlaceAttempt | messages.StopAttempt | messages.AttemptEndNoted
+QUOTA_PERIOD_MS = 200
 
 
 @frozen
@@ -59,6 +61,8 @@
     queue: PlacementQueue = None
     replicas: ReplicaKeeper = None
     drain: Drain = None
+    authority: QuotaAuthority = None
+    next_quota_ms: int = 0
     next_upkeep_ms: int = 0
     resending: bool = False
     last_summary: messages.ShardSummary | None = None
@@ -74,6 +78,9 @@
         self.queue = PlacementQueue(self.core, self.home, self.places)
         self.replicas = ReplicaKeeper(self.home)
         self.drain = Drain(self.places)
+        self.authority = QuotaAuthority(
+            self.core.shard, self.core.epoch, self.core.state.quota
+        )
         self.calls.recover()
         self.home.recover()
 
@@ -119,6 +126,7 @@
         self.replicas.tick()
         self._finish()
         self.queue.tick(self.drain.start_limit)
+        self._tick_quota()
         if self.core.now_ms >= self.next_upkeep_ms:
             self.next_upkeep_ms = self.core.now_ms + UPKEEP_PERIOD_MS
             self._keep_up()
@@ -146,10 +154,39 @@
         if message.recipient != self.core.shard or not self._is_from_party(message):
             self.core.counters["messages_refused"] += 1
             return
-        if isinstance(message.body, TO_HOME):
-            self.home.take_message(message)
-        else:
-            self.places.take_message(message)
+        match message.body:
+            case messages.QuotaWanted() | messages.QuotaShare() as body:
+                self._take_quota(message.sender, body)
+            case body if isinstance(body, TO_HOME):
+                self.home.take_message(message)
+            case _:
+                self.places.take_message(message)
+
+    def _take_quota(
+        self, sender: str, body: messages.QuotaWanted | messages.QuotaShare
+    ) -> None:
+        core = self.core
+        view = core.context.view
+        if isinstance(body, messages.QuotaWanted):
+            core.absorb(self.authority.handle(sender, body, view, core.now_ms))
+            return
+        used = core.state.used_by_team.get(body.team, Resources())
+        core.absorb(core.quota.handle(body, used, view, core.now_ms))
+        self.places.room_freed = True
+        self.queue.next_round_ms = 0
+        self.queue.tick(self.drain.start_limit)
+
+    def _tick_quota(self) -> None:
+        core = self.core
+        if not core.context.view_is_fresh(core.now_ms):
+            return
+        if not core.quota.needs and core.now_ms < self.next_quota_ms:
+            return
+        self.next_quota_ms = core.now_ms + QUOTA_PERIOD_MS
+        view = core.context.view
+        core.absorb(core.quota.tick(core.state.used_by_team, view, core.now_ms))
+        core.absorb(self.authority.tick(view, core.now_ms))
+        self._finish()
 
     def _is_from_party(self, message: messages.ShardMessage) -> bool:
         """Tell whether the sender may speak of the task at all."""
@@ -158,6 +195,10 @@
                 return self._is_home(message.sender, spec.key)
             case messages.StopAttempt(key=key) | messages.AttemptEndNoted(key=key):
                 return self._is_home(message.sender, key)
+            case messages.QuotaWanted(team=team):
+                return self.core.shards.home_of_team(team) == self.core.shard
+            case messages.QuotaShare(team=team):
+                return self.core.shards.home_of_team(team) == message.sender
             case body if isinstance(body, TO_HOME):
                 return self._is_home(self.core.shard, body.key)
         return False
@@ -186,6 +227,8 @@
         if known or isinstance(answer, api.Fault):
             return answer
         self.queue.submit_one(key)
+        if self.core.quota.needs:
+            self._tick_quota()
         return self.home.show(key)
 
     def _explain(self, subject: str) -> api.Decisions:
--- a/poplarlb/state/shard_state.py
+++ b/poplarlb/state/shard_state.py
@@ -18,6 +18,7 @@
     TaskPhase,
     TaskSpec,
 )
+from poplarlb.state.quota import QuotaTable
 
 ATTEMPTS_KEPT = 8
 DECISIONS_KEPT = 2_000
@@ -77,7 +78,7 @@
 class ShardState:
     """Tasks whose home is the shard, and reservations at its workers.
 
-    ``tasks``, ``places``, ``refused``, ``tombstones``, the quota tables,
+    ``tasks``, ``places``, ``refused``, ``tombstones``, ``quota``,
     ``released`` and ``decisions`` are the record; all else is derived from it.
     """
 
@@ -85,8 +86,7 @@
     places: dict[PlaceKey, PlaceRecord] = Factory(dict)
     refused: dict[PlaceKey, changes.PlaceRefused] = Factory(dict)
     tombstones: dict[TaskKey, changes.PlaceForgotten] = Factory(dict)
-    quota_granted: dict[tuple[str, str], changes.QuotaGranted] = Factory(dict)
-    quota_received: dict[str, changes.QuotaReceived] = Factory(dict)
+    quota: QuotaTable = Factory(QuotaTable)
     released: changes.EpochReleased | None = None
     decisions: collections.deque[Decision] = Factory(
         lambda: collections.deque(maxlen=DECISIONS_KEPT)
@@ -146,10 +146,8 @@
                 self._forget_place(change)
             case changes.TombstonesDropped(before_ms=before_ms):
                 self._drop_tombstones(before_ms)
-            case changes.QuotaGranted(team=team, shard=shard):
-                self.quota_granted[(team, shard)] = change
-            case changes.QuotaReceived(team=team):
-                self.quota_received[team] = change
+            case changes.QuotaGranted() | changes.QuotaReceived():
+                self.quota.apply(change)
             case changes.EpochReleased():
                 self.released = change
             case changes.DecisionTaken(decision=decision):
--- a/poplarlb/state/snapshot.py
+++ b/poplarlb/state/snapshot.py
@@ -10,6 +10,7 @@
 from poplarlb.exceptions import ProtocolError
 from poplarlb.state import changes
 from poplarlb.state.models import Decision, TaskKey
+from poplarlb.state.quota import QuotaTable
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord, ShardState, TaskRecord
 
 FORMAT = 1
@@ -21,8 +22,7 @@
 
     refused: tuple[changes.PlaceRefused, ...] = ()
     tombstones: tuple[changes.PlaceForgotten, ...] = ()
-    quota_granted: tuple[changes.QuotaGranted, ...] = ()
-    quota_received: tuple[changes.QuotaReceived, ...] = ()
+    quota: QuotaTable = QuotaTable()
     released: changes.EpochReleased | None = None
 
 
@@ -98,8 +98,7 @@
         small = SmallTables(
             tuple(state.refused.values()),
             tuple(state.tombstones.values()),
-            tuple(state.quota_granted.values()),
-            tuple(state.quota_received.values()),
+            state.quota,
             state.released,
         )
         parts = Parts(
@@ -149,8 +148,7 @@
         places={PlaceKey(p.spec.key, p.attempt.number): p for p in places},
         refused={PlaceKey(item.key, item.number): item for item in small.refused},
         tombstones={item.key: item for item in small.tombstones},
-        quota_granted={(item.team, item.shard): item for item in small.quota_granted},
-        quota_received={item.team: item for item in small.quota_received},
+        quota=small.quota,
         released=small.released,
         decisions=collections.deque(decisions, decisions_kept),
     )
--- a/tests/coordination/shard_world.py
+++ b/tests/coordination/shard_world.py
@@ -29,13 +29,14 @@
     TaskSettings,
 )
 from poplarlb.state.models import HostState, Resources, TaskSpec, Worker, ZoneState
-from poplarlb.state.templates import ConfigView, ZoneEntry
+from poplarlb.state.templates import ConfigView, TeamTemplate, ZoneEntry
 from tests.standins.worker import HistoryRow, WorkerModel
 
 START_MS = 1_700_000_000_000
 TICK_MS = 50
 PROOF_PERIOD_MS = 500
 SNAPSHOT_EVERY = 5
+QUOTA = Resources(100_000, 100_000, 10)
 
 SETTINGS = Settings(
     "unnamed",
@@ -201,7 +202,7 @@
     workers_per_zone: int = 2
     capacity: Resources = Resources(2_000, 2_000, 1)
     now_ms: int = START_MS
-    view: ConfigView = ConfigView(version=1)
+    view: ConfigView = ConfigView(1, (TeamTemplate("dairy", ("a", "b"), QUOTA),))
     queue: list = Factory(list)
     order: itertools.count = Factory(itertools.count)
     logs: dict[str, Log] = Factory(dict)
@@ -211,6 +212,7 @@
     offsets_ms: dict[str, int] = Factory(dict)
     pending: dict[int, tuple[api.ApiBody, int, str]] = Factory(dict)
     answers: list[Answered] = Factory(list)
+    reported: frozenset = frozenset()
     worker_delay_ms: int = 10
     lose: float = 0.0
     repeat: float = 0.0
--- a/tests/coordination/test_shard_fuzz.py
+++ b/tests/coordination/test_shard_fuzz.py
@@ -3,7 +3,7 @@
 import os
 import unittest
 
-from attrs import define
+from attrs import define, field
 from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
@@ -115,7 +115,7 @@
 class EvictingPolicy(Policy):
     """Evicts one task, wherever it is, at the next relief."""
 
-    key: TaskKey | None = None
+    key: TaskKey | None = field(default=None, kw_only=True)
 
     def plan_relief(
         self, rooms: list[WorkerRoom], view: ConfigView, now_ms: int
@@ -187,7 +187,7 @@
             for host in daemon.hosts.values():
                 if host.open and not daemon.paused:
                     core = host.machine.core
-                    core.policy = EvictingPolicy(core.policy.settings, key)
+                    core.policy = EvictingPolicy(core.policy.settings, key=key)
 
     @rule(
         shard=SHARDS,
