Idempotency keys: an owner's table, marks on a second daemon, takeover

Cause: nothing kept a non-idempotent request from being dispatched twice when its key comes again through another daemon or after the owner's death.

The second takes over the owner's whole table (AdoptSecond) before it holds a mark; a new owner collects the marks of every member and fences the old epoch by doing so.

Not yet wired into the daemon.

--- /dev/null
+++ b/poplarlb/coordination/idempotency.py
@@ -0,0 +1,546 @@
+"""The owner's table of idempotency keys: at most one dispatch of each key."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import Factory, define, evolve, frozen
+
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.marks import (
+    KeyLedger,
+    MarkedKey,
+    MarkStore,
+    join_records,
+    name_key,
+    outcomes_of,
+)
+from poplarlb.protocol import api, messages, ports
+from poplarlb.state.models import Reason
+
+DEFAULT_WINDOW_MS = 600_000
+KEYS_LIMIT = 50_000
+LEDGER_LIMIT_BYTES = 32 << 20
+RESEND_MS = 200
+MARK_TIMEOUT_MS = 1_500
+ANSWER_MARGIN_MS = 2_000
+RETRY_AFTER_MS = 500
+SWEEP_MS = 5_000
+DURABILITY_MEMORY = "memory"
+
+
+@frozen
+class PreviousOwner:
+    """The owner record that the claim of this epoch replaced."""
+
+    epoch: int
+    owner: str
+    second: str
+
+
+@frozen
+class KeyPeers:
+    """What the table needs to know of the other daemons.
+
+    ``members`` and ``second`` return member ids, ``second`` the one that the
+    owner record names now; ``proof_ms`` returns when a read that proved the
+    ownership was last sent.
+    """
+
+    own_id: str
+    address_of: Callable[[str], str]
+    incarnation_of: Callable[[str], int]
+    members: Callable[[], Iterable[str]]
+    second: Callable[[], str]
+    proof_ms: Callable[[], int]
+
+
+@define
+class PendingClaim:
+    """A claim that waits for the second daemon."""
+
+    mark: messages.MarkKey
+    call_id: int
+    first_sending: bool
+    expires_ms: int
+    sent_ms: int = 0
+
+
+@define
+class Collection:
+    """The marks that one member holds, read page by page."""
+
+    after: str = ""
+    sent_ms: int = 0
+    done: bool = False
+
+
+@define
+class SecondState:
+    """How far the second daemon has taken over the table.
+
+    ``sent`` is the page under way; it is repeated unchanged until it is taken.
+    """
+
+    member_id: str = ""
+    adoption_id: int = 0
+    page: int = 0
+    after: str = ""
+    sent: messages.AdoptSecond | None = None
+    sent_ms: int = 0
+    ready: bool = False
+
+
+@define
+class Uncertainty:
+    """What a new owner can't know of earlier epochs.
+
+    Until ``fenced_ms`` an earlier owner may still dispatch. From then until
+    ``until_ms`` a key may have been dispatched without this owner knowing it.
+    """
+
+    fenced_ms: int = 0
+    until_ms: int = 0
+
+    def lower(self, fenced_ms: int, until_ms: int) -> bool:
+        """Take the earlier instants; tells whether any changed."""
+        before = (self.fenced_ms, self.until_ms)
+        self.fenced_ms = min(self.fenced_ms, fenced_ms)
+        self.until_ms = min(self.until_ms, until_ms)
+        return before != (self.fenced_ms, self.until_ms)
+
+
+@define
+class KeyTable:
+    """Claims keys for gateways under one epoch of a shard.
+
+    :param previous: the owner record before this epoch; ``None`` for the first.
+    :param marks: this daemon's own marks, which it may hold as the second of the
+        previous owner.
+
+    ``marked`` is what is uncertain of keys with a mark on a second daemon,
+    ``unmarked`` of those kept in the owner's memory only.
+    """
+
+    context: NodeContext
+    shard: str
+    epoch: int
+    acquired_ms: int
+    peers: KeyPeers
+    marks: MarkStore
+    previous: PreviousOwner | None = None
+    ledger: KeyLedger = None
+    pending: dict[str, PendingClaim] = Factory(dict)
+    running_until_ms: dict[str, int] = Factory(dict)
+    collections: dict[str, Collection] = Factory(dict)
+    second: SecondState = Factory(SecondState)
+    marked: Uncertainty = Factory(Uncertainty)
+    unmarked: Uncertainty = Factory(Uncertainty)
+    ledger_bytes: int = 0
+    next_sweep_ms: int = 0
+    deposed: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Start with what this daemon holds itself."""
+        self.ledger = KeyLedger(self.shard)
+        self.marks.fence(self.shard, self.epoch)
+        if self.previous is None:
+            return
+        horizon_ms = self.context.settings.members.orphan_horizon_ms
+        margin_ms = self.context.settings.tasks.clock_margin_ms
+        fenced_ms = self.acquired_ms + horizon_ms + margin_ms
+        until_ms = fenced_ms + self._longest_window()
+        self.marked = Uncertainty(fenced_ms, until_ms)
+        self.unmarked = Uncertainty(fenced_ms, until_ms)
+        after = ""
+        while True:
+            page = self.marks.collect(self.shard, self.epoch, after)
+            records = self._merge_page(page)
+            if not page.more:
+                break
+            after = records[-1].name
+        self._judge_answer(self.peers.own_id, page, self.acquired_ms)
+
+    # --- events -------------------------------------------------------------------
+
+    def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
+        """Answer claims and outcomes; keep the second daemon informed."""
+        match event:
+            case ports.ApiRequested(call_id=call_id, body=api.BeginKey() as body):
+                return self._begin(call_id, body, now_ms)
+            case ports.ApiRequested(call_id=call_id, body=api.FinishKey() as body):
+                return [*self._finish(body), ports.ApiAnswer(call_id, api.Done())]
+            case ports.PeerReceived(sender=sender, message=messages.KeyMarked() as m):
+                return self._take_mark(sender, m, now_ms)
+            case ports.PeerReceived(
+                sender=sender, message=messages.MarksCollected() as m
+            ):
+                return self._take_collected(sender, m, now_ms)
+            case ports.PeerReceived(
+                sender=sender, message=messages.SecondAdopted() as m
+            ):
+                return self._take_adopted(sender, m, now_ms)
+            case ports.Tick():
+                return self._tick(now_ms)
+        return []
+
+    def depose(self, now_ms: int) -> list[ports.Command]:
+        """Stop dispatching for good and leave the ledger for the new owner."""
+        if self.deposed:
+            return []
+        self.deposed = True
+        fault = "the shard has a new owner"
+        answers = [
+            ports.ApiAnswer(claim.call_id, _refuse(claim, Reason.NO_OWNER, fault))
+            for claim in self.pending.values()
+        ]
+        self.pending.clear()
+        if now_ms >= self.marked.fenced_ms:
+            self.ledger.complete_epoch = self.epoch
+            self.ledger.uncertain_until_ms = self.marked.until_ms
+            self.ledger.from_owner = now_ms >= self.unmarked.until_ms
+        self.marks.keep(self.ledger)
+        return answers
+
+    def _tick(self, now_ms: int) -> list[ports.Command]:
+        if now_ms >= self.next_sweep_ms:
+            self.next_sweep_ms = now_ms + SWEEP_MS
+            self._sweep(now_ms)
+        return [
+            *self._collect(now_ms),
+            *self._advance_second(now_ms),
+            *self._resend_marks(now_ms),
+        ]
+
+    def _sweep(self, now_ms: int) -> None:
+        self.ledger.drop_expired(now_ms)
+        live = self.ledger.keys.keys()
+        for name in [n for n in self.running_until_ms if n not in live]:
+            del self.running_until_ms[name]
+        self.ledger_bytes = sum(item.size_bytes for item in self.ledger.keys.values())
+
+    # --- claims -------------------------------------------------------------------
+
+    def _begin(
+        self, call_id: int, body: api.BeginKey, now_ms: int
+    ) -> list[ports.Command]:
+        name = name_key(body.team, body.service, body.key)
+        fault = self._find_fault(name, body, now_ms)
+        if fault is not None:
+            return [ports.ApiAnswer(call_id, fault)]
+        mark = self._make_mark(body, now_ms)
+        if self._in_memory(body):
+            return self._claim(mark, call_id, now_ms)
+        expires_ms = now_ms + MARK_TIMEOUT_MS
+        claim = PendingClaim(mark, call_id, body.first_sending, expires_ms)
+        self.pending[name] = claim
+        return [*self._advance_second(now_ms), *self._resend_marks(now_ms)]
+
+    def _find_fault(
+        self, name: str, body: api.BeginKey, now_ms: int
+    ) -> api.ApiResult | None:
+        if self.deposed:
+            return _unknown("the shard has a new owner", RETRY_AFTER_MS)
+        if name in self.pending:
+            held = MarkedKey(self.pending[name].mark)
+            return self._answer_repeat(held, body, now_ms)
+        if name in self.ledger.keys:
+            return self._answer_repeat(self.ledger.keys[name], body, now_ms)
+        uncertainty = self._uncertainty_of(body)
+        if now_ms < uncertainty.until_ms and not body.first_sending:
+            detail = "an earlier owner may have dispatched the key"
+            return _unknown(detail, RETRY_AFTER_MS)
+        if now_ms < uncertainty.fenced_ms:
+            detail = "an earlier owner may still dispatch keys"
+            return _refuse(body, Reason.KEY_UNCERTAIN, detail)
+        if body.deadline_ms and now_ms >= body.deadline_ms:
+            return _refuse(body, Reason.DEADLINE, "the deadline has passed", 0)
+        proof_ms = max(self.acquired_ms, self.peers.proof_ms())
+        if now_ms - proof_ms >= self.context.settings.members.orphan_horizon_ms:
+            return _refuse(body, Reason.STORE_DOWN, "the ownership is not proved")
+        full = len(self.ledger.keys) + len(self.pending) >= KEYS_LIMIT
+        if full or self.ledger_bytes >= LEDGER_LIMIT_BYTES:
+            return _refuse(body, Reason.KEYS_FULL, "too many keys are kept", 10_000)
+        return None
+
+    def _uncertainty_of(self, body: api.BeginKey) -> Uncertainty:
+        return self.unmarked if self._in_memory(body) else self.marked
+
+    def _in_memory(self, body: api.BeginKey) -> bool:
+        template = self.context.view.service(body.team, body.service)
+        return template is not None and template.durability == DURABILITY_MEMORY
+
+    def _answer_repeat(
+        self, held: MarkedKey, body: api.BeginKey, now_ms: int
+    ) -> api.ApiResult:
+        if held.mark.digest != body.digest:
+            detail = "the key was used for another request"
+            return api.Fault("conflict", Reason.KEY_REUSED, detail)
+        if held.outcome is not None and held.outcome.status:
+            outcome = held.outcome
+            return api.KeyAnswered(outcome.status, outcome.headers, outcome.body)
+        if held.outcome is not None:
+            return _unknown("the first answer was not received whole", 0)
+        if held.name in self.pending or now_ms < self.running_until_ms.get(
+            held.name, 0
+        ):
+            detail = "the first request with this key is running"
+            return api.Fault("conflict", Reason.KEY_RUNNING, detail, RETRY_AFTER_MS)
+        return _unknown("the first request ended without a known outcome", 0)
+
+    def _make_mark(self, body: api.BeginKey, now_ms: int) -> messages.MarkKey:
+        template = self.context.view.service(body.team, body.service)
+        window_ms = template.key_window_ms if template else DEFAULT_WINDOW_MS
+        margin_ms = self.context.settings.tasks.clock_margin_ms
+        deadline_ms = max(now_ms, body.deadline_ms)
+        return messages.MarkKey(
+            self.shard,
+            self.epoch,
+            self.context.next_call(),
+            body.team,
+            body.service,
+            body.key,
+            body.request_id,
+            body.digest,
+            deadline_ms + window_ms + margin_ms,
+        )
+
+    def _claim(
+        self, mark: messages.MarkKey, call_id: int, now_ms: int
+    ) -> list[ports.Command]:
+        name = name_key(mark.team, mark.service, mark.key)
+        self.ledger.keys[name] = MarkedKey(mark)
+        limit_ms = self.context.settings.requests.default_timeout_ms
+        self.running_until_ms[name] = now_ms + limit_ms + ANSWER_MARGIN_MS
+        return [ports.ApiAnswer(call_id, api.KeyClaimed(mark.request_id))]
+
+    def _finish(self, body: api.FinishKey) -> list[ports.Command]:
+        name = name_key(body.team, body.service, body.key)
+        waiting = self.pending.get(name)
+        if waiting is not None and waiting.mark.request_id == body.request_id:
+            return self._give_up(name, _refuse(waiting, Reason.CANCELLED_BY_CALLER))
+        held = self.ledger.keys.get(name)
+        if held is None or held.mark.request_id != body.request_id:
+            return []
+        if held.outcome is not None:
+            return []
+        self.running_until_ms.pop(name, None)
+        outcome = self._make_outcome(body)
+        if body.used:
+            held.outcome = outcome
+            self.ledger_bytes += held.size_bytes
+        else:
+            del self.ledger.keys[name]
+        return self._to_second(outcome)
+
+    def _make_outcome(self, body: api.FinishKey) -> messages.KeyOutcome:
+        limit = self.context.settings.requests.key_body_limit_bytes
+        keep = len(body.body) <= limit
+        return messages.KeyOutcome(
+            self.shard,
+            self.epoch,
+            body.team,
+            body.service,
+            body.key,
+            body.request_id,
+            body.used,
+            body.status if keep else 0,
+            body.headers if keep else (),
+            body.body if keep else b"",
+        )
+
+    def _give_up(self, name: str, fault: api.Fault) -> list[ports.Command]:
+        claim = self.pending.pop(name)
+        mark = claim.mark
+        released = api.FinishKey(
+            mark.team, mark.service, mark.key, mark.request_id, used=False
+        )
+        return [
+            ports.ApiAnswer(claim.call_id, fault),
+            *self._to_second(self._make_outcome(released)),
+        ]
+
+    # --- the second daemon --------------------------------------------------------
+
+    def _to_second(self, message: messages.PeerMessage) -> list[ports.Command]:
+        address = self.peers.address_of(self.second.member_id)
+        if not address:
+            return []
+        return [ports.SendPeer(self.second.member_id, address, message)]
+
+    def _resend_marks(self, now_ms: int) -> list[ports.Command]:
+        commands: list[ports.Command] = []
+        for name, claim in list(self.pending.items()):
+            if now_ms >= claim.expires_ms:
+                detail = "the second daemon is silent"
+                fault = _refuse(claim, Reason.NO_SECOND, detail)
+                commands.extend(self._give_up(name, fault))
+            elif self.second.ready and now_ms >= claim.sent_ms + RESEND_MS:
+                claim.sent_ms = now_ms
+                commands.extend(self._to_second(claim.mark))
+        return commands
+
+    def _take_mark(
+        self, sender: str, marked: messages.KeyMarked, now_ms: int
+    ) -> list[ports.Command]:
+        if marked.epoch > self.epoch:
+            return self.depose(now_ms)
+        found = [
+            (name, claim)
+            for name, claim in self.pending.items()
+            if claim.mark.mark_id == marked.mark_id
+        ]
+        if not found or sender != self.second.member_id or not self.second.ready:
+            return []
+        if not marked.held:
+            self._adopt_again()
+            return self._advance_second(now_ms)
+        name, claim = found[0]
+        del self.pending[name]
+        return self._claim(claim.mark, claim.call_id, now_ms)
+
+    def _adopt_again(self) -> None:
+        member_id = self.second.member_id
+        self.second = SecondState(member_id, self.context.next_call())
+
+    def _advance_second(self, now_ms: int) -> list[ports.Command]:
+        wanted = self.peers.second()
+        if wanted != self.second.member_id:
+            self.second = SecondState(wanted, self.context.next_call())
+        if self.second.ready or self.deposed or not self._may_adopt(wanted):
+            return []
+        if now_ms < self.marked.fenced_ms or now_ms < self.second.sent_ms + RESEND_MS:
+            return []
+        incarnation = self.peers.incarnation_of(wanted)
+        if self.second.sent and self.second.sent.incarnation != incarnation:
+            self._adopt_again()
+        if self.second.sent is None:
+            self._make_page()
+        self.second.sent_ms = now_ms
+        return self._to_second(self.second.sent)
+
+    def _make_page(self) -> None:
+        state = self.second
+        page, more = self.ledger.page_after(state.after)
+        state.after = page[-1].name if page else state.after
+        state.sent = messages.AdoptSecond(
+            self.shard,
+            self.epoch,
+            state.adoption_id,
+            self.peers.incarnation_of(state.member_id),
+            state.page,
+            not more,
+            tuple(item.mark for item in page),
+            outcomes_of(page),
+            self.marked.until_ms,
+        )
+
+    def _may_adopt(self, member_id: str) -> bool:
+        if not member_id or member_id == self.peers.own_id:
+            return False
+        if self.previous is None:
+            return True
+        return member_id in self.collections and self.collections[member_id].done
+
+    def _take_adopted(
+        self, sender: str, adopted: messages.SecondAdopted, now_ms: int
+    ) -> list[ports.Command]:
+        if adopted.epoch > self.epoch:
+            return self.depose(now_ms)
+        state = self.second
+        current = (state.member_id, state.adoption_id, state.page)
+        if state.ready or current != (sender, adopted.adoption_id, adopted.page):
+            return []
+        if state.sent is None:
+            return []
+        if not state.sent.last:
+            state.sent, state.page, state.sent_ms = None, state.page + 1, 0
+            return self._advance_second(now_ms)
+        state.ready = True
+        for claim in self.pending.values():
+            # A late answer for the mark's old id may come from before a restart.
+            claim.mark = evolve(claim.mark, mark_id=self.context.next_call())
+            claim.sent_ms = 0
+        return self._resend_marks(now_ms)
+
+    # --- takeover -----------------------------------------------------------------
+
+    def _collect(self, now_ms: int) -> list[ports.Command]:
+        if self.previous is None or self.deposed:
+            return []
+        commands = []
+        for member_id in self.peers.members():
+            item = self.collections.setdefault(member_id, Collection())
+            address = self.peers.address_of(member_id)
+            if item.done or not address or now_ms < item.sent_ms + RESEND_MS:
+                continue
+            item.sent_ms = now_ms
+            message = messages.CollectMarks(self.shard, self.epoch, item.after)
+            commands.append(ports.SendPeer(member_id, address, message))
+        return commands
+
+    def _take_collected(
+        self, sender: str, page: messages.MarksCollected, now_ms: int
+    ) -> list[ports.Command]:
+        item = self.collections.get(sender)
+        if item is None or item.done or page.after != item.after or self.deposed:
+            return []
+        records = self._merge_page(page)
+        if page.more and records:
+            item.after, item.sent_ms = records[-1].name, 0
+            return self._collect(now_ms)
+        item.done = True
+        self._judge_answer(sender, page, now_ms)
+        return self._advance_second(now_ms)
+
+    def _merge_page(self, page: messages.MarksCollected) -> list[MarkedKey]:
+        records = join_records(page.marks, page.outcomes)
+        news = [self.ledger.merge(item) for item in records if self._is_new(item)]
+        if any(news) and self.second.member_id:
+            self._adopt_again()
+        return records
+
+    def _is_new(self, item: MarkedKey) -> bool:
+        return item.name not in self.pending
+
+    def _judge_answer(
+        self, sender: str, page: messages.MarksCollected, now_ms: int
+    ) -> None:
+        previous = self.previous
+        if sender not in (previous.owner, previous.second):
+            return
+        whole = page.complete and page.epoch == previous.epoch
+        if not whole and previous.epoch > 1:
+            # The epoch before may not have been fenced by the one that ended.
+            return
+        until_ms = page.uncertain_until_ms if whole else now_ms + self._longest_window()
+        if self.marked.lower(now_ms, until_ms) and self.second.member_id:
+            self._adopt_again()
+        if page.from_owner or (not whole and sender == previous.owner):
+            self.unmarked.lower(now_ms, until_ms)
+
+    def _longest_window(self) -> int:
+        windows = [
+            service.key_window_ms
+            for team in self.context.view.teams
+            for service in team.services
+        ]
+        margin_ms = self.context.settings.tasks.clock_margin_ms
+        return max([DEFAULT_WINDOW_MS, *windows]) + margin_ms
+
+
+def _refuse(
+    sending: api.BeginKey | PendingClaim,
+    reason: Reason,
+    detail: str = "",
+    retry_after_ms: int = RETRY_AFTER_MS,
+) -> api.Fault:
+    """Return a refusal; "not run" is certain only for a key's first sending.
+
+    An owner that doesn't know yet that it is deposed can't tell what the next
+    one has dispatched.
+    """
+    code = "not_run" if sending.first_sending else "outcome_unknown"
+    return api.Fault(code, reason, detail, retry_after_ms)
+
+
+def _unknown(detail: str, retry_after_ms: int) -> api.Fault:
+    return api.Fault("outcome_unknown", Reason.KEY_UNCERTAIN, detail, retry_after_ms)
--- a/poplarlb/protocol/api.py
+++ b/poplarlb/protocol/api.py
@@ -192,6 +192,7 @@
     request_id: str
     digest: bytes
     first_sending: bool = False
+    deadline_ms: int = 0
 
 
 @frozen
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -253,6 +253,38 @@
     outcomes: tuple[KeyOutcome, ...]
     more: bool = False
     complete: bool = True
+    after: str = ""
+    from_owner: bool = False
+    uncertain_until_ms: int = 0
+
+
+@frozen
+class AdoptSecond:
+    """An owner gives its second daemon a page of everything that it knows.
+
+    The second holds marks of an epoch only after it took the last page. The
+    page is for one ``incarnation`` of it: a restarted daemon has lost its marks.
+    """
+
+    shard: str
+    epoch: int
+    adoption_id: int
+    incarnation: int
+    page: int
+    last: bool
+    marks: tuple[MarkKey, ...]
+    outcomes: tuple[KeyOutcome, ...]
+    uncertain_until_ms: int = 0
+
+
+@frozen
+class SecondAdopted:
+    """The second daemon took a page, or has seen a newer epoch."""
+
+    shard: str
+    epoch: int
+    adoption_id: int
+    page: int
 
 
 PeerMessage = (
@@ -267,4 +299,6 @@
     | KeyOutcome
     | CollectMarks
     | MarksCollected
+    | AdoptSecond
+    | SecondAdopted
 )
--- a/poplarlb/state/models.py
+++ b/poplarlb/state/models.py
@@ -85,6 +85,10 @@
     SHUTTING_DOWN = "shutting_down"
     DELEGATED = "delegated"
     RETRY_BUDGET_SPENT = "retry_budget_spent"
+    KEY_REUSED = "key_reused"
+    KEYS_FULL = "keys_full"
+    NO_SECOND = "no_second"
+    ENDPOINT_FAILED = "endpoint_failed"
 
 
 @frozen
--- /dev/null
+++ b/tests/coordination/test_idempotency.py
@@ -0,0 +1,404 @@
+"""At most one dispatch of a key, through deaths, cuts, delays and repeats."""
+
+import random
+import unittest
+
+from attrs import evolve
+from hypothesis import HealthCheck, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    rule,
+    run_state_machine_as_test,
+)
+
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.marks import KeyLedger, MarkStore, join_records
+from poplarlb.protocol import api, messages, ports
+from poplarlb.state.models import Reason
+from tests.coordination.key_world import HORIZON_MS, NAMES, WINDOW_MS, KeyWorld, without
+
+DAEMONS = st.sampled_from(NAMES)
+WALK = settings(
+    derandomize=True,
+    deadline=None,
+    database=None,
+    max_examples=150,
+    stateful_step_count=40,
+    suppress_health_check=list(HealthCheck),
+)
+
+
+class KeyMachine(RuleBasedStateMachine):
+    """Any interleaving of the world's events."""
+
+    durability = "two-daemons"
+
+    def __init__(self) -> None:
+        """Start with a shard whose second daemon is ready."""
+        super().__init__()
+        self.world = KeyWorld(self.durability)
+
+    @rule(
+        key=st.sampled_from("abc"),
+        gateway=DAEMONS,
+        owner=DAEMONS,
+        digest=st.sampled_from((b"1", b"1", b"1", b"2")),
+        first=st.booleans(),
+        uses=st.booleans(),
+    )
+    def send(self, key, gateway, owner, digest, first, uses) -> None:
+        """Send a key."""
+        self.world.send(key, gateway, owner, digest, first, uses)
+
+    @rule(index=st.integers(0, 30), keep=st.booleans())
+    def deliver(self, index, keep) -> None:
+        """Deliver a packet, perhaps not for the last time."""
+        self.world.deliver(index, keep)
+
+    @rule(index=st.integers(0, 30))
+    def lose(self, index) -> None:
+        """Lose a packet."""
+        if self.world.network:
+            self.world.network.pop(index % len(self.world.network))
+
+    @rule(index=st.integers(0, 200))
+    def replay(self, index) -> None:
+        """Deliver a packet again."""
+        self.world.replay(index)
+
+    @rule(rounds=st.integers(1, 6))
+    def settle(self, rounds) -> None:
+        """All goes well for a while."""
+        self.world.settle(rounds)
+
+    @rule(elapsed_ms=st.sampled_from((50, 2_000, 15_000, HORIZON_MS, WINDOW_MS)))
+    def wait(self, elapsed_ms) -> None:
+        """Nothing arrives for a while."""
+        self.world.tick(elapsed_ms)
+
+    @rule(name=DAEMONS, revived=st.booleans())
+    def kill(self, name, revived) -> None:
+        """Kill a daemon; it may be back at once."""
+        self.world.dead.add(name)
+        if revived:
+            self.world.restart(name)
+
+    @rule(name=DAEMONS, second=DAEMONS)
+    def claim(self, name, second) -> None:
+        """Let a daemon take the shard or name another second."""
+        self.world.claim(name, second)
+
+    @rule(name=DAEMONS)
+    def read_record(self, name) -> None:
+        """Let a daemon read the owner record."""
+        self.world.read_record(name)
+
+    @rule(first=DAEMONS, second=DAEMONS)
+    def cut(self, first, second) -> None:
+        """Cut or mend the link between two daemons."""
+        if first != second:
+            self.world.cuts ^= {frozenset((first, second))}
+
+    @rule(name=DAEMONS)
+    def cut_store(self, name) -> None:
+        """Cut a daemon off from the store, or connect it again."""
+        self.world.no_store ^= {name}
+
+    @rule(number=st.integers(0, 40))
+    def give_up(self, number) -> None:
+        """Let a gateway stop waiting."""
+        if self.world.sendings:
+            names = sorted(self.world.sendings)
+            self.world.give_up(names[number % len(names)])
+
+    @invariant()
+    def one_dispatch(self) -> None:
+        """No key is dispatched twice; the world asserts the rest itself."""
+        for key, done in self.world.dispatches.items():
+            assert len(done) <= 1, f"{key}: {done}"
+
+
+class MemoryMachine(KeyMachine):
+    """The same with keys kept in the owner's memory only."""
+
+    durability = "memory"
+
+
+def walk(seed: int, steps: int = 120, durability: str = "two-daemons") -> KeyWorld:
+    """Run one random walk, weighted towards what breaks weak protocols."""
+    draw = random.Random(seed)
+    world = KeyWorld(durability)
+    for _ in range(steps):
+        name, other = draw.choice(NAMES), draw.choice(NAMES)
+        index = draw.randrange(40)
+        match draw.choices(range(11), (20, 12, 3, 20, 4, 4, 6, 3, 2, 2, 6))[0]:
+            case 0:
+                owner = world.record.owner if draw.random() < 0.6 else other
+                digest = b"1" if draw.random() < 0.9 else b"2"
+                first, uses = draw.random() < 0.5, draw.random() < 0.8
+                world.send(draw.choice("abcd"), name, owner, digest, first, uses)
+            case 1:
+                world.deliver(index, draw.random() < 0.3)
+            case 2:
+                if world.network:
+                    world.network.pop(index % len(world.network))
+            case 3:
+                world.settle(draw.randint(1, 4))
+            case 4:
+                world.tick(draw.choice((50, 2_000, 15_000, HORIZON_MS)))
+            case 5:
+                world.dead.add(name)
+                if draw.random() < 0.6:
+                    world.restart(name)
+            case 6:
+                world.claim(name, other)
+            case 7:
+                world.read_record(name)
+                world.no_store ^= {other} if draw.random() < 0.5 else set()
+            case 8:
+                if name != other:
+                    world.cuts ^= {frozenset((name, other))}
+            case 9:
+                if world.sendings:
+                    names = sorted(world.sendings)
+                    world.give_up(names[index % len(names)])
+            case 10:
+                world.replay(draw.randrange(200))
+    return world
+
+
+def count_broken(walks: int) -> int:
+    """Return how many walks break a promise."""
+    broken = 0
+    for seed in range(walks):
+        try:
+            walk(seed)
+        except AssertionError:
+            broken += 1
+    return broken
+
+
+def claim_unmarked(self, call_id, body, now_ms):
+    """Claim without a mark on the second daemon."""
+    name = f"{body.team}/{body.service}/{body.key}"
+    fault = self._find_fault(name, body, now_ms)
+    if fault is not None:
+        return [ports.ApiAnswer(call_id, fault)]
+    return self._claim(self._make_mark(body, now_ms), call_id, now_ms)
+
+
+def forget_previous(self):
+    """Begin without collecting what earlier epochs dispatched."""
+    self.previous = None
+    self.ledger = KeyLedger(self.shard)
+    self.marks.fence(self.shard, self.epoch)
+
+
+def believe_not_run(original):
+    """Take a claim without an outcome as not run once its time has passed."""
+
+    def answer(self, held, body, now_ms):
+        fault = original(self, held, body, now_ms)
+        lapsed = now_ms >= self.running_until_ms.get(held.name, 0)
+        if held.outcome is None and held.name not in self.pending and lapsed:
+            self.ledger.keys.pop(held.name, None)
+            return None
+        return fault
+
+    return answer
+
+
+def ignore_digest(original):
+    """Answer any request with the key as if it were the first one."""
+
+    def answer(self, held, body, now_ms):
+        return original(self, held, evolve(body, digest=held.mark.digest), now_ms)
+
+    return answer
+
+
+def adopt_blindly(original):
+    """Adopt in a restarted daemon what was meant for an earlier incarnation."""
+
+    def adopt(self, page):
+        return original(self, evolve(page, incarnation=self.incarnation))
+
+    return adopt
+
+
+def collect_unfenced(original):
+    """Give marks to a new owner, and still hold those of the old one."""
+
+    def collect(self, shard, epoch, after):
+        before = self.epochs.get(shard, 0)
+        page = original(self, shard, epoch, after)
+        self.epochs[shard] = before
+        return page
+
+    return collect
+
+
+def fence_nothing(original):
+    """Dispatch first sendings while an earlier owner may dispatch still."""
+
+    def begin(self):
+        original(self)
+        self.marked.fenced_ms = 0
+
+    return begin
+
+
+def merge_nothing(self, page):
+    """Collect, and keep nothing of it."""
+    return join_records(page.marks, page.outcomes)
+
+
+def refuse_surely(original):
+    """Say "not run" of any sending, however many came before."""
+
+    def find(self, name, body, now_ms):
+        fault = original(self, name, body, now_ms)
+        known = name in self.ledger.keys or name in self.pending
+        if isinstance(fault, api.Fault) and not known:
+            return evolve(fault, code="not_run")
+        return fault
+
+    return find
+
+
+PLANTED = {
+    "no mark on the second": (KeyTable, "_begin", claim_unmarked),
+    "new owner collects nothing": (
+        KeyTable,
+        "__attrs_post_init__",
+        forget_previous,
+    ),
+    "collected marks dropped": (KeyTable, "_merge_page", merge_nothing),
+    "not run believed too early": (
+        KeyTable,
+        "_answer_repeat",
+        believe_not_run(KeyTable._answer_repeat),
+    ),
+    "digest ignored": (
+        KeyTable,
+        "_answer_repeat",
+        ignore_digest(KeyTable._answer_repeat),
+    ),
+    "not run said of a repeat": (
+        KeyTable,
+        "_find_fault",
+        refuse_surely(KeyTable._find_fault),
+    ),
+}
+
+
+def send_new(world: KeyWorld, key: str, owner: str, first: bool) -> None:
+    """Send a key through d3 to the daemon that is taken for the owner."""
+    world.send(key, "d3", owner, b"1", first, True)
+    world.settle()
+
+
+def adopt_after_restart() -> None:
+    """Restart the second daemon and deliver an old adoption to it again."""
+    world = KeyWorld()
+    send_new(world, "a", "d0", True)
+    world.restart("d1")
+    for index in range(len(world.past)):
+        if isinstance(world.past[index].body, messages.AdoptSecond):
+            world.arrive(world.past[index])
+    world.dead.add("d0")
+    world.claim("d2", "d3")
+    world.settle()
+    send_new(world, "a", "d2", False)
+
+
+def mark_after_takeover() -> None:
+    """Let a deposed owner go on, cut off from the store with its second."""
+    world = KeyWorld()
+    world.no_store |= {"d0", "d1"}
+    world.cuts.add(frozenset(("d0", "d2")))
+    world.claim("d2", "d3")
+    world.settle()
+    send_new(world, "a", "d2", True)
+    send_new(world, "a", "d0", False)
+
+
+def dispatch_beside_old_owner() -> None:
+    """Let a new owner reach neither the old one nor its second."""
+    world = KeyWorld()
+    sides = (("d0", "d2"), ("d0", "d3"), ("d1", "d2"), ("d1", "d3"))
+    world.cuts |= {frozenset(pair) for pair in sides}
+    world.no_store |= {"d0", "d1"}
+    world.claim("d2", "d3")
+    world.settle()
+    send_new(world, "a", "d2", True)
+    world.cuts.discard(frozenset(("d0", "d3")))
+    send_new(world, "a", "d0", False)
+
+
+SCRIPTED = {
+    "restarted second adopts blindly": (
+        adopt_after_restart,
+        (MarkStore, "_adopt", adopt_blindly(MarkStore._adopt)),
+    ),
+    "old epochs accepted": (
+        mark_after_takeover,
+        (MarkStore, "collect", collect_unfenced(MarkStore.collect)),
+    ),
+    "dispatch while unfenced": (
+        dispatch_beside_old_owner,
+        (
+            KeyTable,
+            "__attrs_post_init__",
+            fence_nothing(KeyTable.__attrs_post_init__),
+        ),
+    ),
+}
+
+
+class KeyFuzz(unittest.TestCase):
+    """The promises hold on every walk, and the walks find what breaks them."""
+
+    def test_machine(self) -> None:
+        """Hypothesis finds no second dispatch and no false answer."""
+        run_state_machine_as_test(KeyMachine, settings=WALK)
+
+    def test_machine_in_memory(self) -> None:
+        """The same holds for keys without marks."""
+        run_state_machine_as_test(MemoryMachine, settings=WALK)
+
+    def test_walks(self) -> None:
+        """No promise is broken on 400 seeded walks."""
+        self.assertEqual(count_broken(400), 0)
+
+    def test_planted_faults(self) -> None:
+        """Each planted fault breaks some walk."""
+        for name, (target, method, fault) in PLANTED.items():
+            with self.subTest(name):
+                planted = without(target, method, fault)(count_broken)
+                self.assertGreater(planted(150), 0)
+
+    def test_scripted_faults(self) -> None:
+        """Rare faults: each breaks its script, which holds without the fault."""
+        for name, (script, (target, method, fault)) in SCRIPTED.items():
+            with self.subTest(name):
+                script()
+                with self.assertRaises(AssertionError):
+                    without(target, method, fault)(script)()
+
+    def test_repeat_after_owner_death(self) -> None:
+        """A repeat through another daemon gets the first outcome."""
+        world = KeyWorld()
+        send_new(world, "a", "d0", True)
+        world.dead.add("d0")
+        world.claim("d1", "d2")
+        world.settle()
+        begin = api.BeginKey("dairy", "orders", "a", "again", b"1")
+        table = world.daemons["d1"].table
+        answer = table.handle(ports.ApiRequested(1, begin), world.now_ms)[0].result
+        self.assertEqual((answer.status, answer.body), (200, b"1"))
+        other = evolve(begin, digest=b"2")
+        fault = table.handle(ports.ApiRequested(2, other), world.now_ms)[0].result
+        self.assertEqual((fault.code, fault.reason), ("conflict", Reason.KEY_REUSED))
