--- /dev/null
+++ b/poplarlb/coordination/health.py
@@ -0,0 +1,109 @@
+"""How well a service's endpoints answer: learned times, ejection, probes."""
+
+import statistics
+from collections.abc import Iterable
+
+from attrs import define
+
+FAILURES_TO_EJECT = 3
+EJECTION_MS = 1_000
+LONGEST_EJECTION_MS = 60_000
+FORGIVE_MS = 60_000
+LARGEST_EJECTED_SHARE = 0.5
+OUTLIER_FACTOR = 3.0
+OUTLIER_SAMPLES = 8
+OUTLIER_PEERS = 3
+OUTLIER_FLOOR_MS = 20.0
+EWMA_WEIGHT = 0.2
+UNKNOWN_SERVICE_MS = 20.0
+
+
+@define
+class EndpointHealth:
+    """What the owner has seen of one endpoint.
+
+    ``service_ms`` is a decayed mean of the answers' times, 0 before the first.
+    ``level`` counts ejections and doubles their length.
+    """
+
+    service_ms: float = 0.0
+    samples: int = 0
+    failures: int = 0
+    level: int = 0
+    ejected: bool = False
+    probe_after_ms: int = 0
+    probe: str = ""
+    changed_ms: int = 0
+
+    def may_take(self, now_ms: int) -> bool:
+        """Tell whether the endpoint may get a request now."""
+        if not self.ejected:
+            return True
+        return now_ms >= self.probe_after_ms and not self.probe
+
+    def begin(self, request_id: str) -> None:
+        """Note a request; the only one at an ejected endpoint is its probe."""
+        if self.ejected:
+            self.probe = request_id
+
+    def note_answer(self, request_id: str, latency_ms: float, now_ms: int) -> None:
+        """Take a good answer; a probe's brings the endpoint back."""
+        self.failures = 0
+        if self.probe == request_id and self.ejected:
+            self.ejected = False
+            self.probe = ""
+            self.samples = 0
+            self.changed_ms = now_ms
+        if self.level and now_ms - self.changed_ms >= FORGIVE_MS:
+            self.level -= 1
+            self.changed_ms = now_ms
+        if self.samples == 0:
+            self.service_ms = latency_ms
+        else:
+            self.service_ms += EWMA_WEIGHT * (latency_ms - self.service_ms)
+        self.samples += 1
+
+    def note_failure(self, request_id: str, now_ms: int) -> bool:
+        """Take a failure; tells whether the endpoint should be ejected."""
+        self.failures += 1
+        if self.probe == request_id and self.ejected:
+            self.eject(now_ms)
+            return False
+        return not self.ejected and self.failures >= FAILURES_TO_EJECT
+
+    def release_probe(self, request_id: str) -> None:
+        """Forget a probe that was never sent."""
+        if self.probe == request_id:
+            self.probe = ""
+
+    def eject(self, now_ms: int) -> None:
+        """Give the endpoint no requests until its next probe."""
+        self.ejected = True
+        self.probe = ""
+        self.failures = 0
+        self.changed_ms = now_ms
+        length_ms = min(EJECTION_MS << self.level, LONGEST_EJECTION_MS)
+        self.probe_after_ms = now_ms + length_ms
+        self.level = min(self.level + 1, 6)
+
+    def is_outlier(self, peers: Iterable["EndpointHealth"]) -> bool:
+        """Tell whether the endpoint is much slower than its peers."""
+        if self.samples < OUTLIER_SAMPLES:
+            return False
+        times = [p.service_ms for p in peers if p is not self and p.samples]
+        if len(times) < OUTLIER_PEERS:
+            return False
+        limit = OUTLIER_FACTOR * statistics.median(times)
+        return self.service_ms > max(limit, OUTLIER_FLOOR_MS)
+
+
+def may_eject(peers: list[EndpointHealth]) -> bool:
+    """Tell whether one more endpoint of a service may be ejected."""
+    ejected = sum(item.ejected for item in peers)
+    return ejected + 1 <= LARGEST_EJECTED_SHARE * len(peers)
+
+
+def mean_service_ms(peers: Iterable[EndpointHealth]) -> float:
+    """Return the mean time of the endpoints that have answered."""
+    times = [item.service_ms for item in peers if item.samples]
+    return statistics.fmean(times) if times else UNKNOWN_SERVICE_MS
--- a/poplarlb/protocol/api.py
+++ b/poplarlb/protocol/api.py
@@ -10,6 +10,7 @@
     TaskOutcome,
     TaskPhase,
     TaskSpec,
+    WorkClass,
     ZoneState,
 )
 from poplarlb.state.templates import ConfigView, TeamTemplate
@@ -153,6 +154,7 @@
     idempotent: bool = True
     avoid: tuple[str, ...] = ()
     gateway: str = ""
+    work_class: WorkClass = WorkClass.LATENCY_CRITICAL
 
 
 @frozen
@@ -165,6 +167,9 @@
     worker_id: str
     address: str
     use_before_ms: int
+    deadline_ms: int = 0
+    slots: int = 8
+    idle_connections: int = 1
 
 
 @frozen
@@ -172,7 +177,8 @@
     """Give a slot back and tell how the request went.
 
     ``result`` is ``ok``, ``failed`` (the endpoint answered with a fault),
-    ``unsent`` or ``unknown`` (cut off after a byte may have reached it).
+    ``unsent`` (no byte reached it), ``unknown`` (cut off after a byte may have
+    reached it) or ``unused`` (nothing was tried).
     """
 
     request_id: str
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -287,6 +287,36 @@
     page: int
 
 
+# --- slots in use: gateways to a new owner ---------------------------------------
+
+
+@frozen
+class OutstandingGrant:
+    """A slot that a gateway uses or may use until ``deadline_ms``."""
+
+    request_id: str
+    worker_id: str
+    deadline_ms: int
+
+
+@frozen
+class GrantsWanted:
+    """A new owner asks a member which slots of the shard it uses."""
+
+    shard: str
+    epoch: int
+
+
+@frozen
+class GrantsReported:
+    """All slots of the shard that the member uses; it takes no older grants now."""
+
+    shard: str
+    epoch: int
+    incarnation: int
+    grants: tuple[OutstandingGrant, ...]
+
+
 PeerMessage = (
     Heartbeat
     | ViewOffer
@@ -301,4 +331,6 @@
     | MarksCollected
     | AdoptSecond
     | SecondAdopted
+    | GrantsWanted
+    | GrantsReported
 )
