--- a/poplarlb/state/models.py
+++ b/poplarlb/state/models.py
@@ -89,6 +89,7 @@
     KEYS_FULL = "keys_full"
     NO_SECOND = "no_second"
     ENDPOINT_FAILED = "endpoint_failed"
+    ID_IN_USE = "id_in_use"
 
 
 @frozen
