--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -1,6 +1,7 @@
 """Exact admission to the endpoints of one shard."""
 
 import bisect
+import collections
 import itertools
 from collections.abc import Iterable
 
@@ -15,7 +16,7 @@
 )
 from poplarlb.protocol import api, messages, ports
 from poplarlb.protocol.messages import EndpointSummary
-from poplarlb.state.models import Reason, WorkClass, Worker
+from poplarlb.state.models import Alternative, Decision, Reason, WorkClass, Worker
 
 GRANT_USE_MS = 2_000
 DEADLINE_STEP_MS = 50
@@ -24,6 +25,8 @@
 DEFAULT_QUEUE_LIMIT = 256
 SHORTEST_RETRY_MS = 20
 LONGEST_RETRY_MS = 30_000
+REFUSALS_KEPT = 1_000
+ALTERNATIVES_KEPT = 8
 REPORT_RESEND_MS = 200
 CLASS_ORDER = {item: number for number, item in enumerate(WorkClass)}
 
@@ -95,6 +98,7 @@
     """
 
     unreported: dict[str, int] = Factory(dict)
+    previous_owner: str = ""
     next_send_ms: int = 0
 
     def drop_passed(self, now_ms: int) -> None:
@@ -123,6 +127,10 @@
     held: dict[tuple[str, str], int] = Factory(dict)
     takeover: Takeover = Factory(Takeover)
     numbers: itertools.count = Factory(itertools.count)
+    refusals: collections.deque[Decision] = Factory(
+        lambda: collections.deque(maxlen=REFUSALS_KEPT)
+    )
+    closed: bool = False
 
     # --- what the daemon tells the machine ------------------------------------------
 
@@ -178,6 +186,9 @@
             case ports.ApiRequested(call_id=call_id, body=api.FinishRequest() as body):
                 answer = ports.ApiAnswer(call_id, api.Done())
                 return [answer, *self._finish(body, now_ms)]
+            case ports.ApiRequested(call_id=call_id, body=api.Explain() as body):
+                found = tuple(d for d in self.refusals if d.subject == body.subject)
+                return [ports.ApiAnswer(call_id, api.Decisions(found))]
             case ports.PeerReceived(
                 sender=sender, message=messages.GrantsReported() as report
             ):
@@ -186,6 +197,24 @@
                 return self._tick(now_ms)
         return []
 
+    def close(self) -> list[ports.Command]:
+        """Grant nothing more; every queued request is refused."""
+        self.closed = True
+        fault = _refuse(Reason.NO_OWNER, "the shard has a new owner", 50)
+        queued = [item for queue in self.services.values() for item in queue.waiting]
+        for queue in self.services.values():
+            queue.waiting.clear()
+        return [ports.ApiAnswer(item.call_id, fault) for item in queued]
+
+    def outstanding(self) -> tuple[messages.OutstandingGrant, ...]:
+        """Return every slot that is in use."""
+        return tuple(
+            messages.OutstandingGrant(
+                slot.request_id, slot.worker_id, slot.free_ms - GRANT_MARGIN_MS
+            )
+            for slot in self.granted.values()
+        )
+
     def wanted_reports(self, now_ms: int) -> list[str]:
         """Return the members to ask now for the slots that they use."""
         if not self.takeover.unreported or now_ms < self.takeover.next_send_ms:
@@ -309,7 +338,7 @@
         queue = self.services.get((body.team, body.service))
         fault = self._find_fault(queue, body, now_ms)
         if fault is not None:
-            return [ports.ApiAnswer(call_id, fault)]
+            return self._answer_fault(call_id, body, fault, now_ms)
         chosen = None if queue.waiting else self._choose(queue, body, now_ms)
         if chosen is not None:
             return [ports.ApiAnswer(call_id, self._grant(chosen, body, now_ms))]
@@ -318,6 +347,8 @@
     def _find_fault(
         self, queue: ServiceQueue | None, body: api.AdmitRequest, now_ms: int
     ) -> api.Fault | None:
+        if self.closed:
+            return _refuse(Reason.NO_OWNER, "the shard has a new owner", 50)
         usable = queue and [n for n in queue.endpoints if n not in body.avoid]
         if not usable:
             return _refuse(Reason.NO_ENDPOINT, "no endpoint runs here", 1_000)
@@ -342,13 +373,36 @@
         if finish_ms > body.deadline_ms:
             detail = f"about {wait_ms:.0f} ms to wait"
             fault = _refuse(Reason.DEADLINE, detail, wait_ms)
-            return [ports.ApiAnswer(call_id, fault)]
+            return self._answer_fault(call_id, body, fault, now_ms)
         queue.waiting.insert(position, item)
         if len(queue.waiting) <= self._queue_limit(body):
             return []
         last = queue.waiting.pop()
         fault = _refuse(Reason.QUEUE_FULL, "the queue is full", wait_ms / 2)
-        return [ports.ApiAnswer(last.call_id, fault)]
+        return self._answer_fault(last.call_id, last.body, fault, now_ms)
+
+    def _answer_fault(
+        self, call_id: int, body: api.AdmitRequest, fault: api.Fault, now_ms: int
+    ) -> list[ports.Command]:
+        """Refuse a request, and keep why for a while."""
+        queue = self.services.get((body.team, body.service))
+        weighed = queue.endpoints.items() if queue else ()
+        mean_ms = mean_service_ms(queue.health()) if queue else 0.0
+        decision = Decision(
+            f"request/{body.request_id}",
+            "refuse",
+            fault.reason,
+            now_ms,
+            self.epoch,
+            self.context.view.version,
+            detail=fault.detail,
+            alternatives=tuple(
+                Alternative(name, self._expected_ms(item, mean_ms), fault.reason)
+                for name, item in itertools.islice(weighed, ALTERNATIVES_KEPT)
+            ),
+        )
+        self.refusals.append(decision)
+        return [ports.ApiAnswer(call_id, fault)]
 
     def _queue_limit(self, body: api.AdmitRequest) -> int:
         template = self.context.view.service(body.team, body.service)
@@ -406,7 +460,11 @@
             queue.waiting = [item for item in queue.waiting if id(item) not in gone]
         retry_ms = self._wait_ms(queue, len(queue.waiting))
         fault = _refuse(Reason.DEADLINE, "not served in time", retry_ms)
-        return [ports.ApiAnswer(item.call_id, fault) for item in late]
+        return [
+            command
+            for item in late
+            for command in self._answer_fault(item.call_id, item.body, fault, now_ms)
+        ]
 
     # --- the end of requests ----------------------------------------------------------
 
@@ -441,12 +499,15 @@
     ) -> list[ports.Command]:
         if report.epoch != self.epoch or sender not in self.takeover.unreported:
             return []
+        if report.whole and sender == self.takeover.previous_owner:
+            self.takeover.unreported.clear()
         restarted_ms = report.incarnation + LONGEST_GRANT_MS + GRANT_MARGIN_MS
-        if now_ms < restarted_ms < self.takeover.unreported[sender]:
+        end_ms = self.takeover.unreported.get(sender, 0)
+        if now_ms >= restarted_ms:
+            self.takeover.unreported.pop(sender, None)
+        elif restarted_ms < end_ms:
             # What it used before its restart ends by then; it can't tell what.
             self.takeover.unreported[sender] = restarted_ms
-        elif now_ms >= restarted_ms:
-            del self.takeover.unreported[sender]
         for item in report.grants:
             free_ms = item.deadline_ms + GRANT_MARGIN_MS
             slot = GrantedSlot(
--- a/poplarlb/coordination/grants.py
+++ b/poplarlb/coordination/grants.py
@@ -6,7 +6,7 @@
 from poplarlb.protocol import api, messages
 from poplarlb.state.models import Reason
 
-LONGEST_GRANT_MS = 60_000
+LONGEST_GRANT_MS = 30_000
 GRANT_MARGIN_MS = 1_000
 FALLBACK_EPOCH = 0
 
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -13,6 +13,12 @@
 from poplarlb.coordination.journal import Journal
 from poplarlb.coordination.membership import Membership
 from poplarlb.coordination.ownership import Ownership, ShardAcquired, ShardLost
+from poplarlb.coordination.requests import (
+    RequestParts,
+    Routing,
+    no_owner_fault,
+    silent_owner_fault,
+)
 from poplarlb.coordination.router import choose_shard
 from poplarlb.coordination.shard_host import ShardHost
 from poplarlb.coordination.sharding import Member, ShardMap
@@ -30,7 +36,9 @@
 
     call_id: int
     body: api.ApiBody
+    sent_ms: int
     expires_ms: int
+    member_id: str
 
 
 @frozen
@@ -53,6 +61,7 @@
     ownership: Ownership = None
     config: ConfigKeeper = None
     budget: CallBudget = None
+    requests: RequestParts = None
     hosts: dict[str, ShardHost] = Factory(dict)
     delayed_calls: collections.deque[ports.StoreCall] = Factory(collections.deque)
     forwarding: dict[int, _Forwarding] = Factory(dict)
@@ -69,6 +78,7 @@
         self.ownership = Ownership(self.context, self.membership, self.shards)
         self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
+        self.requests = RequestParts(self.context, self.membership, self.ownership)
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
         """Take one event and return the commands to carry out."""
@@ -83,6 +93,7 @@
                     *self.ownership.handle(event, now_ms),
                     *self._to_hosts(event, now_ms),
                 ]
+                self.requests.note_records()
             case ports.WorkerReplied():
                 outputs = self._to_hosts(event, now_ms)
             case ports.HostsListed(workers=workers):
@@ -101,6 +112,7 @@
             *self.membership.handle(event, now_ms, self._own_summaries(now_ms)),
             *self.ownership.handle(event, now_ms),
             *self._to_hosts(event, now_ms),
+            *self.requests.tick(now_ms),
             *self._expire_forwarding(now_ms),
         ]
         if now_ms >= self.next_hosts_ms:
@@ -133,15 +145,19 @@
             output = pending.popleft()
             match output:
                 case ShardAcquired():
-                    self._open_shard(output)
+                    pending.extend(self._open_shard(output, now_ms))
                 case ShardLost(shard=shard):
+                    pending.extend(self.requests.lose_shard(shard, now_ms))
                     self.hosts.pop(shard, None)
                 case SendShard(message=message):
                     pending.extend(self._send_shard(message, now_ms))
                 case ports.StoreCall():
                     commands.extend(self._spend(output, now_ms))
                 case ports.ApiAnswer():
-                    commands.extend(self._return_answer(output))
+                    another = self._try_next_shard(output, now_ms)
+                    pending.extend(another)
+                    if not another:
+                        commands.extend(self._return_answer(output))
                 case _:
                     commands.append(output)
         return commands
@@ -152,20 +168,23 @@
         self.delayed_calls.append(call)
         return []
 
-    def _open_shard(self, acquired: ShardAcquired) -> None:
+    def _open_shard(self, acquired: ShardAcquired, now_ms: int) -> list:
         record = acquired.record
         writer = f"{self.own.member_id}/{self.own.incarnation}"
         journal = Journal(self.context, record.shard, writer, record.epoch)
+        admission = Admission(self.context, record.shard, record.epoch)
+        commands = self.requests.open_shard(record, admission, now_ms)
         self.hosts[record.shard] = ShardHost(
             self.context,
             self.shards,
             record.shard,
             record.epoch,
             journal,
-            Admission(self.context, record.shard, record.epoch),
+            admission,
             self.summaries,
             self.ownership.proof_ms(record.shard),
         )
+        return commands
 
     def _own_summaries(self, now_ms: int) -> tuple[messages.ShardSummary, ...]:
         if now_ms - self.summarized_ms < SUMMARY_PERIOD_MS:
@@ -192,6 +211,11 @@
                 return self.config.handle(event, now_ms)
             case api.ShowStatus():
                 return [ports.ApiAnswer(event.call_id, self._status(now_ms))]
+            case api.AdmitRequest() as body:
+                routing = self.requests.begin_routing(event.call_id, body)
+                return self._admit(event.call_id, routing, now_ms)
+            case api.FinishRequest(request_id=request_id):
+                self.requests.grants.finish(request_id)
         shard = self._shard_for(event.body)
         return self._to_owner(event, shard, now_ms)
 
@@ -207,40 +231,86 @@
                 return shard
             case api.FinishRequest(shard=shard):
                 return shard
-            case api.AdmitRequest(team=team, service=service):
-                return choose_shard(team, service, self.summaries())
         return ""
 
+    def _admit(self, call_id: int, routing: Routing, now_ms: int) -> list:
+        body = routing.body
+        shard = choose_shard(body, self.summaries(), self.own.zone, routing.tried)
+        if not shard:
+            detail = "no endpoint of the service runs"
+            fault = api.Fault("not_run", Reason.NO_ENDPOINT, detail, 1_000)
+            routing.closed = True
+            return [ports.ApiAnswer(call_id, fault)]
+        routing.tried.append(shard)
+        return self._to_owner(ports.ApiRequested(call_id, body), shard, now_ms)
+
+    def _try_next_shard(self, answer: ports.ApiAnswer, now_ms: int) -> list:
+        """Ask another shard's owner where one refused a request of our own."""
+        routing = self.requests.may_try_again(answer.call_id, answer.result, now_ms)
+        if routing is None:
+            return []
+        body = routing.body
+        shard = choose_shard(body, self.summaries(), self.own.zone, routing.tried)
+        return self._admit(answer.call_id, routing, now_ms) if shard else []
+
     def _to_owner(self, event: ports.ApiRequested, shard: str, now_ms: int) -> list:
         if shard in self.hosts:
-            return self.hosts[shard].handle(event, now_ms)
+            return self._decide(event, shard, now_ms)
         record = self.ownership.owner_of(shard)
         address = self.membership.address_of(record.owner) if record else ""
+        if not address or self._is_silent(record.owner, now_ms):
+            result = self.requests.answer_alone(event.body, now_ms)
+            if result is not None:
+                return [ports.ApiAnswer(event.call_id, result)]
         if not address:
-            fault = api.Fault("not_run", Reason.NO_OWNER, retry_after_ms=1_000)
+            fault = no_owner_fault(event.body)
             return [ports.ApiAnswer(event.call_id, fault)]
         call_id = self.context.next_call()
         expires_ms = now_ms + FORWARD_TIMEOUT_MS
-        self.forwarding[call_id] = _Forwarding(event.call_id, event.body, expires_ms)
+        if isinstance(event.body, api.AdmitRequest):
+            expires_ms = event.body.deadline_ms
+        self.forwarding[call_id] = _Forwarding(
+            event.call_id, event.body, now_ms, expires_ms, record.owner
+        )
         message = messages.Forward(call_id, shard, event.body)
         return [ports.SendPeer(record.owner, address, message)]
 
+    def _decide(self, event: ports.ApiRequested, shard: str, now_ms: int) -> list:
+        """Let the part of this daemon that owns the shard answer a call."""
+        if isinstance(event.body, api.BeginKey | api.FinishKey):
+            return self.requests.handle_key(event, shard, now_ms)
+        return self.hosts[shard].handle(event, now_ms)
+
+    def _is_silent(self, member_id: str, now_ms: int) -> bool:
+        peer = self.membership.peers.get(member_id)
+        heard = peer is not None and peer.heartbeat is not None
+        return heard and not self.membership.answers(member_id, now_ms)
+
     def _expire_forwarding(self, now_ms: int) -> list:
         expired = [
             call_id
             for call_id, item in self.forwarding.items()
-            if now_ms >= item.expires_ms
+            if now_ms >= item.expires_ms or self._is_lost(item, now_ms)
         ]
-        fault = api.Fault("outcome_unknown", Reason.NO_OWNER, "the owner is silent")
+        items = [self.forwarding.pop(call_id) for call_id in expired]
         return [
-            ports.ApiAnswer(self.forwarding.pop(call_id).call_id, fault)
-            for call_id in expired
+            ports.ApiAnswer(item.call_id, silent_owner_fault(item.body))
+            for item in items
         ]
 
+    def _is_lost(self, item: _Forwarding, now_ms: int) -> bool:
+        """Tell whether a gateway's call went to a member that has fallen silent."""
+        waited_ms = now_ms - item.sent_ms
+        return (
+            isinstance(item.body, api.AdmitRequest | api.BeginKey)
+            and waited_ms >= self.settings.members.suspect_after_ms
+            and self._is_silent(item.member_id, now_ms)
+        )
+
     def _return_answer(self, answer: ports.ApiAnswer) -> list[ports.Command]:
         origin = self.forwarded.pop(answer.call_id, None)
         if origin is None:
-            return [answer]
+            return [self.requests.finish_routing(answer)]
         address = self.membership.address_of(origin.member_id)
         message = messages.Forwarded(origin.their_call_id, answer.result)
         return [ports.SendPeer(origin.member_id, address, message)]
@@ -267,8 +337,21 @@
                 return self._take_forward(event.sender, their_call, shard, body, now_ms)
             case messages.Forwarded(call_id=call_id, result=result):
                 item = self.forwarding.pop(call_id, None)
-                return [ports.ApiAnswer(item.call_id, result)] if item else []
-        return []
+                if item is None:
+                    return self._give_back(result, now_ms)
+                return [ports.ApiAnswer(item.call_id, result)]
+        return self.requests.handle_peer(event, now_ms)
+
+    def _give_back(self, result: api.ApiResult, now_ms: int) -> list:
+        """Return a slot whose grant came after its caller had given up."""
+        if not isinstance(result, api.Grant):
+            return []
+        call_id = self.context.next_call()
+        body = api.FinishRequest(
+            result.request_id, result.shard, result.worker_id, 0, "unused"
+        )
+        event = ports.ApiRequested(call_id, body)
+        return self._to_owner(event, result.shard, now_ms)
 
     def _take_forward(
         self,
@@ -281,9 +364,8 @@
         call_id = self.context.next_call()
         self.forwarded[call_id] = _ForwardedCall(sender, their_call)
         if shard not in self.hosts:
-            fault = api.Fault("not_run", Reason.NO_OWNER, retry_after_ms=1_000)
-            return [ports.ApiAnswer(call_id, fault)]
-        return self.hosts[shard].handle(ports.ApiRequested(call_id, body), now_ms)
+            return [ports.ApiAnswer(call_id, no_owner_fault(body))]
+        return self._decide(ports.ApiRequested(call_id, body), shard, now_ms)
 
     def _status(self, now_ms: int) -> api.Status:
         members = [
--- /dev/null
+++ b/poplarlb/coordination/requests.py
@@ -0,0 +1,305 @@
+"""The parts of a daemon that serve requests: keys, marks, grants, takeovers."""
+
+from attrs import Factory, define, evolve
+
+from poplarlb.coordination.admission import Admission
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
+from poplarlb.coordination.idempotency import KeyPeers, KeyTable, PreviousOwner
+from poplarlb.coordination.marks import MarkStore
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import OwnerRecord, Ownership
+from poplarlb.protocol import api, messages, ports
+from poplarlb.state.models import Reason
+
+SHARDS_TRIED = 3
+SWEEP_MS = 5_000
+
+FOR_OWNER = (messages.KeyMarked, messages.MarksCollected, messages.SecondAdopted)
+FOR_SECOND = (messages.MarkKey, messages.KeyOutcome, messages.AdoptSecond)
+
+
+@define
+class Routing:
+    """A request for a slot that this daemon's own gateway made."""
+
+    body: api.AdmitRequest
+    tried: list[str] = Factory(list)
+    closed: bool = False
+
+
+@define
+class RequestParts:
+    """Keeps key tables beside the shards that this daemon owns, and its grants."""
+
+    context: NodeContext
+    membership: Membership
+    ownership: Ownership
+    marks: MarkStore = None
+    grants: GrantBook = None
+    tables: dict[str, KeyTable] = Factory(dict)
+    admissions: dict[str, Admission] = Factory(dict)
+    closed: dict[str, messages.GrantsReported] = Factory(dict)
+    previous: dict[str, OwnerRecord] = Factory(dict)
+    routing: dict[int, Routing] = Factory(dict)
+    next_sweep_ms: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the parts that live as long as the daemon."""
+        own = self.membership.own
+        self.marks = MarkStore(
+            own.incarnation, self._known_epoch, self.membership.address_of
+        )
+        self.grants = GrantBook(own.member_id, own.incarnation)
+
+    def _known_epoch(self, shard: str) -> int | None:
+        record = self.ownership.owner_of(shard)
+        return record.epoch if record else None
+
+    def _incarnation_of(self, member_id: str) -> int:
+        peer = self.membership.peers.get(member_id)
+        if peer is None:
+            return 0
+        heard = peer.heartbeat.incarnation if peer.heartbeat else 0
+        return max(peer.member.incarnation, heard)
+
+    # --- ownership ------------------------------------------------------------------
+
+    def note_records(self) -> None:
+        """Remember the last owner record of each shard that is not our own."""
+        own = self.membership.own
+        for shard, record in self.ownership.records.items():
+            if (record.owner, record.incarnation) != (own.member_id, own.incarnation):
+                self.previous[shard] = record
+
+    def open_shard(
+        self, record: OwnerRecord, admission: Admission, now_ms: int
+    ) -> list[ports.Command]:
+        """Begin to serve keys and slots of a shard that was just acquired."""
+        shard = record.shard
+        old = self.previous.get(shard)
+        commands = []
+        if shard in self.tables:
+            epoch, second = self.tables[shard].epoch, self._second_of(shard)
+            old = OwnerRecord(shard, record.owner, epoch, record.incarnation, second)
+            commands = self.lose_shard(shard, now_ms)
+        previous = PreviousOwner(old.epoch, old.owner, old.second) if old else None
+        self.tables[shard] = KeyTable(
+            self.context,
+            shard,
+            record.epoch,
+            now_ms,
+            self._key_peers(shard),
+            self.marks,
+            previous,
+        )
+        self.admissions[shard] = admission
+        if previous is not None:
+            self._begin_takeover(admission, previous, now_ms)
+        return commands
+
+    def _begin_takeover(
+        self, admission: Admission, previous: PreviousOwner, now_ms: int
+    ) -> None:
+        own = self.membership.own
+        members = {
+            name
+            for name, peer in self.membership.peers.items()
+            if peer.registered or now_ms - peer.heard_ms < LONGEST_GRANT_MS
+        }
+        early = {own.member_id: own.incarnation}
+        admission.begin_takeover(members | {previous.owner}, early, now_ms)
+        admission.takeover.previous_owner = previous.owner
+
+    def _key_peers(self, shard: str) -> KeyPeers:
+        return KeyPeers(
+            self.membership.own.member_id,
+            self.membership.address_of,
+            self._incarnation_of,
+            lambda: list(self.membership.peers),
+            lambda: self._second_of(shard),
+            lambda: self.ownership.proof_ms(shard),
+        )
+
+    def _second_of(self, shard: str) -> str:
+        record = self.ownership.owner_of(shard)
+        own_id = self.membership.own.member_id
+        return record.second if record and record.owner == own_id else ""
+
+    def lose_shard(self, shard: str, now_ms: int) -> list[ports.Command]:
+        """Stop serving a shard; what is known goes to the new owner on request."""
+        commands = []
+        table = self.tables.pop(shard, None)
+        if table is not None:
+            commands.extend(table.depose(now_ms))
+        admission = self.admissions.pop(shard, None)
+        if admission is not None:
+            commands.extend(admission.close())
+            self.closed[shard] = messages.GrantsReported(
+                shard,
+                admission.epoch,
+                self.membership.own.incarnation,
+                admission.outstanding(),
+                whole=not admission.takeover.unreported,
+            )
+        return commands
+
+    # --- events ---------------------------------------------------------------------
+
+    def tick(self, now_ms: int) -> list[ports.Command]:
+        """Advance takeovers and forget what has expired."""
+        commands: list[ports.Command] = []
+        for shard, table in list(self.tables.items()):
+            commands.extend(table.handle(ports.Tick(), now_ms))
+            self.admissions[shard].members = self._count_members(now_ms)
+            commands.extend(self._ask_for_grants(shard, now_ms))
+        if now_ms >= self.next_sweep_ms:
+            self.next_sweep_ms = now_ms + SWEEP_MS
+            self.marks.handle(ports.Tick(), now_ms)
+            self.grants.drop_expired(now_ms)
+        return commands
+
+    def _count_members(self, now_ms: int) -> int:
+        names = self.membership.peers
+        return 1 + sum(self.membership.answers(name, now_ms) for name in names)
+
+    def _ask_for_grants(self, shard: str, now_ms: int) -> list[ports.Command]:
+        admission = self.admissions[shard]
+        wanted = messages.GrantsWanted(shard, admission.epoch)
+        commands: list[ports.Command] = []
+        for name in admission.wanted_reports(now_ms):
+            if name == self.membership.own.member_id:
+                report = self._report_grants(wanted)
+                event = ports.PeerReceived(name, report)
+                commands.extend(admission.handle(event, now_ms))
+            else:
+                address = self.membership.address_of(name)
+                commands.append(ports.SendPeer(name, address, wanted))
+        return commands
+
+    def handle_key(
+        self, event: ports.ApiRequested, shard: str, now_ms: int
+    ) -> list[ports.Command]:
+        """Answer a call for a key as its home shard's owner."""
+        table = self.tables.get(shard)
+        if table is not None:
+            return table.handle(event, now_ms)
+        return [ports.ApiAnswer(event.call_id, no_owner_fault(event.body))]
+
+    def handle_peer(
+        self, event: ports.PeerReceived, now_ms: int
+    ) -> list[ports.Command]:
+        """Take a message about marks or grants."""
+        message = event.message
+        match message:
+            case messages.GrantsWanted():
+                return self._answer_grants(event.sender, message, now_ms)
+            case messages.GrantsReported(shard=shard):
+                admission = self.admissions.get(shard)
+                return admission.handle(event, now_ms) if admission else []
+            case messages.CollectMarks(shard=shard, epoch=epoch):
+                table = self.tables.get(shard)
+                commands = []
+                if table is not None and epoch > table.epoch:
+                    commands = table.depose(now_ms)
+                return [*commands, *self.marks.handle(event, now_ms)]
+        if isinstance(message, FOR_SECOND):
+            return self.marks.handle(event, now_ms)
+        if isinstance(message, FOR_OWNER) and message.shard in self.tables:
+            return self.tables[message.shard].handle(event, now_ms)
+        return []
+
+    def _answer_grants(
+        self, sender: str, wanted: messages.GrantsWanted, now_ms: int
+    ) -> list[ports.Command]:
+        commands: list[ports.Command] = []
+        admission = self.admissions.get(wanted.shard)
+        if admission is not None and admission.epoch < wanted.epoch:
+            commands.extend(self.lose_shard(wanted.shard, now_ms))
+        report = self._report_grants(wanted)
+        if report is not None:
+            address = self.membership.address_of(sender)
+            commands.append(ports.SendPeer(sender, address, report))
+        return commands
+
+    def _report_grants(
+        self, wanted: messages.GrantsWanted
+    ) -> messages.GrantsReported | None:
+        report = self.grants.report(wanted)
+        closed = self.closed.get(wanted.shard)
+        if report is None or closed is None:
+            return report
+        known = {(item.request_id, item.worker_id): item for item in closed.grants}
+        known.update(
+            {(item.request_id, item.worker_id): item for item in report.grants}
+        )
+        whole = closed.whole and closed.epoch == wanted.epoch - 1
+        return messages.GrantsReported(
+            wanted.shard,
+            wanted.epoch,
+            report.incarnation,
+            tuple(known.values()),
+            whole,
+        )
+
+    # --- this daemon's own gateway ----------------------------------------------------
+
+    def begin_routing(self, call_id: int, body: api.AdmitRequest) -> Routing:
+        """Note a request for a slot, to try other shards if one refuses."""
+        return self.routing.setdefault(call_id, Routing(body))
+
+    def finish_routing(self, answer: ports.ApiAnswer) -> ports.ApiAnswer:
+        """Note the final answer to our own gateway; an old grant is refused."""
+        routing = self.routing.pop(answer.call_id, None)
+        if routing is None:
+            return answer
+        service = (routing.body.team, routing.body.service)
+        result = self.grants.take(service, answer.result)
+        return ports.ApiAnswer(answer.call_id, result)
+
+    def may_try_again(
+        self, call_id: int, result: api.ApiResult, now_ms: int
+    ) -> Routing | None:
+        """Return the routing of a refused request that another shard may admit."""
+        routing = self.routing.get(call_id)
+        if routing is None or routing.closed or not isinstance(result, api.Fault):
+            return None
+        late = now_ms >= routing.body.deadline_ms
+        if result.code != "not_run" or late or len(routing.tried) >= SHARDS_TRIED:
+            return None
+        return routing
+
+    def answer_alone(self, body: api.ApiBody, now_ms: int) -> api.ApiResult | None:
+        """Grant a slot from our fixed share while owner and store are both silent."""
+        if not isinstance(body, api.AdmitRequest):
+            return None
+        silent_ms = now_ms - self.membership.store_contact_ms
+        if silent_ms < self.context.settings.members.lease_s * 1000:
+            return None
+        members = [member.member_id for member in self.membership.live_members(now_ms)]
+        return self.grants.admit_alone(body, members, now_ms)
+
+
+def no_owner_fault(body: api.ApiBody, detail: str = "") -> api.Fault:
+    """Return the refusal of a call whose owner can't be asked.
+
+    It says "not run" only where nothing can have run: an earlier sending of a
+    key, of a job or of a cancellation may have reached another owner.
+    """
+    match body:
+        case api.SubmitTask() | api.CancelTask():
+            code = "outcome_unknown"
+        case api.BeginKey(first_sending=False):
+            code = "outcome_unknown"
+        case _:
+            code = "not_run"
+    return api.Fault(code, Reason.NO_OWNER, detail, 1_000)
+
+
+def silent_owner_fault(body: api.ApiBody) -> api.Fault:
+    """Return the answer to a call that its owner did not answer in time."""
+    fault = no_owner_fault(body, "the owner is silent")
+    if isinstance(body, api.AdmitRequest | api.BeginKey):
+        # Whatever the owner granted, this gateway will not use it any more.
+        return fault
+    return evolve(fault, code="outcome_unknown")
--- a/poplarlb/coordination/router.py
+++ b/poplarlb/coordination/router.py
@@ -1,18 +1,60 @@
 """Chooses the shard whose owner is asked to admit a request."""
 
-from collections.abc import Iterable
-
-from poplarlb.protocol.messages import ShardSummary
-
-
-def choose_shard(team: str, service: str, summaries: Iterable[ShardSummary]) -> str:
-    """Return the shard with the most free slots for a service, or ''."""
-    best = ""
-    most = -1
-    for summary in summaries:
-        for endpoint in summary.endpoints:
-            if (endpoint.team, endpoint.service) != (team, service):
-                continue
-            if endpoint.free_slots > most:
-                best, most = summary.shard, endpoint.free_slots
-    return best
+from collections.abc import Collection, Iterable
+
+from attrs import frozen
+
+from poplarlb.coordination.sharding import score
+from poplarlb.protocol import api
+from poplarlb.protocol.messages import EndpointSummary, ShardSummary
+
+SAMPLES = 2
+NEAR_TIE = 0.25
+
+
+@frozen
+class ShardChoice:
+    """A shard with endpoints of the service, as its last summary tells."""
+
+    shard: str
+    zone: str
+    summary: EndpointSummary
+
+    @property
+    def load(self) -> float:
+        """How much waits for each endpoint; below 0 while slots are free."""
+        busy = self.summary.queued - self.summary.free_slots
+        return busy / self.summary.endpoints
+
+
+def choose_shard(
+    body: api.AdmitRequest,
+    summaries: Iterable[ShardSummary],
+    own_zone: str = "",
+    tried: Collection[str] = (),
+) -> str:
+    """Return the shard to ask, or '' if none has endpoints of the service.
+
+    Of two shards drawn by the request's id and those of the own zone the least
+    loaded is taken. All daemons act on equally old summaries; the draw keeps
+    them from all choosing the same shard.
+    """
+    choices = [
+        ShardChoice(summary.shard, summary.zone, endpoint)
+        for summary in summaries
+        if summary.shard not in tried
+        for endpoint in summary.endpoints
+        if (endpoint.team, endpoint.service) == (body.team, body.service)
+        and endpoint.endpoints > 0
+    ]
+    choices.sort(key=lambda item: score(body.request_id, item.shard))
+    drawn = [
+        item
+        for number, item in enumerate(choices)
+        if number < SAMPLES or item.zone == own_zone
+    ]
+    if not drawn:
+        return ""
+    least = min(item.load for item in drawn)
+    near = [item for item in drawn if item.load - least <= NEAR_TIE]
+    return min(near, key=lambda item: (item.zone != own_zone, item.load)).shard
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -99,6 +99,12 @@
     def handle(self, event: ports.Event, now_ms: int) -> list[ShardCommand]:
         """Take one event; returns the commands that may be carried out now."""
         commands: list[ShardCommand] = []
+        if isinstance(event, ports.ApiRequested):
+            match event.body:
+                case api.FinishRequest():
+                    return self.admission.handle(event, now_ms)
+                case api.Explain(subject=subject) if subject.startswith("request/"):
+                    return self.admission.handle(event, now_ms)
         if isinstance(event, ports.Tick | ports.StoreReplied):
             commands.extend(self._drive_journal(event, now_ms))
         if self.open and not self.leaving:
@@ -127,7 +133,7 @@
 
     def _drive_machine(self, event: ports.Event, now_ms: int) -> list[ShardCommand]:
         match event:
-            case ports.ApiRequested(body=api.AdmitRequest() | api.FinishRequest()):
+            case ports.ApiRequested(body=api.AdmitRequest()):
                 return self.admission.handle(event, now_ms)
             case ports.ApiRequested(body=api.SubmitTask(spec=spec)):
                 known = spec.key in self.machine.core.state.tasks
--- a/poplarlb/exceptions.py
+++ b/poplarlb/exceptions.py
@@ -36,6 +36,32 @@
     http_status = 413
 
 
+class RequestTimeoutError(PoplarlbError):
+    """A caller's request did not come whole in time."""
+
+    code = "request_timeout"
+    http_status = 408
+
+
+class MethodNotAllowedError(PoplarlbError):
+    """The path exists, but not for this method."""
+
+    code = "method_not_allowed"
+    http_status = 405
+
+
+class RefusedError(PoplarlbError):
+    """A call was refused or failed; carries the whole fault.
+
+    :param fault: what is told to the caller.
+    """
+
+    def __init__(self, fault) -> None:
+        """Keep the fault."""
+        super().__init__(fault.detail)
+        self.fault = fault
+
+
 class UnauthorizedError(PoplarlbError):
     """The shared secret is missing or wrong."""
 
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -318,12 +318,16 @@
 
 @frozen
 class GrantsReported:
-    """All slots of the shard that the member uses; it takes no older grants now."""
+    """All slots of the shard that the member uses; it takes no older grants now.
+
+    ``whole`` tells that the sender was the owner and knows every grant.
+    """
 
     shard: str
     epoch: int
     incarnation: int
     grants: tuple[OutstandingGrant, ...]
+    whole: bool = False
 
 
 PeerMessage = (
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -1,42 +1,37 @@
-"""The HTTP doors for callers and operators, served by CherryPy.
+"""The HTTP door for callers: routes to the gateway, to jobs and to health.
 
-CherryPy's threads only parse, hand a typed call to the loop, and wait.
+Services are a WSGI application of their own; everything else is CherryPy's.
 """
 
-import json
-import socket
+from collections.abc import Callable, Iterable
 
 import cherrypy
-import urllib3
 from cherrypy.process.servers import ServerAdapter
 from prometheus_client import CONTENT_TYPE_LATEST
 
-from poplarlb.exceptions import BadRequestError, PoplarlbError
-from poplarlb.protocol import api
-from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
-from poplarlb.transport import tls, views
-from poplarlb.transport.operators import OperatorRoutes
+from poplarlb.exceptions import NotFoundError, PoplarlbError, RateLimitedError
+from poplarlb.transport import gateway, tls
+from poplarlb.transport.gateway import ServiceGateway
+from poplarlb.transport.jobs import JobRoutes
+from poplarlb.transport.limits import make_server
+from poplarlb.transport.operators import OperatorRoutes, RateLimit, fault_bytes
 from poplarlb.transport.runtime import Runtime, now_ms
 
 
-def bind(listen: str) -> socket.socket:
-    """Return a listening socket bound to ``host:port``; port 0 picks a free one."""
-    host, _, port = listen.rpartition(":")
-    return socket.create_server((host, int(port)), backlog=256)
-
-
 class Door:
-    """The WSGI application behind the callers' and operators' address.
+    """CherryPy's part of the callers' address.
 
     :param runtime: answers the calls.
     """
 
     def __init__(self, runtime: Runtime) -> None:
-        """Keep the runtime and open a pool towards endpoints."""
+        """Build the routes."""
         self.runtime = runtime
+        self.jobs = JobRoutes(runtime)
         separate = runtime.settings.api.operator_listen
         self.operators = None if separate else OperatorRoutes(runtime)
-        self.pool = urllib3.PoolManager(num_pools=2_000, maxsize=64, retries=False)
+        per_s = runtime.settings.api.requests_per_s
+        self.rate = RateLimit(per_s, per_s, per_s)
 
     @cherrypy.expose
     def healthz(self) -> bytes:
@@ -63,80 +58,36 @@
         try:
             return self._route(path, query)
         except PoplarlbError as error:
-            cherrypy.response.status = error.http_status
-            return _json({"code": error.code, "detail": error.detail})
+            if isinstance(error, RateLimitedError):
+                cherrypy.response.headers["Retry-After"] = "1"
+            return fault_bytes(error)
 
     def _route(self, path: tuple[str, ...], query: dict[str, str]) -> bytes:
         method = cherrypy.request.method
-        match (method, *path):
-            case (_, "v1", "services", team, service, *rest):
-                return self._serve(team, service, "/".join(rest))
-            case ("PUT", "v1", "jobs", team, job_id):
-                return self._submit(TaskKey(team, job_id))
-            case ("GET", "v1", "jobs", team, job_id):
-                return self._answer(api.ShowTask(TaskKey(team, job_id)))
-            case ("DELETE", "v1", "jobs", team, job_id):
-                return self._answer(api.CancelTask(TaskKey(team, job_id)))
         if self.operators is not None and self.operators.handles(path):
             return self.operators.route(method, path)
-        cherrypy.response.status = 404
-        return _json({"code": "not_found", "detail": "/".join(path)})
+        if not self.rate.take(now_ms()):
+            raise RateLimitedError("too many requests a second")
+        if path[:2] == ("v1", "jobs"):
+            return self.jobs.route(method, path[2:], query)
+        raise NotFoundError("/".join(path))
 
-    def _body(self) -> dict:
-        try:
-            table = json.loads(cherrypy.request.body.read())
-        except ValueError as error:
-            raise BadRequestError(f"not JSON: {error}") from error
-        if not isinstance(table, dict):
-            raise BadRequestError("not a JSON object")
-        return table
-
-    def _submit(self, key: TaskKey) -> bytes:
-        body = self._body()
-        spec = TaskSpec(
-            key,
-            WorkClass(body.get("class", "ordinary")),
-            Resources(**body.get("size", {})),
-            body.get("run_time_ms", 0),
-            payload=body.get("payload", "").encode(),
-            submitted_ms=now_ms(),
-        )
-        return self._answer(api.SubmitTask(spec))
-
-    def _answer(self, body: api.ApiBody) -> bytes:
-        result = self.runtime.ask(body)
-        cherrypy.response.status = views.status_of(result)
-        return _json(views.to_json(result))
-
-    def _serve(self, team: str, service: str, path: str) -> bytes:
-        started_ms = now_ms()
-        request_id = f"{self.runtime.settings.member_id}-{started_ms}"
-        admit = api.AdmitRequest(request_id, team, service, started_ms + 10_000)
-        grant = self.runtime.ask(admit)
-        if not isinstance(grant, api.Grant):
-            cherrypy.response.status = views.status_of(grant)
-            return _json(views.to_json(grant))
-        url = f"http://{grant.address}/service/{team}/{service}/{path}"
-        body = cherrypy.request.body.read()
-        answer = self.pool.request(cherrypy.request.method, url, body=body)
-        finish = api.FinishRequest(
-            request_id, grant.shard, grant.worker_id, now_ms() - started_ms, "ok"
-        )
-        self.runtime.ask(finish)
-        cherrypy.response.status = answer.status
-        cherrypy.response.headers["Content-Type"] = answer.headers.get(
-            "Content-Type", "application/octet-stream"
-        )
-        return answer.data
 
+def join_applications(
+    services: ServiceGateway, others: cherrypy.Application
+) -> Callable:
+    """Return one WSGI application that hands services' paths to the gateway."""
 
-def _json(value: object) -> bytes:
-    cherrypy.response.headers["Content-Type"] = "application/json"
-    return json.dumps(value).encode() + b"\n"
+    def application(environ: dict, start_response: Callable) -> Iterable[bytes]:
+        if environ["PATH_INFO"].startswith(gateway.PREFIX):
+            return services(environ, start_response)
+        return others(environ, start_response)
+
+    return application
 
 
 class CallerServer:
-    """CherryPy on an address from the settings, without its global engine loop.
+    """The callers' address, served without CherryPy's global engine loop.
 
     :param runtime: answers the calls.
     """
@@ -150,17 +101,14 @@
                 "environment": "embedded",
                 "log.screen": False,
                 "request.show_tracebacks": False,
-                "server.max_request_body_size": (
-                    runtime.settings.requests.body_limit_bytes
-                ),
             }
         )
-        application = cherrypy.tree.mount(Door(runtime), "/")
-        from cheroot.wsgi import Server
-
-        self.server = Server(
-            (host, int(port)), application, numthreads=settings.threads
+        application = join_applications(
+            ServiceGateway(runtime), cherrypy.Application(Door(runtime), "")
         )
+        self.server = make_server((host, int(port)), application, settings.threads)
+        self.server.max_request_header_size = settings.header_limit_bytes
+        self.server.max_request_body_size = runtime.settings.requests.body_limit_bytes
         self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
         self.adapter = ServerAdapter(cherrypy.engine, self.server)
@@ -173,8 +121,10 @@
 
     def serve(self) -> None:
         """Serve until stopped; runs on a thread of its own."""
+        self.server.watch.start()
         self.server.serve()
 
     def stop(self) -> None:
         """Stop accepting and wait for requests in flight."""
         self.server.stop()
+        self.server.watch.stop()
--- /dev/null
+++ b/poplarlb/transport/gateway.py
@@ -0,0 +1,509 @@
+"""The flow of one request to a service: claim, admit, send, finish.
+
+Runs on the server's threads as a WSGI application of its own, so that bodies
+pass through in pieces.
+"""
+
+import contextlib
+import hashlib
+import itertools
+import json
+import math
+import re
+import threading
+from collections.abc import Callable, Iterator
+
+from attrs import Factory, define, field, frozen
+
+from poplarlb.coordination.grants import LONGEST_GRANT_MS
+from poplarlb.coordination.retries import RetryBudget
+from poplarlb.exceptions import (
+    BadRequestError,
+    NotFoundError,
+    PoplarlbError,
+    RateLimitedError,
+    RefusedError,
+)
+from poplarlb.protocol import api
+from poplarlb.state.models import Reason, WorkClass
+from poplarlb.transport import views
+from poplarlb.transport.bodies import (
+    WHOLE_BODY_BYTES,
+    BufferBudget,
+    RequestBody,
+    buffered,
+)
+from poplarlb.transport.endpoints import (
+    NO_BODY_STATUS,
+    NOT_FORWARDED,
+    BrokenError,
+    EndpointAnswer,
+    EndpointClient,
+    OutgoingRequest,
+    UnsentError,
+    forwarded_headers,
+)
+from poplarlb.transport.limits import REQUEST_KEY
+from poplarlb.transport.operators import RateLimit
+from poplarlb.transport.runtime import Runtime, now_ms
+
+PREFIX = "/v1/services/"
+BUFFER_BYTES = 64 << 20
+RESERVED_THREADS = 2
+BUSY_RETRY_MS = 100
+RETRIED_STATUS = frozenset({429, 502, 503, 504})
+KEY_CALL_TIMEOUT_S = 8.0
+
+_METHOD = re.compile(r"[A-Z]{1,20}")
+_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
+_KEY = re.compile(r"[A-Za-z0-9._:/+=-]{1,128}")
+_TARGET = re.compile(r"[!-~]{1,8000}")
+_DOTS = re.compile(r"(?:\.|%2e){1,2}", re.IGNORECASE)
+
+
+@frozen
+class ServiceCall:
+    """One caller's request to a service, as it was understood."""
+
+    request_id: str
+    team: str
+    service: str
+    method: str
+    target: str
+    headers: tuple[tuple[str, str], ...]
+    body: RequestBody
+    deadline_ms: int
+    idempotent: bool
+    work_class: WorkClass
+    key: str = ""
+    first_sending: bool = False
+
+
+@define
+class Exchange:
+    """An answer on its way, and the slot that it uses until it is read."""
+
+    grant: api.Grant
+    answer: EndpointAnswer
+
+
+@define
+class Reply:
+    """What the caller is told."""
+
+    status: int
+    reason: str
+    headers: list[tuple[str, str]]
+    chunks: Iterator[bytes]
+    result: str = "ok"
+
+
+@define
+class ServiceGateway:
+    """The WSGI application under ``/v1/services``.
+
+    :param runtime: answers the calls to owners.
+    """
+
+    runtime: Runtime
+    client: EndpointClient = Factory(EndpointClient)
+    buffers: BufferBudget = Factory(lambda: BufferBudget(BUFFER_BYTES))
+    budgets: dict[tuple[str, str], RetryBudget] = Factory(dict)
+    numbers: Iterator[int] = Factory(lambda: itertools.count(1))
+    rate: RateLimit = field(init=False)
+    places: int = field(init=False)
+    started_ms: int = Factory(now_ms)
+    lock: threading.Lock = Factory(threading.Lock)
+
+    def __attrs_post_init__(self) -> None:
+        """Take the limits from the settings."""
+        settings = self.runtime.settings.api
+        per_s = settings.requests_per_s
+        self.rate = RateLimit(per_s, per_s, per_s)
+        self.places = max(1, settings.threads - RESERVED_THREADS)
+
+    def __call__(self, environ: dict, start_response: Callable) -> Iterator[bytes]:
+        """Answer one request."""
+        request = environ[REQUEST_KEY]
+        began_ms = now_ms()
+        request_id = self._make_id()
+        names = ("", "")
+        with contextlib.ExitStack() as stack:
+            try:
+                self._enter(stack)
+                call = self._parse(environ, request_id, began_ms)
+                names = (call.team, call.service)
+                if not stack.enter_context(buffered(self.buffers, call.body)):
+                    raise RefusedError(_busy("too many bodies are being read"))
+                reply = self._serve(call, stack)
+            except PoplarlbError as error:
+                # What is left of the body is not worth waiting for.
+                request.close_connection = True
+                reply = refuse(error)
+            reply.headers.append(("Poplarlb-Request-Id", request_id))
+            latency_ms = now_ms() - began_ms
+            self.runtime.metrics.observe_request(*names, reply.result, latency_ms)
+            start_response(f"{reply.status} {reply.reason}", reply.headers)
+            yield from reply.chunks
+
+    def _make_id(self) -> str:
+        member = self.runtime.settings.member_id
+        return f"{member}-{self.started_ms:x}-{next(self.numbers)}"
+
+    def _enter(self, stack: contextlib.ExitStack) -> None:
+        """Take a place among the requests in flight, or refuse at once."""
+        if not self.rate.take(now_ms()):
+            raise RateLimitedError("too many requests a second")
+        with self.lock:
+            if self.places <= 0:
+                raise RefusedError(_busy("every thread is in use"))
+            self.places -= 1
+        stack.callback(self._leave)
+
+    def _leave(self) -> None:
+        with self.lock:
+            self.places += 1
+
+    # --- parsing --------------------------------------------------------------------
+
+    def _parse(self, environ: dict, request_id: str, began_ms: int) -> ServiceCall:
+        request = environ[REQUEST_KEY]
+        team, service, rest = parse_target(environ["REQUEST_URI"])
+        method = environ["REQUEST_METHOD"]
+        if not _METHOD.fullmatch(method) or method in ("CONNECT", "TRACE"):
+            raise BadRequestError("the method is not one that can be passed on")
+        template = self._find_template(team, service)
+        headers = {
+            name.decode("latin-1").lower(): value.decode("latin-1")
+            for name, value in request.inheaders.items()
+        }
+        passed = forwarded_headers(
+            ((name.title(), value) for name, value in headers.items()), NOT_FORWARDED
+        )
+        settings = self.runtime.settings.requests
+        timeout_ms = parse_timeout(headers, settings.default_timeout_ms)
+        key = headers.get("idempotency-key", "")
+        if "idempotency-key" in headers and not _KEY.fullmatch(key):
+            raise BadRequestError(f"Idempotency-Key: allowed: {_KEY.pattern}")
+        return ServiceCall(
+            request_id,
+            team,
+            service,
+            method,
+            f"/service/{team}/{service}/{rest}",
+            (*passed, ("Poplarlb-Request-Id", request_id)),
+            RequestBody.of(request, settings.body_limit_bytes),
+            began_ms + timeout_ms,
+            template.idempotent,
+            parse_class(headers),
+            key,
+            parse_attempt(headers) == 1,
+        )
+
+    def _find_template(self, team: str, service: str):
+        if not self.runtime.started.is_set():
+            raise RefusedError(_busy("the daemon is starting"))
+        view = self.runtime.node.context.view
+        template = view.service(team, service)
+        if template is None and view.version == 0:
+            raise RefusedError(_busy("the configuration is not known yet"))
+        if template is None:
+            raise NotFoundError(f"no service {service} of team {team}")
+        return template
+
+    # --- the flow -------------------------------------------------------------------
+
+    def _serve(self, call: ServiceCall, stack: contextlib.ExitStack) -> Reply:
+        whole = call.body.read_whole(WHOLE_BODY_BYTES)
+        if not call.key:
+            exchange = self._exchange(call)
+            return self._reply(call, exchange, stack)
+        if not whole:
+            limit = WHOLE_BODY_BYTES
+            raise BadRequestError(f"with a key a body has at most {limit} bytes")
+        return self._serve_keyed(call, stack)
+
+    def _serve_keyed(self, call: ServiceCall, stack: contextlib.ExitStack) -> Reply:
+        claim = self._claim(call)
+        if isinstance(claim, api.KeyAnswered):
+            headers = [*claim.headers, ("Poplarlb-Replayed", "true")]
+            return Reply(claim.status, "Replayed", headers, iter([claim.body]))
+        used = True
+        outcome = None
+        try:
+            exchange = self._exchange(call)
+            if exchange.answer.whole:
+                outcome = exchange.answer
+        except RefusedError as error:
+            used = error.fault.code != "not_run"
+            raise
+        finally:
+            self._finish_key(call, used, outcome)
+        return self._reply(call, exchange, stack)
+
+    def _claim(self, call: ServiceCall) -> api.KeyClaimed | api.KeyAnswered:
+        body = api.BeginKey(
+            call.team,
+            call.service,
+            call.key,
+            call.request_id,
+            digest_of(call),
+            call.first_sending,
+            call.deadline_ms,
+        )
+        result = None
+        try:
+            result = self.runtime.ask(body, KEY_CALL_TIMEOUT_S)
+        finally:
+            if not isinstance(result, api.KeyClaimed | api.KeyAnswered):
+                self._finish_key(call, False, None)
+        if isinstance(result, api.Fault):
+            raise RefusedError(result)
+        return result
+
+    def _finish_key(
+        self, call: ServiceCall, used: bool, outcome: EndpointAnswer | None
+    ) -> None:
+        """Record a key's outcome before the caller hears it."""
+        limit = self.runtime.settings.requests.key_body_limit_bytes
+        kept = outcome if outcome and len(outcome.first) <= limit else None
+        body = api.FinishKey(
+            call.team,
+            call.service,
+            call.key,
+            call.request_id,
+            used,
+            kept.status if kept else 0,
+            kept.headers if kept else (),
+            kept.first if kept else b"",
+        )
+        if kept is None:
+            self.runtime.tell(body)
+            return
+        with contextlib.suppress(PoplarlbError):
+            self.runtime.ask(body, KEY_CALL_TIMEOUT_S)
+
+    def _exchange(self, call: ServiceCall) -> Exchange:
+        """Return an endpoint's answer, after retries where nothing can run twice.
+
+        :raises RefusedError: "not run" if no endpoint got a byte, and else
+            "outcome unknown".
+        """
+        avoid: tuple[str, ...] = ()
+        while True:
+            grant = self._admit(call, avoid)
+            again, answer, error = True, None, None
+            try:
+                answer = self._send(call, grant)
+                again = answer.status in RETRIED_STATUS and call.idempotent
+            except UnsentError as unsent:
+                self._finish(grant, "unsent", 0)
+                detail = f"the endpoint can't be reached: {unsent}"
+                error = api.Fault("not_run", Reason.ENDPOINT_FAILED, detail, 500)
+            except BrokenError as broken:
+                self._finish(grant, "unknown", 0)
+                again = call.idempotent and call.body.whole is not None
+                detail = f"the exchange broke off: {broken}"
+                error = api.Fault("outcome_unknown", Reason.ENDPOINT_FAILED, detail)
+            except BaseException:
+                self._finish(grant, "unused", 0)
+                raise
+            if not again or not self._may_retry(call, avoid):
+                if error is not None:
+                    raise RefusedError(error)
+                return Exchange(grant, answer)
+            if answer is not None:
+                if answer.rest is not None:
+                    answer.rest.close()
+                self._finish(grant, "failed", answer.waited_ms)
+            avoid = (*avoid, grant.worker_id)
+
+    def _may_retry(self, call: ServiceCall, avoid: tuple[str, ...]) -> bool:
+        if call.body.whole is None or now_ms() >= call.deadline_ms:
+            return False
+        with self.lock:
+            allowed = self._budget_of(call).take()
+        if allowed:
+            self.runtime.metrics.count_retry("request")
+        return allowed
+
+    def _budget_of(self, call: ServiceCall) -> RetryBudget:
+        share = self.runtime.settings.requests.retry_share
+        key = (call.team, call.service)
+        return self.budgets.setdefault(key, RetryBudget(share))
+
+    def _admit(self, call: ServiceCall, avoid: tuple[str, ...]) -> api.Grant:
+        began_ms = now_ms()
+        body = api.AdmitRequest(
+            call.request_id,
+            call.team,
+            call.service,
+            call.deadline_ms,
+            call.idempotent,
+            avoid,
+            self.runtime.settings.member_id,
+            call.work_class,
+        )
+        left_s = max(0, call.deadline_ms - began_ms) / 1000
+        result = self.runtime.ask(body, left_s + 1.0)
+        if isinstance(result, api.Fault):
+            raise RefusedError(result)
+        waited_ms = now_ms() - began_ms
+        self.runtime.metrics.observe_queue(call.team, call.service, waited_ms)
+        if now_ms() >= min(result.use_before_ms, call.deadline_ms):
+            self._finish(result, "unused", 0)
+            detail = "the slot came too late"
+            raise RefusedError(api.Fault("not_run", Reason.DEADLINE, detail, 50))
+        return result
+
+    def _send(self, call: ServiceCall, grant: api.Grant) -> EndpointAnswer:
+        request = OutgoingRequest(
+            call.method, call.target, call.headers, call.body, call.deadline_ms
+        )
+        fresh = not call.idempotent or grant.idle_connections < 1
+        return self.client.send(grant, request, WHOLE_BODY_BYTES, fresh)
+
+    def _finish(self, grant: api.Grant, result: str, latency_ms: float) -> None:
+        self.runtime.tell(
+            api.FinishRequest(
+                grant.request_id, grant.shard, grant.worker_id, latency_ms, result
+            )
+        )
+
+    # --- the answer -----------------------------------------------------------------
+
+    def _reply(
+        self, call: ServiceCall, exchange: Exchange, stack: contextlib.ExitStack
+    ) -> Reply:
+        answer = exchange.answer
+        headers = list(answer.headers)
+        bodiless = call.method == "HEAD" or answer.status in NO_BODY_STATUS
+        if answer.whole:
+            self._finish_answer(call, exchange)
+            if not bodiless:
+                headers = [h for h in headers if h[0].lower() != "content-length"]
+                headers.append(("Content-Length", str(len(answer.first))))
+            chunks = iter([answer.first])
+        else:
+            # Closing it gives the slot back, also if the caller goes away.
+            chunks = self._stream(call, exchange)
+            stack.callback(chunks.close)
+        return Reply(answer.status, answer.reason, headers, chunks)
+
+    def _stream(self, call: ServiceCall, exchange: Exchange) -> Iterator[bytes]:
+        """Yield an answer's body; raises when it is cut short.
+
+        The server then closes the connection without the end of the body.
+        """
+        result = "unknown"
+        try:
+            yield exchange.answer.first
+            yield from exchange.answer.rest
+            result = "ok"
+        except GeneratorExit:
+            result = "unused"
+            raise
+        finally:
+            exchange.answer.rest.close()
+            if result == "ok":
+                self._finish_answer(call, exchange)
+            else:
+                self._finish(exchange.grant, result, 0)
+
+    def _finish_answer(self, call: ServiceCall, exchange: Exchange) -> None:
+        answer = exchange.answer
+        good = answer.status < 500 and answer.status != 429
+        self._finish(exchange.grant, "ok" if good else "failed", answer.waited_ms)
+        if good:
+            with self.lock:
+                self._budget_of(call).note_success()
+
+
+def _busy(detail: str) -> api.Fault:
+    return api.Fault("not_run", Reason.RATE_LIMITED, detail, BUSY_RETRY_MS)
+
+
+def refuse(error: PoplarlbError) -> Reply:
+    """Return the reply that tells a caller of an error."""
+    if isinstance(error, RefusedError):
+        fault = error.fault
+        status = views.status_of(fault)
+        table = views.to_json(fault)
+    else:
+        fault = api.Fault(error.code, Reason.RATE_LIMITED, error.detail)
+        status = error.http_status
+        table = {"code": error.code, "detail": error.detail}
+        if isinstance(error, RateLimitedError):
+            table["retry_after_ms"] = 1_000
+    data = json.dumps(table).encode() + b"\n"
+    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
+    retry_after_ms = table.get("retry_after_ms", 0)
+    if retry_after_ms:
+        headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
+    return Reply(status, "Refused", headers, iter([data]), fault.code)
+
+
+def parse_target(uri: str) -> tuple[str, str, str]:
+    """Return the team, the service, and the rest of a request's target.
+
+    :raises PoplarlbError: if it is not a service's path, or could be read as
+        another path by the endpoint.
+    """
+    if not _TARGET.fullmatch(uri) or "#" in uri or "\\" in uri:
+        raise BadRequestError("the target is too long or has forbidden characters")
+    if not uri.startswith(PREFIX):
+        raise NotFoundError(uri.partition("?")[0])
+    path, mark, query = uri[len(PREFIX) :].partition("?")
+    team, _, remainder = path.partition("/")
+    service, _, rest = remainder.partition("/")
+    if not _NAME.fullmatch(team) or not _NAME.fullmatch(service):
+        raise NotFoundError(f"{PREFIX}TEAM/SERVICE: allowed: {_NAME.pattern}")
+    if any(_DOTS.fullmatch(part) for part in (team, service, *rest.split("/"))):
+        raise BadRequestError("a path with . or .. is not passed on")
+    return team, service, rest + mark + query
+
+
+def parse_timeout(headers: dict[str, str], default_ms: int) -> int:
+    """Return how long the caller waits.
+
+    :raises BadRequestError: if the header is out of range.
+    """
+    text = headers.get("poplarlb-timeout-ms")
+    if text is None:
+        return min(default_ms, LONGEST_GRANT_MS)
+    if not re.fullmatch(r"[0-9]{1,6}", text) or not 1 <= int(text) <= LONGEST_GRANT_MS:
+        raise BadRequestError(f"Poplarlb-Timeout-Ms: from 1 to {LONGEST_GRANT_MS}")
+    return int(text)
+
+
+def parse_class(headers: dict[str, str]) -> WorkClass:
+    """Return the request's class.
+
+    :raises BadRequestError: if there is no such class.
+    """
+    text = headers.get("poplarlb-class", WorkClass.LATENCY_CRITICAL.value)
+    try:
+        return WorkClass(text)
+    except ValueError as error:
+        allowed = ", ".join(item.value for item in WorkClass)
+        raise BadRequestError(f"Poplarlb-Class: allowed: {allowed}") from error
+
+
+def parse_attempt(headers: dict[str, str]) -> int:
+    """Return which sending of its key the caller says this is; 0 if unsaid.
+
+    :raises BadRequestError: if it is not a small number.
+    """
+    text = headers.get("poplarlb-attempt", "0")
+    if not re.fullmatch(r"[0-9]{1,4}", text):
+        raise BadRequestError("Poplarlb-Attempt: a number from 1 to 9999")
+    return int(text)
+
+
+def digest_of(call: ServiceCall) -> bytes:
+    """Return the digest that tells whether a key comes with the same request."""
+    digest = hashlib.blake2b(digest_size=16)
+    for part in (call.method, call.target):
+        digest.update(part.encode() + b"\n")
+    digest.update(call.body.whole or b"")
+    return digest.digest()
--- /dev/null
+++ b/poplarlb/transport/jobs.py
@@ -0,0 +1,97 @@
+"""The callers' paths for batch jobs: submit, show, cancel, list."""
+
+import cherrypy
+
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.exceptions import (
+    BadRequestError,
+    MethodNotAllowedError,
+    NotFoundError,
+    NotRunError,
+)
+from poplarlb.protocol import api
+from poplarlb.transport import views
+from poplarlb.transport.operators import read_table, to_bytes
+from poplarlb.transport.runtime import Runtime, now_ms
+
+LIST_LIMIT = 100
+LIST_LIMIT_MOST = 1_000
+
+
+class JobRoutes:
+    """Answers the paths below ``/v1/jobs``.
+
+    :param runtime: answers the calls.
+    """
+
+    def __init__(self, runtime: Runtime) -> None:
+        """Keep what every call needs."""
+        self.runtime = runtime
+        self.shards = ShardMap.from_settings(runtime.settings.shards)
+
+    def route(self, method: str, path: tuple[str, ...], query: dict) -> bytes:
+        """Return the JSON answer to the present request.
+
+        :raises PoplarlbError: if the call is refused before it is carried out.
+        """
+        match (method, *path):
+            case ("PUT", team, job_id):
+                return self._submit(team, job_id)
+            case ("GET", team, job_id):
+                return self._answer(api.ShowTask(views.parse_job_key(team, job_id)))
+            case ("DELETE", team, job_id):
+                return self._answer(api.CancelTask(views.parse_job_key(team, job_id)))
+            case ("GET", team):
+                return self._list(team, query)
+            case (_, _, _) | (_, _):
+                raise MethodNotAllowedError(f"{method} is not for jobs")
+        raise NotFoundError("/v1/jobs/TEAM/ID or /v1/jobs/TEAM")
+
+    def _submit(self, team: str, job_id: str) -> bytes:
+        key = views.parse_job_key(team, job_id)
+        view = self._view()
+        spec = views.parse_job(key, read_table(), now_ms())
+        if view.team(team) is None:
+            raise NotFoundError(f"no team {team}")
+        unknown = set(spec.zones) - set(self.runtime.settings.shards.zones)
+        if unknown:
+            raise BadRequestError(f"zones: unknown: {', '.join(sorted(unknown))}")
+        return self._answer(api.SubmitTask(spec))
+
+    def _view(self):
+        if not self.runtime.started.is_set():
+            raise NotRunError("the daemon is starting")
+        view = self.runtime.node.context.view
+        if view.version == 0:
+            raise NotRunError("the configuration is not known yet")
+        return view
+
+    def _answer(self, body: api.ApiBody) -> bytes:
+        result = self.runtime.ask(body)
+        cherrypy.response.status = views.status_of(result)
+        if isinstance(result, api.Fault) and result.retry_after_ms:
+            seconds = -(-result.retry_after_ms // 1000)
+            cherrypy.response.headers["Retry-After"] = str(seconds)
+        return to_bytes(views.to_json(result))
+
+    def _list(self, team: str, query: dict) -> bytes:
+        """Merge one page of every shard; a silent one is named."""
+        after, limit = views.parse_page(query, LIST_LIMIT, LIST_LIMIT_MOST)
+        views.parse_job_key(team, "any")
+        shards = self.shards.shards
+        calls = [api.ListTasks(team, shard, after, limit) for shard in shards]
+        told = dict(zip(shards, self.runtime.ask_all(calls), strict=True))
+        pages = {s: r for s, r in told.items() if isinstance(r, api.TaskViews)}
+        found = sorted(
+            (task for page in pages.values() for task in page.tasks),
+            key=lambda task: task.spec.key,
+        )
+        more = len(found) > limit or any(page.more for page in pages.values())
+        shown = found[:limit]
+        table = {
+            "jobs": [views.to_json(task) for task in shown],
+            "after": shown[-1].spec.key.task_id if more and shown else "",
+            "more": more,
+            "silent_shards": [shard for shard in shards if shard not in pages],
+        }
+        return to_bytes(table)
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -102,6 +102,14 @@
         except concurrent.futures.TimeoutError as error:
             raise OutcomeUnknownError("no answer in time") from error
 
+    def tell(self, body: api.ApiBody) -> None:
+        """Make a call whose answer nobody waits for."""
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        try:
+            self.loop.call_soon_threadsafe(self._begin, body, future)
+        except RuntimeError:
+            logger.debug("a call came after the shutdown")
+
     def shut_down(self) -> None:
         """Begin a graceful shutdown; may be called from any thread."""
         event = ports.ShutdownRequested()
--- a/poplarlb/transport/views.py
+++ b/poplarlb/transport/views.py
@@ -1,14 +1,36 @@
 """JSON forms of what callers and operators send and get."""
 
 import base64
+import re
 import typing
 
 import cattrs
 from cattrs.preconf.json import make_converter
 
 from poplarlb import exceptions
+from poplarlb.coordination.replicas import REPLICA_PREFIX
 from poplarlb.exceptions import BadRequestError
 from poplarlb.protocol import api
+from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
+
+PAYLOAD_LIMIT_BYTES = 65_536
+ZONES_LIMIT = 64
+NUMBER_LIMIT = 10**12
+
+_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,127}")
+_TEAM = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}")
+_KIND = re.compile(r"[A-Za-z0-9._-]{0,64}")
+_JOB_CLASSES = frozenset(WorkClass) - {WorkClass.LATENCY_CRITICAL}
+_SIZE_KEYS = ("cpu_millis", "memory_mb", "accelerators")
+_JOB_KEYS = (
+    "class",
+    "size",
+    "run_time_ms",
+    "kind",
+    "zones",
+    "payload",
+    "checkpointable",
+)
 
 _CONVERTER = make_converter(forbid_extra_keys=True)
 _CONVERTER.register_unstructure_hook(
@@ -43,3 +65,136 @@
     except (cattrs.BaseValidationError, ValueError, TypeError) as error:
         faults = cattrs.transform_error(error)
         raise BadRequestError("; ".join(faults)) from error
+
+
+def parse_job_key(team: str, job_id: str) -> TaskKey:
+    """Return the key of a caller's job.
+
+    :raises BadRequestError: if a part has other characters than are allowed, or
+        is one that the system keeps for replicas of services.
+    """
+    faults = []
+    if not _TEAM.fullmatch(team):
+        faults.append(f"team: allowed: {_TEAM.pattern}")
+    if not _ID.fullmatch(job_id):
+        faults.append(f"job id: allowed: {_ID.pattern}")
+    if job_id.startswith(REPLICA_PREFIX):
+        faults.append(f"job id: must not start with {REPLICA_PREFIX}")
+    if faults:
+        raise BadRequestError("; ".join(faults))
+    return TaskKey(team, job_id)
+
+
+def parse_job(key: TaskKey, table: dict, submitted_ms: int) -> TaskSpec:
+    """Return the job that a JSON object describes.
+
+    :raises BadRequestError: listing every fault.
+    """
+    faults = [
+        f"{name}: unknown; allowed: {', '.join(_JOB_KEYS)}"
+        for name in table
+        if name not in _JOB_KEYS
+    ]
+    work_class = _take_class(table.get("class", "ordinary"), faults)
+    size = _take_size(table.get("size"), faults)
+    run_time_ms = _take_number("run_time_ms", table.get("run_time_ms", 0), faults)
+    kind = table.get("kind", "")
+    if not isinstance(kind, str) or not _KIND.fullmatch(kind):
+        faults.append(f"kind: allowed: {_KIND.pattern}")
+    zones = table.get("zones", [])
+    if not _is_list_of_names(zones):
+        faults.append(f"zones: a list of at most {ZONES_LIMIT} names")
+    payload = _take_payload(table.get("payload", ""), faults)
+    checkpointable = table.get("checkpointable", True)
+    if not isinstance(checkpointable, bool):
+        faults.append("checkpointable: true or false")
+    if faults:
+        raise BadRequestError("; ".join(faults))
+    return TaskSpec(
+        key,
+        work_class,
+        size,
+        run_time_ms,
+        kind,
+        zones=tuple(zones),
+        payload=payload,
+        checkpointable=checkpointable,
+        submitted_ms=submitted_ms,
+    )
+
+
+def _take_class(value: object, faults: list[str]) -> WorkClass | None:
+    allowed = {item.value: item for item in _JOB_CLASSES}
+    if isinstance(value, str) and value in allowed:
+        return allowed[value]
+    faults.append(f"class: allowed: {', '.join(sorted(allowed))}")
+    return None
+
+
+def _take_size(value: object, faults: list[str]) -> Resources:
+    if not isinstance(value, dict):
+        faults.append(f"size: an object with {', '.join(_SIZE_KEYS)}")
+        return Resources()
+    faults.extend(
+        f"size.{name}: unknown; allowed: {', '.join(_SIZE_KEYS)}"
+        for name in value
+        if name not in _SIZE_KEYS
+    )
+    size = Resources(
+        *(
+            _take_number(f"size.{name}", value.get(name, 0), faults)
+            for name in _SIZE_KEYS
+        )
+    )
+    if size == Resources():
+        faults.append("size: must ask for something")
+    return size
+
+
+def _take_number(name: str, value: object, faults: list[str]) -> int:
+    number = isinstance(value, int) and not isinstance(value, bool)
+    if number and 0 <= value <= NUMBER_LIMIT:
+        return value
+    faults.append(f"{name}: a whole number from 0 to {NUMBER_LIMIT}")
+    return 0
+
+
+def _is_list_of_names(value: object) -> bool:
+    return (
+        isinstance(value, list)
+        and len(value) <= ZONES_LIMIT
+        and all(isinstance(item, str) and _TEAM.fullmatch(item) for item in value)
+    )
+
+
+def _take_payload(value: object, faults: list[str]) -> bytes:
+    try:
+        data = value.encode()
+    except (AttributeError, UnicodeEncodeError):
+        faults.append("payload: a string")
+        return b""
+    if len(data) > PAYLOAD_LIMIT_BYTES:
+        faults.append(f"payload: at most {PAYLOAD_LIMIT_BYTES} bytes")
+    return data
+
+
+def parse_page(query: dict, default: int, most: int) -> tuple[str, int]:
+    """Return where a list begins and how long it may be.
+
+    :raises BadRequestError: listing every fault.
+    """
+    faults = [f"{name}: unknown; allowed: after, limit" for name in query]
+    faults = [
+        fault for fault in faults if fault.split(":")[0] not in ("after", "limit")
+    ]
+    after = query.get("after", "")
+    if not isinstance(after, str) or (after and not _ID.fullmatch(after)):
+        faults.append(f"after: allowed: {_ID.pattern}")
+    limit = query.get("limit", str(default))
+    if not isinstance(limit, str) or not re.fullmatch(r"[0-9]{1,4}", limit):
+        faults.append(f"limit: a number from 1 to {most}")
+    elif not 1 <= int(limit) <= most:
+        faults.append(f"limit: from 1 to {most}")
+    if faults:
+        raise BadRequestError("; ".join(faults))
+    return after, int(limit)
