--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -41,9 +41,9 @@
     @cherrypy.expose
     def readyz(self) -> bytes:
         """Tell whether the balancer may send callers here."""
-        if not self.runtime.started.is_set():
+        if not self.runtime.ready:
             cherrypy.response.status = 503
-            return b"starting\n"
+            return b"not ready\n"
         return b"ready\n"
 
     @cherrypy.expose
--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -204,5 +204,6 @@
     server.ConnectionClass = StrictConnection
     server.gateway = RequestGateway
     server.timeout = SOCKET_TIMEOUT_S
+    server.shutdown_timeout = BODY_TIMEOUT_S
     server.watch = SocketWatch()
     return server
