--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -98,9 +98,14 @@
     """
 
     unreported: dict[str, int] = Factory(dict)
+    reported: set[str] = Factory(set)
     previous_owner: str = ""
     next_send_ms: int = 0
 
+    def knows(self, member_id: str) -> bool:
+        """Tell whether all that a member uses now is known."""
+        return member_id in self.reported or member_id not in self.unreported
+
     def drop_passed(self, now_ms: int) -> None:
         """Forget members whose old grants have ended."""
         passed = [name for name, end_ms in self.unreported.items() if now_ms >= end_ms]
@@ -210,7 +215,10 @@
         """Return every slot that is in use."""
         return tuple(
             messages.OutstandingGrant(
-                slot.request_id, slot.worker_id, slot.free_ms - GRANT_MARGIN_MS
+                slot.request_id,
+                slot.worker_id,
+                slot.free_ms - GRANT_MARGIN_MS,
+                slot.gateway,
             )
             for slot in self.granted.values()
         )
@@ -283,6 +291,7 @@
         return (
             self._free(worker) > 0
             and held < self._member_limit(worker)
+            and self.takeover.knows(body.gateway)
             and worker.worker_id not in body.avoid
             and item.health.may_take(now_ms)
             and (body.idempotent or not item.health.ejected)
@@ -502,6 +511,7 @@
         if report.whole and sender == self.takeover.previous_owner:
             self.takeover.unreported.clear()
         restarted_ms = report.incarnation + LONGEST_GRANT_MS + GRANT_MARGIN_MS
+        self.takeover.reported.add(sender)
         end_ms = self.takeover.unreported.get(sender, 0)
         if now_ms >= restarted_ms:
             self.takeover.unreported.pop(sender, None)
@@ -511,7 +521,11 @@
         for item in report.grants:
             free_ms = item.deadline_ms + GRANT_MARGIN_MS
             slot = GrantedSlot(
-                item.request_id, item.worker_id, ("", ""), sender, free_ms
+                item.request_id,
+                item.worker_id,
+                ("", ""),
+                item.gateway or sender,
+                free_ms,
             )
             if (item.request_id, item.worker_id) not in self.granted:
                 self._hold(slot)
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -306,6 +306,7 @@
     request_id: str
     worker_id: str
     deadline_ms: int
+    gateway: str = ""
 
 
 @frozen
--- /dev/null
+++ b/tests/coordination/test_admission.py
@@ -0,0 +1,360 @@
+"""Slots are never over-admitted; refusals come at once and tell when to return."""
+
+import collections
+import random
+import unittest
+
+from poplarlb.coordination.admission import Admission, Endpoint
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
+from poplarlb.coordination.health import EJECTION_MS
+from poplarlb.protocol import api, messages, ports
+from poplarlb.settings import Settings
+from poplarlb.state.models import Reason, Resources, WorkClass, Worker
+from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
+from tests.coordination.key_world import without
+
+SHARD = "kochi/0"
+GATEWAYS = ("d0", "d1", "d2")
+
+
+def make_endpoints(count: int, services: tuple[str, ...] = ("orders",)):
+    """Return endpoints of some services on the same workers."""
+    size = Resources(16_000, 60_000)
+    workers = [
+        Worker(f"w{number}", "kochi", "r0", f"127.0.0.1:{number}", size)
+        for number in range(count)
+    ]
+    return [Endpoint("dairy", name, worker) for worker in workers for name in services]
+
+
+def make_context(queue_limit: int = 4) -> NodeContext:
+    """Return a context with one team and two services."""
+    context = NodeContext(Settings("d0", "kochi"))
+    services = tuple(
+        ServiceTemplate(name, 1, Resources(1, 1), queue_limit=queue_limit)
+        for name in ("orders", "stock")
+    )
+    team = TeamTemplate("dairy", ("kochi",), Resources(1, 1), services=services)
+    context.view = ConfigView(1, (team,))
+    return context
+
+
+class Gateways:
+    """Gateways and workers around one owner, with an exact count of slots."""
+
+    def __init__(self, seed: int, workers: int = 2, queue_limit: int = 4) -> None:
+        """Start with an owner that has been there from the beginning."""
+        self.draw = random.Random(seed)
+        self.context = make_context(queue_limit)
+        self.now_ms = 10_000_000
+        self.epoch = 1
+        self.endpoints = make_endpoints(workers, ("orders", "stock"))
+        self.admission = self.make_owner()
+        self.books = {name: GrantBook(name, 0) for name in GATEWAYS}
+        self.using: dict[str, api.Grant] = {}
+        self.busy: collections.Counter[str] = collections.Counter()
+        self.asked: dict[int, api.AdmitRequest] = {}
+        self.answers: dict[str, api.ApiResult] = {}
+        self.network: list[tuple[int, api.ApiResult]] = []
+        self.number = 0
+
+    def make_owner(self) -> Admission:
+        """Return an owner of the present epoch."""
+        admission = Admission(self.context, SHARD, self.epoch, members=3)
+        admission.set_endpoints(self.endpoints, self.now_ms)
+        return admission
+
+    def ask(self, gateway: str, service: str, timeout_ms: int, **named) -> str:
+        """Send a request for a slot through a gateway."""
+        self.number += 1
+        name = f"{gateway}-{self.number}"
+        deadline_ms = self.now_ms + timeout_ms
+        body = api.AdmitRequest(
+            name, "dairy", service, deadline_ms, gateway=gateway, **named
+        )
+        self.asked[self.number] = body
+        self.run(ports.ApiRequested(self.number, body))
+        return name
+
+    def run(self, event: ports.Event) -> None:
+        """Hand an event to the owner and keep its answers on the network."""
+        for command in self.admission.handle(event, self.now_ms):
+            if command.call_id in self.asked:
+                self.network.append((command.call_id, command.result))
+
+    def deliver(self, index: int) -> None:
+        """Bring one answer to its gateway, which uses a grant in time."""
+        if not self.network:
+            return
+        call_id, result = self.network.pop(index % len(self.network))
+        body = self.asked[call_id]
+        result = self.books[body.gateway].take(("dairy", body.service), result)
+        self.answers[body.request_id] = result
+        if isinstance(result, api.Grant):
+            if self.now_ms < min(result.use_before_ms, body.deadline_ms):
+                self.begin(result)
+            else:
+                self.finish(result, "unused")
+
+    def begin(self, grant: api.Grant) -> None:
+        """Use a slot; the worker counts."""
+        self.using[grant.request_id] = grant
+        self.busy[grant.worker_id] += 1
+        assert self.busy[grant.worker_id] <= 8, f"{grant.worker_id} has over 8"
+
+    def finish(self, grant: api.Grant, result: str = "ok") -> None:
+        """Give a slot back."""
+        if self.using.pop(grant.request_id, None):
+            self.busy[grant.worker_id] -= 1
+        gateway = grant.request_id.partition("-")[0]
+        self.books[gateway].finish(grant.request_id)
+        body = api.FinishRequest(grant.request_id, SHARD, grant.worker_id, 20, result)
+        self.run(ports.ApiRequested(-1, body))
+
+    def pass_time(self, elapsed_ms: int) -> None:
+        """Let time pass; gateways give up at their deadlines."""
+        self.now_ms += elapsed_ms
+        late = [g for g in self.using.values() if self.now_ms >= g.deadline_ms]
+        for grant in late:
+            self.using.pop(grant.request_id)
+            self.busy[grant.worker_id] -= 1
+            if self.draw.random() < 0.5:
+                self.using[grant.request_id] = grant
+                self.busy[grant.worker_id] += 1
+                self.finish(grant, "unknown")
+        self.run(ports.Tick())
+
+    def move(self, alive: bool) -> None:
+        """Give the shard to a new owner; the old one may be dead."""
+        old = self.admission
+        self.epoch += 1
+        self.admission = self.make_owner()
+        self.admission.begin_takeover(GATEWAYS, {}, self.now_ms)
+        self.admission.takeover.previous_owner = "d0"
+        if alive and not old.takeover.unreported:
+            whole = messages.GrantsReported(
+                SHARD, self.epoch, 0, old.outstanding(), whole=True
+            )
+            self.run(ports.PeerReceived("d0", whole))
+
+    def report(self, gateway: str) -> None:
+        """Let a gateway tell the owner what it uses."""
+        wanted = messages.GrantsWanted(SHARD, self.epoch)
+        report = self.books[gateway].report(wanted)
+        self.run(ports.PeerReceived(gateway, report))
+
+
+def walk(seed: int, steps: int = 250) -> Gateways:
+    """Run one random walk of requests, losses and takeovers."""
+    world = Gateways(seed)
+    draw = world.draw
+    for _ in range(steps):
+        gateway = draw.choice(GATEWAYS)
+        match draw.choices(range(6), (40, 40, 25, 6, 2, 4))[0]:
+            case 0:
+                service = draw.choice(("orders", "stock"))
+                world.ask(gateway, service, draw.choice((100, 2_000, 20_000)))
+            case 1:
+                world.deliver(draw.randrange(20))
+            case 2:
+                if world.using:
+                    name = draw.choice(sorted(world.using))
+                    result = draw.choice(("ok", "ok", "ok", "failed", "unknown"))
+                    world.finish(world.using[name], result)
+            case 3:
+                world.pass_time(draw.choice((10, 50, 500, 5_000)))
+            case 4:
+                world.move(draw.random() < 0.5)
+            case 5:
+                world.report(gateway)
+    return world
+
+
+def count_broken(walks: int) -> int:
+    """Return how many walks over-admit."""
+    broken = 0
+    for seed in range(walks):
+        try:
+            walk(seed)
+        except AssertionError:
+            broken += 1
+    return broken
+
+
+def never_full(self, worker):
+    """Count no slot in use."""
+    return 8
+
+
+def believe_all_free(self, members, early, now_ms):
+    """Take a new owner's workers as free."""
+    self.takeover.unreported = {}
+
+
+def take_any_grant(self, service, result):
+    """Use grants of deposed owners too."""
+    if isinstance(result, api.Grant):
+        self.grants[result.request_id] = result
+    return result
+
+
+def release_at_once(self, now_ms):
+    """Free the slots of gateways that have not answered."""
+    for slot in list(self.granted.values()):
+        self._release(slot)
+    return []
+
+
+PLANTED = {
+    "slots not counted": (Admission, "_free", never_full),
+    "takeover believes all free": (Admission, "begin_takeover", believe_all_free),
+    "slots freed on a tick": (Admission, "_tick", release_at_once),
+}
+
+
+def delay_old_grants() -> None:
+    """Deliver an old owner's grants after the takeover is settled."""
+    world = Gateways(1)
+    for number in range(16):
+        world.ask(GATEWAYS[number % 3], "orders", 20_000)
+    world.move(alive=False)
+    for gateway in GATEWAYS:
+        world.report(gateway)
+    for number in range(16):
+        world.ask(GATEWAYS[number % 3], "orders", 20_000)
+    while world.network:
+        world.deliver(0)
+
+
+class AdmissionTest(unittest.TestCase):
+    """Exact slots, the queue, ejection, drain and takeover."""
+
+    def test_never_over_admits(self) -> None:
+        """No worker ever has more than its slots in use."""
+        self.assertEqual(count_broken(150), 0)
+
+    def test_planted_faults(self) -> None:
+        """Each planted fault over-admits on some walk."""
+        for name, (target, method, fault) in PLANTED.items():
+            with self.subTest(name):
+                planted = without(target, method, fault)(count_broken)
+                self.assertGreater(planted(60), 0)
+
+    def test_old_grants_are_refused(self) -> None:
+        """A gateway that has reported takes no grant of the owner before."""
+        delay_old_grants()
+        with self.assertRaises(AssertionError):
+            without(GrantBook, "take", take_any_grant)(delay_old_grants)()
+
+    def fill(self, world: Gateways, service: str = "orders") -> None:
+        """Take every slot of every worker."""
+        for number in range(8 * len(world.endpoints) // 2):
+            world.ask(GATEWAYS[number % 3], service, 20_000)
+        while world.network:
+            world.deliver(0)
+        self.assertEqual(sum(world.busy.values()), 16)
+
+    def test_queue_by_deadline_then_class(self) -> None:
+        """The earliest deadline goes first; on a tie the higher class."""
+        world = Gateways(1)
+        self.fill(world)
+        late = world.ask("d0", "orders", 9_000)
+        patient = world.ask("d0", "orders", 5_000, work_class=WorkClass.PATIENT)
+        first = world.ask("d0", "stock", 5_000)
+        for wanted in (first, patient, late):
+            grant = next(iter(world.using.values()))
+            world.finish(grant)
+            world.deliver(0)
+            self.assertIsInstance(world.answers.get(wanted), api.Grant)
+
+    def test_refused_at_once(self) -> None:
+        """What can't be served in time is told when to come back, unheld."""
+        world = Gateways(1)
+        self.fill(world)
+        late = world.ask("d0", "orders", 1)
+        names = [world.ask("d0", "orders", 9_000 + n * 100) for n in range(6)]
+        while world.network:
+            world.deliver(0)
+        self.assertEqual(world.answers[late].reason, Reason.DEADLINE)
+        refused = [name for name in names if name in world.answers]
+        self.assertEqual(refused, names[4:])
+        for name in refused:
+            fault = world.answers[name]
+            self.assertEqual((fault.code, fault.reason), ("not_run", "queue_full"))
+            self.assertGreater(fault.retry_after_ms, 0)
+        world.pass_time(8_990)
+        while world.network:
+            world.deliver(0)
+        self.assertEqual(world.answers[names[0]].reason, Reason.DEADLINE)
+        body = api.Explain(f"request/{names[0]}", SHARD)
+        answer = world.admission.handle(ports.ApiRequested(1, body), world.now_ms)
+        self.assertEqual(answer[0].result.decisions[0].reason, Reason.DEADLINE)
+
+    def test_failing_endpoint_is_ejected_and_probed(self) -> None:
+        """Failures eject; one probe brings back; at most half are ejected."""
+        world = Gateways(1, workers=4)
+        serving = world.admission.services[("dairy", "orders")].endpoints
+        for _ in range(100):
+            name = world.ask("d0", "orders", 5_000)
+            world.deliver(0)
+            grant = world.answers[name]
+            bad = grant.worker_id in ("w0", "w1", "w2")
+            world.finish(grant, "failed" if bad else "ok")
+        ejected = sorted(n for n, item in serving.items() if item.health.ejected)
+        self.assertEqual(len(ejected), 2)
+        world.pass_time(EJECTION_MS)
+        probes = []
+        for _ in range(3):
+            name = world.ask("d0", "orders", 5_000)
+            world.deliver(0)
+            probes.append(world.answers[name])
+        probed = [grant.worker_id for grant in probes]
+        self.assertEqual(sorted(probed[:2]), ejected)
+        self.assertNotIn(probed[2], ejected)
+        world.finish(probes[0])
+        self.assertFalse(serving[probed[0]].health.ejected)
+        self.assertTrue(serving[probed[1]].health.ejected)
+
+    def test_leaving_endpoint_gets_nothing_new(self) -> None:
+        """An endpoint no longer listed gets no grant; its slots stay counted."""
+        world = Gateways(1)
+        self.fill(world)
+        leaving = [e for e in world.endpoints if e.worker.worker_id != "w0"]
+        world.admission.set_endpoints(leaving, world.now_ms)
+        name = world.ask("d0", "orders", 9_000)
+        old = next(g for g in world.using.values() if g.worker_id == "w0")
+        world.finish(old)
+        self.assertNotIn(name, world.answers)
+        world.admission.set_endpoints(world.endpoints, world.now_ms)
+        self.assertEqual(world.admission.in_use["w0"], 7)
+
+    def test_new_owner_waits_for_reports(self) -> None:
+        """A silent member's slots are kept free until its grants have ended."""
+        world = Gateways(1)
+        self.fill(world)
+        world.move(alive=False)
+        for gateway in GATEWAYS[1:]:
+            world.report(gateway)
+        lost = world.ask("d1", "orders", 20_000)
+        self.assertFalse(world.network)
+        world.pass_time(LONGEST_GRANT_MS + 2_000)
+        self.assertNotIn(lost, world.using)
+        again = world.ask("d1", "orders", 5_000)
+        while world.network:
+            world.deliver(0)
+        self.assertIsInstance(world.answers[again], api.Grant)
+
+    def test_fallback_shares_sum_to_all_slots(self) -> None:
+        """Without owner and store every member has a share, together all."""
+        grant = api.Grant("r", SHARD, 1, "w0", "127.0.0.1:1", 0, 0)
+        granted = 0
+        for name in GATEWAYS:
+            book = GrantBook(name, 0)
+            book.take(("dairy", "orders"), grant)
+            book.finish("r")
+            for number in range(20):
+                body = api.AdmitRequest(f"{name}-{number}", "dairy", "orders", 100)
+                result = book.admit_alone(body, list(GATEWAYS), 0)
+                granted += isinstance(result, api.Grant)
+        self.assertEqual(granted, 8)
