--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -294,7 +294,6 @@
             and self.takeover.knows(body.gateway)
             and worker.worker_id not in body.avoid
             and item.health.may_take(now_ms)
-            and (body.idempotent or not item.health.ejected)
         )
 
     def _expected_ms(self, item: ServingEndpoint, mean_ms: float) -> float:
@@ -358,9 +357,16 @@
     ) -> api.Fault | None:
         if self.closed:
             return _refuse(Reason.NO_OWNER, "the shard has a new owner", 50)
-        usable = queue and [n for n in queue.endpoints if n not in body.avoid]
+        usable = [
+            item.health.probe_after_ms if item.health.ejected else now_ms
+            for name, item in (queue.endpoints.items() if queue else ())
+            if name not in body.avoid
+        ]
         if not usable:
             return _refuse(Reason.NO_ENDPOINT, "no endpoint runs here", 1_000)
+        if min(usable) >= body.deadline_ms:
+            wait_ms = min(usable) - now_ms
+            return _refuse(Reason.ENDPOINT_FAILED, "every endpoint fails", wait_ms)
         mean_ms = mean_service_ms(queue.health())
         if now_ms + mean_ms * _fastest(queue) >= body.deadline_ms:
             return _refuse(Reason.DEADLINE, "the deadline is too near", 0)
--- a/poplarlb/transport/gateway.py
+++ b/poplarlb/transport/gateway.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable, Iterator
 
 from attrs import Factory, define, field, frozen
+from loguru import logger
 
 from poplarlb.coordination.grants import LONGEST_GRANT_MS
 from poplarlb.coordination.retries import RetryBudget
@@ -83,10 +84,43 @@
 class Exchange:
     """An answer on its way, and the slot that it uses until it is read."""
 
-    grant: api.Grant
+    grant: api.Grant | None
     answer: EndpointAnswer
 
 
+@define
+class Tries:
+    """What became of the tries to have one request answered.
+
+    ``fault`` is what to tell if none was; once a byte may have reached an
+    endpoint it is no more "not run". ``answered`` is an answer that was worth
+    another try, ``exchange`` that of the last one.
+    """
+
+    avoid: tuple[str, ...] = ()
+    fault: api.Fault | None = None
+    answered: Exchange | None = None
+    exchange: Exchange | None = None
+
+    def note_unsent(self, detail: str) -> None:
+        """Note that an endpoint could not be reached."""
+        if self.fault is None:
+            self.fault = api.Fault("not_run", Reason.ENDPOINT_FAILED, detail, 500)
+
+    def note_broken(self, detail: str) -> None:
+        """Note that an exchange broke off."""
+        self.fault = api.Fault("outcome_unknown", Reason.ENDPOINT_FAILED, detail)
+
+    def settle(self, last: api.Fault | None) -> Exchange:
+        """Return an earlier answer, as there will be no other.
+
+        :raises RefusedError: if there is none.
+        """
+        if self.answered is not None:
+            return self.answered
+        raise RefusedError(self.fault or last)
+
+
 @define
 class Reply:
     """What the caller is told."""
@@ -140,6 +174,10 @@
                 # What is left of the body is not worth waiting for.
                 request.close_connection = True
                 reply = refuse(error)
+            except Exception:
+                logger.exception("request {} failed", request_id)
+                request.close_connection = True
+                reply = refuse(PoplarlbError("an unexpected error"))
             reply.headers.append(("Poplarlb-Request-Id", request_id))
             latency_ms = now_ms() - began_ms
             self.runtime.metrics.observe_request(*names, reply.result, latency_ms)
@@ -289,36 +327,44 @@
         :raises RefusedError: "not run" if no endpoint got a byte, and else
             "outcome unknown".
         """
-        avoid: tuple[str, ...] = ()
+        tries = Tries()
         while True:
-            grant = self._admit(call, avoid)
-            again, answer, error = True, None, None
             try:
-                answer = self._send(call, grant)
-                again = answer.status in RETRIED_STATUS and call.idempotent
-            except UnsentError as unsent:
-                self._finish(grant, "unsent", 0)
-                detail = f"the endpoint can't be reached: {unsent}"
-                error = api.Fault("not_run", Reason.ENDPOINT_FAILED, detail, 500)
-            except BrokenError as broken:
-                self._finish(grant, "unknown", 0)
-                again = call.idempotent and call.body.whole is not None
-                detail = f"the exchange broke off: {broken}"
-                error = api.Fault("outcome_unknown", Reason.ENDPOINT_FAILED, detail)
-            except BaseException:
-                self._finish(grant, "unused", 0)
-                raise
-            if not again or not self._may_retry(call, avoid):
-                if error is not None:
-                    raise RefusedError(error)
-                return Exchange(grant, answer)
-            if answer is not None:
-                if answer.rest is not None:
-                    answer.rest.close()
-                self._finish(grant, "failed", answer.waited_ms)
-            avoid = (*avoid, grant.worker_id)
-
-    def _may_retry(self, call: ServiceCall, avoid: tuple[str, ...]) -> bool:
+                grant = self._admit(call, tries.avoid)
+            except RefusedError as refused:
+                return tries.settle(refused.fault)
+            again = self._try_endpoint(call, grant, tries)
+            if tries.exchange is not None and not again:
+                return tries.exchange
+            if not again or not self._may_retry(call):
+                return tries.settle(tries.fault)
+            tries.avoid = (*tries.avoid, grant.worker_id)
+
+    def _try_endpoint(self, call: ServiceCall, grant: api.Grant, tries: Tries) -> bool:
+        """Send to one endpoint; tells whether another try can do no harm."""
+        tries.exchange = None
+        try:
+            answer = self._send(call, grant)
+        except UnsentError as error:
+            self._finish(grant, "unsent", 0)
+            tries.note_unsent(f"the endpoint can't be reached: {error}")
+            return True
+        except BrokenError as error:
+            self._finish(grant, "unknown", 0)
+            tries.note_broken(f"the exchange broke off: {error}")
+            return call.idempotent
+        except BaseException:
+            self._finish(grant, "unused", 0)
+            raise
+        tries.exchange = Exchange(grant, answer)
+        if not call.idempotent or answer.status not in RETRIED_STATUS:
+            return False
+        if answer.whole:
+            self._finish_answer(tries.exchange)
+            tries.exchange = tries.answered = Exchange(None, answer)
+        return answer.whole
+
+    def _may_retry(self, call: ServiceCall) -> bool:
         if call.body.whole is None or now_ms() >= call.deadline_ms:
             return False
         with self.lock:
@@ -379,7 +425,7 @@
         headers = list(answer.headers)
         bodiless = call.method == "HEAD" or answer.status in NO_BODY_STATUS
         if answer.whole:
-            self._finish_answer(call, exchange)
+            self._note_answer(call, exchange)
             if not bodiless:
                 headers = [h for h in headers if h[0].lower() != "content-length"]
                 headers.append(("Content-Length", str(len(answer.first))))
@@ -406,15 +452,21 @@
         finally:
             exchange.answer.rest.close()
             if result == "ok":
-                self._finish_answer(call, exchange)
+                self._note_answer(call, exchange)
             else:
                 self._finish(exchange.grant, result, 0)
 
-    def _finish_answer(self, call: ServiceCall, exchange: Exchange) -> None:
+    def _finish_answer(self, exchange: Exchange) -> bool:
+        """Give the slot back; tells whether the answer was a good one."""
         answer = exchange.answer
         good = answer.status < 500 and answer.status != 429
-        self._finish(exchange.grant, "ok" if good else "failed", answer.waited_ms)
-        if good:
+        if exchange.grant is not None:
+            result = "ok" if good else "failed"
+            self._finish(exchange.grant, result, answer.waited_ms)
+        return good
+
+    def _note_answer(self, call: ServiceCall, exchange: Exchange) -> None:
+        if self._finish_answer(exchange):
             with self.lock:
                 self._budget_of(call).note_success()
 
--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -8,6 +8,7 @@
 from attrs import Factory, define
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
+from loguru import logger
 
 HEADERS_LIMIT = 100
 HEADER_TIMEOUT_S = 10.0
@@ -206,4 +207,10 @@
     server.timeout = SOCKET_TIMEOUT_S
     server.shutdown_timeout = BODY_TIMEOUT_S
     server.watch = SocketWatch()
+    server.error_log = _log
     return server
+
+
+def _log(message: str = "", level: int = 20, traceback: bool = False) -> None:
+    """Log what the server says; a client that goes away is nothing to report."""
+    logger.opt(exception=traceback).debug("http: {}", message)
