--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,328 @@
+"""Costs of requests: routed against direct, admission, keys.
+
+``python -m bench.requests`` prints rows of ``name, unit, value``.
+"""
+
+import concurrent.futures
+import json
+import statistics
+import time
+import tracemalloc
+from collections.abc import Callable
+
+import urllib3
+
+from bench.processes import Deployment, read_usage
+from bench.rows import Row, save_rows
+from poplarlb.coordination.admission import Admission, Endpoint
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.idempotency import KeyPeers, KeyTable
+from poplarlb.coordination.marks import MarkStore
+from poplarlb.protocol import api, codec, messages, ports
+from poplarlb.settings import Settings
+from poplarlb.state.models import Resources, Worker
+from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
+
+ZONES = ("a", "b", "c")
+CLIENTS = 4
+REQUESTS = 2_000
+WARM_UP = 200
+DECISIONS = 20_000
+HELD_ITEMS = 5_000
+SHARD = "a/0"
+NOW_MS = 1_000_000
+
+SIZE = {"cpu_millis": 1_000, "memory_mb": 1_000, "accelerators": 0}
+TEAM = {
+    "team": "dairy",
+    "zones": ZONES,
+    "quota": {"cpu_millis": 96_000, "memory_mb": 300_000, "accelerators": 0},
+    "services": [
+        {"name": "stock", "replicas": 3, "size": SIZE},
+        {"name": "orders", "replicas": 3, "size": SIZE, "idempotent": False},
+    ],
+}
+
+
+def percentile(ordered: list[float], share: float) -> float:
+    """Return the value below which a share of the ordered values lies."""
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def time_requests(send: Callable[[int], None], count: int) -> tuple[list[float], float]:
+    """Return the ordered times in ms of concurrent requests, and their rate."""
+
+    def timed(number: int) -> float:
+        began = time.perf_counter()
+        send(number)
+        return (time.perf_counter() - began) * 1000
+
+    began = time.perf_counter()
+    with concurrent.futures.ThreadPoolExecutor(CLIENTS) as pool:
+        times = sorted(pool.map(timed, range(count)))
+    return times, count / (time.perf_counter() - began)
+
+
+def make_rows(name: str, times: list[float], rate: float) -> list[Row]:
+    """Return the rows for one series of requests."""
+    return [
+        Row(f"{name}, p50", "ms", percentile(times, 0.5)),
+        Row(f"{name}, p99", "ms", percentile(times, 0.99)),
+        Row(f"{name}, p99.9", "ms", percentile(times, 0.999)),
+        Row(f"{name}, {CLIENTS} clients", "1/s", rate),
+    ]
+
+
+def apply_template(deployment: Deployment) -> None:
+    """Apply the team's template and wait until every daemon serves it."""
+    change = {
+        "change_id": "bench",
+        "operator": "bench",
+        "base_version": 0,
+        "teams": [TEAM],
+        "removed": [],
+    }
+    wait_for(lambda: deployment.call(0, "POST", "/v1/config", change)[0] == 200)
+    for number in range(len(deployment.addresses)):
+        for service in ("stock", "orders"):
+            path = f"/v1/services/dairy/{service}/x"
+            wait_for(lambda n=number, p=path: deployment.call(n, "GET", p)[0] == 200)
+
+
+def wait_for(good: Callable[[], bool]) -> None:
+    """Repeat a call until it is good.
+
+    :raises TimeoutError: after a minute.
+    """
+    for _ in range(300):
+        if good():
+            return
+        time.sleep(0.2)
+    raise TimeoutError("the deployment did not begin to serve")
+
+
+def find_endpoint(deployment: Deployment) -> str:
+    """Return the address of a worker that serves stock."""
+    answer = deployment.http.request("GET", f"http://{deployment.hosts}/v1/hosts")
+    for host in json.loads(answer.data)["hosts"]:
+        url = f"http://{host['address']}/service/dairy/stock/x"
+        if deployment.http.request("GET", url).status == 200:
+            return host["address"]
+    raise LookupError("no worker serves stock")
+
+
+def measure_routed() -> list[Row]:
+    """Return times and processor time of requests through real daemons."""
+    with Deployment(ZONES, 1, 3) as deployment:
+        apply_template(deployment)
+        http = urllib3.PoolManager(retries=False, timeout=30, maxsize=CLIENTS)
+        endpoint = find_endpoint(deployment)
+        gateways = deployment.addresses
+
+        def send(url: str, method: str = "GET", **headers: str) -> None:
+            answer = http.request(method, url, headers=headers)
+            if answer.status != 200:
+                raise RuntimeError(f"{url}: {answer.status} {answer.data}")
+
+        def direct(_: int) -> None:
+            send(f"http://{endpoint}/service/dairy/stock/x")
+
+        def routed(number: int) -> None:
+            send(f"http://{gateways[number % 3]}/v1/services/dairy/stock/x")
+
+        def unsafe(number: int) -> None:
+            send(f"http://{gateways[number % 3]}/v1/services/dairy/orders/x", "POST")
+
+        def keyed(number: int) -> None:
+            named = {"Idempotency-Key": f"{time.time_ns()}-{number}"}
+            url = f"http://{gateways[number % 3]}/v1/services/dairy/orders/x"
+            send(url, "POST", **named)
+
+        rows, medians = [], {}
+        for name, call in (
+            ("direct", direct),
+            ("routed", routed),
+            ("routed unsafe", unsafe),
+            ("routed with a key", keyed),
+        ):
+            try:
+                time_requests(call, WARM_UP)
+                before = [read_usage(item.pid).cpu_s for item in deployment.daemons]
+                times, rate = time_requests(call, REQUESTS)
+                after = [read_usage(item.pid).cpu_s for item in deployment.daemons]
+            except RuntimeError as error:
+                print(f"{name}: not measured: {error}", flush=True)
+                continue
+            rows.extend(make_rows(name, times, rate))
+            medians[name] = times
+            if name != "direct":
+                spent_ms = (sum(after) - sum(before)) * 1000 / REQUESTS
+                rows.append(Row(f"{name}, processor time of daemons", "ms", spent_ms))
+                rows.append(ratio_row(name, times, medians["direct"], 0.5))
+                rows.append(ratio_row(name, times, medians["direct"], 0.99))
+        return rows
+
+
+def ratio_row(name: str, times: list[float], direct: list[float], share: float) -> Row:
+    """Return how many times longer a routed request takes than a direct one."""
+    ratio = percentile(times, share) / percentile(direct, share)
+    return Row(f"{name} / direct, p{share * 100:g}", "ratio", ratio)
+
+
+def make_context(durability: str = "two-daemons") -> NodeContext:
+    """Return a context with one service."""
+    context = NodeContext(Settings("d0", "a"))
+    size = Resources(1, 1)
+    service = ServiceTemplate("orders", 1, size, durability=durability)
+    team = TeamTemplate("dairy", ("a",), size, services=(service,))
+    context.view = ConfigView(1, (team,))
+    return context
+
+
+def make_admission(endpoints: int) -> Admission:
+    """Return an admission over so many endpoints."""
+    admission = Admission(make_context(), SHARD, 1, members=7)
+    size = Resources(16_000, 60_000)
+    admission.set_endpoints(
+        [
+            Endpoint("dairy", "orders", Worker(f"w{n}", "a", "r", f"h:{n}", size))
+            for n in range(endpoints)
+        ],
+        NOW_MS,
+    )
+    return admission
+
+
+def admit(admission: Admission, number: int) -> api.Grant:
+    """Return the grant for one more request."""
+    body = api.AdmitRequest(
+        f"r{number}", "dairy", "orders", NOW_MS + 9_000, gateway=f"d{number % 7}"
+    )
+    event = ports.ApiRequested(number, body)
+    return admission.handle(event, NOW_MS)[0].result
+
+
+def measure_admission(endpoints: int) -> list[Row]:
+    """Return how fast slots are granted and given back while half are in use."""
+    admission = make_admission(endpoints)
+    held = [admit(admission, -number) for number in range(1, endpoints * 4)]
+    began = time.process_time()
+    for number in range(DECISIONS):
+        held.append(admit(admission, number))
+        grant = held[number]
+        body = api.FinishRequest(grant.request_id, SHARD, grant.worker_id, 20, "ok")
+        admission.handle(ports.ApiRequested(0, body), NOW_MS)
+    spent_s = time.process_time() - began
+    return [
+        Row(f"admission, {endpoints} endpoints", "1/s", DECISIONS / spent_s),
+        Row(
+            f"grant and return, {endpoints} endpoints", "µs", spent_s / DECISIONS * 1e6
+        ),
+    ]
+
+
+def measure_grant_memory() -> list[Row]:
+    """Return the memory that one slot in use takes at the owner."""
+    admission = make_admission(1_600)
+    tracemalloc.start()
+    grants = [admit(admission, number) for number in range(HELD_ITEMS)]
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return [Row("grant, memory with the grant itself", "B", taken / len(grants))]
+
+
+def make_table(durability: str) -> tuple[KeyTable, MarkStore]:
+    """Return a table whose second daemon is ready, and that daemon's marks."""
+    second = MarkStore(1, lambda _: 1, str)
+    peers = KeyPeers("d0", str, lambda _: 1, list, lambda: "d1", lambda: NOW_MS)
+    marks = MarkStore(1, lambda _: 1, str)
+    table = KeyTable(make_context(durability), SHARD, 1, NOW_MS, peers, marks)
+    exchange(table, second, table.handle(ports.Tick(), NOW_MS))
+    return table, second
+
+
+def exchange(table: KeyTable, second: MarkStore, commands: list) -> api.ApiResult:
+    """Carry messages between the table and its second; returns the answer."""
+    answer = None
+    pending = list(commands)
+    while pending:
+        command = pending.pop(0)
+        match command:
+            case ports.ApiAnswer(result=result):
+                answer = result
+            case ports.SendPeer(message=message):
+                to_second = ports.PeerReceived("d0", message)
+                for reply in second.handle(to_second, NOW_MS):
+                    event = ports.PeerReceived("d1", reply.message)
+                    pending.extend(table.handle(event, NOW_MS))
+    return answer
+
+
+def measure_keys(durability: str) -> list[Row]:
+    """Return the cost of a key's claim and outcome, without the network."""
+    table, second = make_table(durability)
+    tracemalloc.start()
+    spent_s = 0.0
+    for number in range(HELD_ITEMS):
+        name = f"key-{number}"
+        begin = api.BeginKey("dairy", "orders", name, f"r{number}", b"d" * 16)
+        finish = api.FinishKey(
+            "dairy", "orders", name, f"r{number}", True, 200, (), b"x" * 200
+        )
+        began = time.process_time()
+        for body in (begin, finish):
+            event = ports.ApiRequested(1, body)
+            exchange(table, second, table.handle(event, NOW_MS))
+        spent_s += time.process_time() - began
+    taken = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    held = len(table.ledger.keys) + len(second.ledgers[SHARD].keys)
+    return [
+        Row(f"key, {durability}, processor time", "µs", spent_s / HELD_ITEMS * 1e6),
+        Row(f"key, {durability}, memory at each holder", "B", taken / held),
+    ]
+
+
+def measure_mark_messages() -> list[Row]:
+    """Return the size and codec cost of the messages of one marked key."""
+    mark = messages.MarkKey(
+        SHARD, 1, 1, "dairy", "orders", "k" * 24, "d0-1-1", b"d" * 16, NOW_MS
+    )
+    outcome = messages.KeyOutcome(
+        SHARD, 1, "dairy", "orders", "k" * 24, "d0-1-1", True, 200, (), b"x" * 200
+    )
+    marked = messages.KeyMarked(SHARD, 1, 1, True)
+    sizes, spent = 0, []
+    for message in (mark, marked, outcome):
+        data = codec.encode(message, messages.PeerMessage)
+        sizes += len(data)
+        began = time.process_time()
+        for _ in range(2_000):
+            codec.decode(
+                codec.encode(message, messages.PeerMessage), messages.PeerMessage
+            )
+        spent.append((time.process_time() - began) / 2_000)
+    return [
+        Row("key, messages to the second daemon", "B", sizes),
+        Row("key, codec of these messages", "µs", sum(spent) * 1e6),
+    ]
+
+
+def main() -> None:
+    """Measure and save."""
+    rows = [
+        row for endpoints in (25, 400, 1_600) for row in measure_admission(endpoints)
+    ]
+    rows.extend(measure_grant_memory())
+    for durability in ("memory", "two-daemons"):
+        rows.extend(measure_keys(durability))
+    rows.extend(measure_mark_messages())
+    rows.extend(measure_routed())
+    rates = [row.value for row in rows if row.unit == "ratio"]
+    if rates:
+        rows.append(Row("routed / direct, median", "ratio", statistics.median(rates)))
+    save_rows("requests", rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -3,13 +3,16 @@
 import bisect
 import collections
 import itertools
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import GRANT_MARGIN_MS, LONGEST_GRANT_MS
 from poplarlb.coordination.health import (
+    EWMA_WEIGHT,
+    OUTLIER_SAMPLES,
+    UNKNOWN_SERVICE_MS,
     EndpointHealth,
     may_eject,
     mean_service_ms,
@@ -20,7 +23,7 @@
 
 GRANT_USE_MS = 2_000
 DEADLINE_STEP_MS = 50
-SCAN_LIMIT = 64
+SCAN_LIMIT = 16
 LOAD_FACTOR = 0.5
 DEFAULT_QUEUE_LIMIT = 256
 SHORTEST_RETRY_MS = 20
@@ -48,6 +51,7 @@
     """An endpoint with what was learned of it."""
 
     endpoint: Endpoint
+    limit: int
     health: EndpointHealth = Factory(EndpointHealth)
 
 
@@ -79,7 +83,52 @@
 
     endpoints: dict[str, ServingEndpoint] = Factory(dict)
     waiting: list[QueuedRequest] = Factory(list)
+    listed: list[ServingEndpoint] = Factory(list)
     cursor: int = 0
+    mean_ms: float = UNKNOWN_SERVICE_MS
+    least_slowdown: float = 1.0
+
+    def update(self, wanted: dict[str, Endpoint]) -> None:
+        """Take the endpoints that may get requests; the others get no more."""
+        for worker_id in self.endpoints.keys() - wanted.keys():
+            del self.endpoints[worker_id]
+        for worker_id, endpoint in wanted.items():
+            known = self.endpoints.get(worker_id)
+            if known is None:
+                limit = slots_of(endpoint.worker)
+                self.endpoints[worker_id] = ServingEndpoint(endpoint, limit)
+            else:
+                known.endpoint = endpoint
+                known.limit = slots_of(endpoint.worker)
+        self.listed = list(self.endpoints.values())
+        self.least_slowdown = min(
+            (item.endpoint.slowdown for item in self.listed), default=1.0
+        )
+        self.learn_mean()
+
+    def learn_mean(self) -> None:
+        """Take the mean time of the endpoints that have answered."""
+        self.mean_ms = mean_service_ms(item.health for item in self.listed)
+
+    def next_listed(self) -> Iterator[ServingEndpoint]:
+        """Return the endpoints, beginning after those that were looked at."""
+        if len(self.listed) <= SCAN_LIMIT:
+            return iter(self.listed)
+        self.cursor = (self.cursor + SCAN_LIMIT) % len(self.listed)
+        after = itertools.islice(self.listed, self.cursor, None)
+        return itertools.chain(after, itertools.islice(self.listed, self.cursor))
+
+    def soonest_ms(self, avoid: tuple[str, ...], now_ms: int) -> int | None:
+        """Return when an endpoint may get a request; ``None`` if never."""
+        soonest = None
+        for item in self.listed:
+            if item.endpoint.worker.worker_id in avoid:
+                continue
+            if not item.health.ejected:
+                return now_ms
+            after_ms = item.health.probe_after_ms
+            soonest = after_ms if soonest is None else min(soonest, after_ms)
+        return soonest
 
     def health(self) -> list[EndpointHealth]:
         """Return the health of every endpoint."""
@@ -166,15 +215,7 @@
             own[item.worker.worker_id] = item
         for key in listed.keys() | self.services.keys():
             queue = self.services.setdefault(key, ServiceQueue())
-            wanted = listed.get(key, {})
-            for worker_id in queue.endpoints.keys() - wanted.keys():
-                del queue.endpoints[worker_id]
-            for worker_id, endpoint in wanted.items():
-                known = queue.endpoints.get(worker_id)
-                if known is None:
-                    queue.endpoints[worker_id] = ServingEndpoint(endpoint)
-                else:
-                    known.endpoint = endpoint
+            queue.update(listed.get(key, {}))
         unused = [
             key
             for key, queue in self.services.items()
@@ -238,22 +279,19 @@
 
     def _summary(self, key: ServiceKey, queue: ServiceQueue) -> EndpointSummary:
         healthy = queue.healthy()
-        free = sum(max(0, self._free(item.endpoint.worker)) for item in healthy)
+        free = sum(max(0, self._free(item)) for item in healthy)
         return EndpointSummary(*key, len(healthy), free, len(queue.waiting))
 
     # --- slots ----------------------------------------------------------------------
 
-    def _limit(self, worker: Worker) -> int:
-        return min(worker.slots, worker.connections)
-
-    def _member_limit(self, worker: Worker) -> int:
+    def _member_limit(self, limit: int) -> int:
         """Return the most slots of a worker that one gateway may use."""
-        limit = self._limit(worker)
         return limit if self.members <= 1 else max(1, limit // 2)
 
-    def _free(self, worker: Worker) -> int:
-        unknown = len(self.takeover.unreported) * self._member_limit(worker)
-        return self._limit(worker) - self.in_use.get(worker.worker_id, 0) - unknown
+    def _free(self, item: ServingEndpoint) -> int:
+        unknown = len(self.takeover.unreported) * self._member_limit(item.limit)
+        used = self.in_use.get(item.endpoint.worker.worker_id, 0)
+        return item.limit - used - unknown
 
     def _hold(self, slot: GrantedSlot) -> None:
         self.granted[(slot.request_id, slot.worker_id)] = slot
@@ -276,30 +314,37 @@
     def _candidates(
         self, queue: ServiceQueue, body: api.AdmitRequest, now_ms: int
     ) -> list[ServingEndpoint]:
-        listed = list(queue.endpoints.values())
-        if len(listed) > SCAN_LIMIT:
-            queue.cursor = (queue.cursor + SCAN_LIMIT) % len(listed)
-            listed = listed[queue.cursor :] + listed[: queue.cursor]
-        found = (item for item in listed if self._may_take(item, body, now_ms))
+        unreported = len(self.takeover.unreported)
+        if not self.takeover.knows(body.gateway):
+            return []
+        found = (
+            item
+            for item in queue.next_listed()
+            if self._may_take(item, body, unreported, now_ms)
+        )
         return list(itertools.islice(found, SCAN_LIMIT))
 
     def _may_take(
-        self, item: ServingEndpoint, body: api.AdmitRequest, now_ms: int
+        self,
+        item: ServingEndpoint,
+        body: api.AdmitRequest,
+        unreported: int,
+        now_ms: int,
     ) -> bool:
-        worker = item.endpoint.worker
-        held = self.held.get((body.gateway, worker.worker_id), 0)
+        worker_id = item.endpoint.worker.worker_id
+        own_limit = self._member_limit(item.limit)
+        used = self.in_use.get(worker_id, 0) + unreported * own_limit
         return (
-            self._free(worker) > 0
-            and held < self._member_limit(worker)
-            and self.takeover.knows(body.gateway)
-            and worker.worker_id not in body.avoid
+            used < item.limit
+            and self.held.get((body.gateway, worker_id), 0) < own_limit
+            and worker_id not in body.avoid
             and item.health.may_take(now_ms)
         )
 
     def _expected_ms(self, item: ServingEndpoint, mean_ms: float) -> float:
         known_ms = item.health.service_ms if item.health.samples else mean_ms
         worker = item.endpoint.worker
-        load = self.in_use.get(worker.worker_id, 0) / max(1, self._limit(worker))
+        load = self.in_use.get(worker.worker_id, 0) / item.limit
         return known_ms * item.endpoint.slowdown * (1 + LOAD_FACTOR * load)
 
     def _choose(
@@ -308,10 +353,10 @@
         candidates = self._candidates(queue, body, now_ms)
         if not candidates:
             return None
-        probes = [item for item in candidates if item.health.ejected]
-        if probes:
-            return probes[0]
-        mean_ms = mean_service_ms(item.health for item in candidates)
+        probe = next((item for item in candidates if item.health.ejected), None)
+        if probe is not None:
+            return probe
+        mean_ms = queue.mean_ms
         return min(candidates, key=lambda item: self._expected_ms(item, mean_ms))
 
     def _grant(
@@ -325,7 +370,7 @@
         self._hold(
             GrantedSlot(body.request_id, worker.worker_id, key, body.gateway, free_ms)
         )
-        spare = max(0, worker.connections - self._limit(worker))
+        spare = max(0, worker.connections - item.limit)
         return api.Grant(
             body.request_id,
             self.shard,
@@ -334,7 +379,7 @@
             worker.address,
             min(now_ms + GRANT_USE_MS, deadline_ms),
             deadline_ms,
-            self._limit(worker),
+            item.limit,
             spare // max(1, self.members),
         )
 
@@ -357,18 +402,13 @@
     ) -> api.Fault | None:
         if self.closed:
             return _refuse(Reason.NO_OWNER, "the shard has a new owner", 50)
-        usable = [
-            item.health.probe_after_ms if item.health.ejected else now_ms
-            for name, item in (queue.endpoints.items() if queue else ())
-            if name not in body.avoid
-        ]
-        if not usable:
+        soonest_ms = queue.soonest_ms(body.avoid, now_ms) if queue else None
+        if soonest_ms is None:
             return _refuse(Reason.NO_ENDPOINT, "no endpoint runs here", 1_000)
-        if min(usable) >= body.deadline_ms:
-            wait_ms = min(usable) - now_ms
+        if soonest_ms >= body.deadline_ms:
+            wait_ms = soonest_ms - now_ms
             return _refuse(Reason.ENDPOINT_FAILED, "every endpoint fails", wait_ms)
-        mean_ms = mean_service_ms(queue.health())
-        if now_ms + mean_ms * _fastest(queue) >= body.deadline_ms:
+        if now_ms + queue.mean_ms * queue.least_slowdown >= body.deadline_ms:
             return _refuse(Reason.DEADLINE, "the deadline is too near", 0)
         return None
 
@@ -384,7 +424,7 @@
         )
         position = bisect.bisect(queue.waiting, item)
         wait_ms = self._wait_ms(queue, position)
-        finish_ms = now_ms + wait_ms + mean_service_ms(queue.health())
+        finish_ms = now_ms + wait_ms + queue.mean_ms
         if finish_ms > body.deadline_ms:
             detail = f"about {wait_ms:.0f} ms to wait"
             fault = _refuse(Reason.DEADLINE, detail, wait_ms)
@@ -402,7 +442,7 @@
         """Refuse a request, and keep why for a while."""
         queue = self.services.get((body.team, body.service))
         weighed = queue.endpoints.items() if queue else ()
-        mean_ms = mean_service_ms(queue.health()) if queue else 0.0
+        mean_ms = queue.mean_ms if queue else 0.0
         decision = Decision(
             f"request/{body.request_id}",
             "refuse",
@@ -426,8 +466,8 @@
     def _wait_ms(self, queue: ServiceQueue, position: int) -> float:
         """Return how long a request waits behind ``position`` others."""
         healthy = queue.healthy() or list(queue.endpoints.values())
-        slots = sum(self._limit(item.endpoint.worker) for item in healthy)
-        return (position + 1) * mean_service_ms(queue.health()) / max(1, slots)
+        slots = sum(item.limit for item in healthy)
+        return (position + 1) * queue.mean_ms / max(1, slots)
 
     def _drain(self, worker_id: str, now_ms: int) -> list[ports.Command]:
         """Give a worker's free slots to the most pressing requests for it."""
@@ -463,7 +503,7 @@
         """Refuse queued requests that can't make their deadline any more."""
         if not queue.waiting:
             return []
-        mean_ms = mean_service_ms(queue.health())
+        mean_ms = queue.mean_ms
         late = [
             item
             for item in queue.waiting
@@ -500,7 +540,10 @@
         match body.result:
             case "ok":
                 health.note_answer(body.request_id, body.latency_ms, now_ms)
-                wanted = health.is_outlier(queue.health())
+                change_ms = body.latency_ms - queue.mean_ms
+                queue.mean_ms += EWMA_WEIGHT * change_ms / len(queue.listed)
+                due = health.samples % OUTLIER_SAMPLES == 0
+                wanted = due and health.is_outlier(queue.health())
             case "unused":
                 health.release_probe(body.request_id)
                 return
@@ -559,7 +602,7 @@
             for queue in self.services.values()
             if queue.waiting
             for worker_id, item in queue.endpoints.items()
-            if self._free(item.endpoint.worker) > 0
+            if self._free(item) > 0
         }
         return [
             command
@@ -568,8 +611,9 @@
         ]
 
 
-def _fastest(queue: ServiceQueue) -> float:
-    return min(item.endpoint.slowdown for item in queue.endpoints.values())
+def slots_of(worker: Worker) -> int:
+    """Return how many requests a worker takes at once."""
+    return max(1, min(worker.slots, worker.connections))
 
 
 def _refuse(reason: Reason, detail: str, retry_ms: float) -> api.Fault:
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -4,7 +4,7 @@
 import random
 import unittest
 
-from poplarlb.coordination.admission import Admission, Endpoint
+from poplarlb.coordination.admission import Admission, Endpoint, ServiceQueue
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
 from poplarlb.coordination.health import EJECTION_MS
@@ -182,9 +182,15 @@
     return broken
 
 
-def never_full(self, worker):
-    """Count no slot in use."""
-    return 8
+def one_slot_more(original):
+    """Take workers for larger than they are."""
+
+    def update(self, wanted):
+        original(self, wanted)
+        for item in self.listed:
+            item.limit += 1
+
+    return update
 
 
 def believe_all_free(self, members, early, now_ms):
@@ -207,7 +213,11 @@
 
 
 PLANTED = {
-    "slots not counted": (Admission, "_free", never_full),
+    "one slot too many": (
+        ServiceQueue,
+        "update",
+        one_slot_more(ServiceQueue.update),
+    ),
     "takeover believes all free": (Admission, "begin_takeover", believe_all_free),
     "slots freed on a tick": (Admission, "_tick", release_at_once),
 }
