--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -103,6 +103,14 @@
         except concurrent.futures.TimeoutError as error:
             raise OutcomeUnknownError("no answer in time") from error
 
+    def tell(self, body: api.ApiBody) -> None:
+        """Make a call whose answer nobody waits for."""
+        future: concurrent.futures.Future = concurrent.futures.Future()
+        try:
+            self.loop.call_soon_threadsafe(self._begin, body, future)
+        except RuntimeError:
+            logger.debug("a call came after the shutdown")
+
     @property
     def ready(self) -> bool:
         """Whether the balancer may send callers here."""
