--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -23,7 +23,7 @@
 from poplarlb.exceptions import BadRequestError, NotFoundError, PoplarlbError
 from poplarlb.protocol import codec
 from poplarlb.state.templates import ConfigView, TeamTemplate
-from poplarlb.templates import diff_teams, load_team, to_table
+from poplarlb.templates import EffectiveChange, diff_teams, load_team, to_table
 
 EXIT_CODES = {
     "internal": 1,
@@ -103,6 +103,15 @@
         return [name for name, seen in [*own, *others] if seen < version]
 
 
+def effective_changes(
+    view: ConfigView, teams: tuple[TeamTemplate, ...], removed: list[str]
+) -> list[EffectiveChange]:
+    """Return what applying some templates and removing some teams would change."""
+    found = [diff_teams(view.team(team.team), team) for team in teams]
+    found += [diff_teams(view.team(name), None) for name in removed]
+    return [change for changes in found for change in changes]
+
+
 class TemplateCommands:
     """Edit and apply the templates of teams."""
 
@@ -122,7 +131,7 @@
         teams = self._load(files)
         view = session.view()
         removed = [name for name in str(remove).split(",") if name]
-        changes = self._changes(view, teams, removed)
+        changes = effective_changes(view, teams, removed)
         if not changes:
             text = f"no effective change; version {view.version} stays in force"
             return session.show({"version": view.version, "changes": []}, text)
@@ -149,7 +158,7 @@
         """Show the effective changes that applying FILES would make."""
         teams = self._load(files)
         removed = [name for name in str(remove).split(",") if name]
-        changes = self._changes(self._session.view(), teams, removed)
+        changes = effective_changes(self._session.view(), teams, removed)
         table = [{"path": c.path, "old": c.old, "new": c.new} for c in changes]
         return self._session.show(table, rendering.changes_text(changes))
 
@@ -183,7 +192,7 @@
         text = f"{teams}\n\n{rendering.columns([header, *notes])}"
         return self._session.show(_CONVERTER.unstructure(view), text)
 
-    def _load(self, files: tuple[str, ...]) -> list[TeamTemplate]:
+    def _load(self, files: tuple[str, ...]) -> tuple[TeamTemplate, ...]:
         zones = self._session.zones()
         teams, faults = [], []
         for file in files:
@@ -193,12 +202,7 @@
                 faults.append(error.detail)
         if faults:
             raise BadRequestError("\n".join(faults))
-        return teams
-
-    def _changes(self, view: ConfigView, teams: list, removed: list) -> list:
-        found = [diff_teams(view.team(team.team), team) for team in teams]
-        found += [diff_teams(view.team(name), None) for name in removed]
-        return [change for changes in found for change in changes]
+        return tuple(teams)
 
 
 class ZoneCommands:
--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -74,16 +74,9 @@
 
     @classmethod
     def from_environment(cls, daemons: str = "") -> "Client":
-        """Return a client for a comma-separated list, or the environment's.
-
-        :raises BadRequestError: if neither names a daemon.
-        """
+        """Return a client for a comma-separated list, or the environment's."""
         listed = daemons or os.environ.get(DAEMONS_VARIABLE, "")
         addresses = [item.strip() for item in listed.split(",") if item.strip()]
-        if not addresses:
-            raise BadRequestError(
-                f"no daemon named: give --daemons host:port,... or {DAEMONS_VARIABLE}"
-            )
         return cls(
             addresses,
             os.environ.get(SECRET_VARIABLE, ""),
@@ -119,9 +112,14 @@
         A call that was certainly not run is tried at the next address. One whose
         outcome is unknown is tried again only if it is repeatable.
 
+        :raises BadRequestError: if no daemon is named.
         :raises NotRunError: if no daemon could be reached.
         :raises OutcomeUnknownError: if the outcome of a call can't be known.
         """
+        if not self.daemons:
+            raise BadRequestError(
+                f"no daemon named: give --daemons host:port,... or {DAEMONS_VARIABLE}"
+            )
         last: Answer | None = None
         unknown = ""
         sendings = 0
