--- a/examples/__init__.py
+++ b/examples/__init__.py
@@ -0,0 +1,1 @@
+"""Templates of two firms and a demonstration of the whole system."""
