--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -1,7 +1,8 @@
 """The daemon's settings: read from TOML and checked whole."""
 
+import ipaddress
+import re
 import tomllib
-import typing
 
 import attrs
 from attrs import field, frozen
@@ -9,19 +10,78 @@
 from poplarlb.exceptions import SettingsError
 
 
-def _between(low: float, high: float) -> typing.Callable:
-    def check(instance: object, attribute: attrs.Attribute, value: float) -> None:
-        if not low <= value <= high:
-            raise ValueError(f"must be between {low} and {high}")
+@frozen
+class Between:
+    """Checks that a number is within its bounds."""
+
+    low: float
+    high: float
+
+    def __call__(
+        self, instance: object, attribute: attrs.Attribute, value: float
+    ) -> None:
+        """Raise ``ValueError`` naming the bounds if the value is outside."""
+        if not self.low <= value <= self.high:
+            raise ValueError(f"must be between {self.low} and {self.high}")
+
+
+def _between(low: float, high: float) -> Between:
+    return Between(low, high)
+
+
+NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
+NAME_RULE = "must be lower-case letters, digits and hyphens, at most 63"
+LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
+PORT_LIMIT = 65_535
+
+
+def _check_name(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    if not NAME_PATTERN.fullmatch(value):
+        raise ValueError(NAME_RULE)
+
+
+def _check_names(instance: object, attribute: attrs.Attribute, value: tuple) -> None:
+    if not all(NAME_PATTERN.fullmatch(item) for item in value):
+        raise ValueError(f"each {NAME_RULE}")
+    if len(set(value)) != len(value):
+        raise ValueError("must not name anything twice")
+
+
+def _check_address(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    host, _, port = value.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        good = port.isascii() and port.isdigit() and int(port) <= PORT_LIMIT
+    except ValueError:
+        good = False
+    if not good:
+        raise ValueError("must be an IP address and a port, such as 10.0.0.5:8080")
+
+
+def _check_optional_address(
+    instance: object, attribute: attrs.Attribute, value: str
+) -> None:
+    if value:
+        _check_address(instance, attribute, value)
+
+
+def _check_addresses(
+    instance: object, attribute: attrs.Attribute, value: tuple
+) -> None:
+    for item in value:
+        _check_address(instance, attribute, item)
 
-    return check
+
+def _check_level(instance: object, attribute: attrs.Attribute, value: str) -> None:
+    if value not in LOG_LEVELS:
+        raise ValueError(f"must be one of {', '.join(LOG_LEVELS)}")
 
 
 @frozen
 class StoreSettings:
     """How to reach the platform's store, and this daemon's share of its rates."""
 
-    address: str = "127.0.0.1:2379"
+    address: str = field(default="127.0.0.1:2379", validator=_check_address)
     prefix: str = "poplarlb/"
     timeout_ms: int = field(default=2_000, validator=_between(50, 60_000))
     calls_per_s: float = field(default=25.0, validator=_between(1, 2_000))
@@ -32,7 +92,7 @@
 class PlatformSettings:
     """How to read the platform's list of hosts."""
 
-    hosts_address: str = "127.0.0.1:2380"
+    hosts_address: str = field(default="127.0.0.1:2380", validator=_check_address)
     hosts_period_ms: int = field(default=1_000, validator=_between(100, 60_000))
     worker_timeout_ms: int = field(default=3_000, validator=_between(50, 60_000))
 
@@ -52,9 +112,13 @@
 
 @frozen
 class ShardSettings:
-    """The division of the deployment into shards; fixed for its life."""
+    """The division of the deployment into shards; fixed for its life.
+
+    ``extra_zones`` hold daemons, but no workers.
+    """
 
-    zones: tuple[str, ...] = ()
+    zones: tuple[str, ...] = field(default=(), validator=_check_names)
+    extra_zones: tuple[str, ...] = field(default=(), validator=_check_names)
     shards_per_zone: int = field(default=1, validator=_between(1, 64))
 
 
@@ -137,8 +201,8 @@
 class ApiSettings:
     """The HTTP doors for callers and for operators."""
 
-    listen: str = "127.0.0.1:0"
-    operator_listen: str = ""
+    listen: str = field(default="127.0.0.1:0", validator=_check_address)
+    operator_listen: str = field(default="", validator=_check_optional_address)
     operator_secret: str = field(default="", repr=False)
     threads: int = field(default=32, validator=_between(1, 512))
     header_limit_bytes: int = field(default=65_536, validator=_between(1_024, 1 << 20))
@@ -151,9 +215,9 @@
 class PeerSettings:
     """The door for other daemons."""
 
-    listen: str = "127.0.0.1:0"
+    listen: str = field(default="127.0.0.1:0", validator=_check_address)
     secret: str = field(default="", repr=False)
-    seeds: tuple[str, ...] = ()
+    seeds: tuple[str, ...] = field(default=(), validator=_check_addresses)
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
@@ -163,7 +227,7 @@
 class LogSettings:
     """Structured logs."""
 
-    level: str = "INFO"
+    level: str = field(default="INFO", validator=_check_level)
     json: bool = False
 
 
@@ -182,8 +246,8 @@
 class Settings:
     """Everything that a daemon is told by its operators."""
 
-    member_id: str
-    zone: str
+    member_id: str = field(validator=_check_name)
+    zone: str = field(validator=_check_name)
     store: StoreSettings = StoreSettings()
     platform: PlatformSettings = PlatformSettings()
     members: MemberSettings = MemberSettings()
@@ -222,25 +286,79 @@
     """
     faults: list[str] = []
     settings = _build(Settings, table, "", faults)
+    if settings is not None:
+        faults.extend(check_together(settings))
     if faults:
         raise SettingsError("\n".join(faults))
     return settings
 
 
+def check_together(settings: Settings) -> list[str]:
+    """Return the faults of values that are good alone but not together."""
+    shards, tasks, config = settings.shards, settings.tasks, settings.config
+    zones = (*shards.zones, *shards.extra_zones)
+    rules = (
+        (
+            not shards.zones or settings.zone in zones,
+            f"zone = {settings.zone!r}: must be in shards.zones or shards.extra_zones",
+        ),
+        (
+            tasks.renew_period_ms < tasks.lease_ms,
+            f"tasks.renew_period_ms = {tasks.renew_period_ms}: "
+            f"must be below tasks.lease_ms = {tasks.lease_ms}",
+        ),
+        (
+            config.poll_period_ms < config.staleness_ms,
+            f"config.poll_period_ms = {config.poll_period_ms}: "
+            f"must be below config.staleness_ms = {config.staleness_ms}",
+        ),
+        *_check_doors(settings),
+    )
+    return [text for holds, text in rules if not holds]
+
+
+def _check_doors(settings: Settings) -> tuple[tuple[bool, str], ...]:
+    api, peers = settings.api, settings.peers
+    operators = api.operator_listen or api.listen
+    return (
+        (
+            bool(api.tls_certificate) == bool(api.tls_key),
+            "api.tls_certificate and api.tls_key: must both be set, or neither",
+        ),
+        (
+            bool(peers.tls_certificate) == bool(peers.tls_key),
+            "peers.tls_certificate and peers.tls_key: must both be set, or neither",
+        ),
+        (
+            bool(api.operator_secret) or _is_loopback(operators),
+            "api.operator_secret = (hidden): must not be empty when operators are "
+            f"served on {operators}",
+        ),
+        (
+            bool(peers.secret) or _is_loopback(peers.listen),
+            "peers.secret = (hidden): must not be empty when daemons are served on "
+            f"{peers.listen}",
+        ),
+    )
+
+
+def _is_loopback(address: str) -> bool:
+    return ipaddress.ip_address(address.rpartition(":")[0].strip("[]")).is_loopback
+
+
 def _build(kind: type, table: dict, path: str, faults: list[str]) -> object:
     fields = {item.name: item for item in attrs.fields(kind)}
     for name in table.keys() - fields.keys():
         allowed = ", ".join(sorted(fields))
         faults.append(f"{path}{name}: unknown key; allowed: {allowed}")
     values = {}
+    before = len(faults)
     for name, item in fields.items():
         if name in table:
             _take(item, table[name], f"{path}{name}", values, faults)
         elif item.default is attrs.NOTHING:
             faults.append(f"{path}{name}: missing; required")
-    if faults:
-        return None
-    return kind(**values)
+    return None if len(faults) > before else kind(**values)
 
 
 def _take(
@@ -263,12 +381,8 @@
     if expected == tuple[str, ...]:
         if not isinstance(value, list) or not all(isinstance(v, str) for v in value):
             return "must be a list of strings"
-        values[item.name] = tuple(value)
-        return ""
-    accepted = (int, float) if expected is float else expected
-    if not isinstance(value, accepted) or (
-        isinstance(value, bool) and expected is not bool
-    ):
+        value = tuple(value)
+    elif not _is_of(value, expected):
         return f"must be of type {expected.__name__}"
     if item.validator is not None:
         try:
@@ -277,3 +391,9 @@
             return str(error)
     values[item.name] = value
     return ""
+
+
+def _is_of(value: object, expected: type) -> bool:
+    if isinstance(value, bool):
+        return expected is bool
+    return isinstance(value, (int, float) if expected is float else expected)
