--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -110,7 +110,8 @@
         """Return the whole answer, of whatever status.
 
         A call that was certainly not run is tried at the next address. One whose
-        outcome is unknown is tried again only if it is repeatable.
+        outcome is unknown is tried again only if it is repeatable; a header then
+        tells how many times it may have been dispatched before.
 
         :raises BadRequestError: if no daemon is named.
         :raises NotRunError: if no daemon could be reached.
@@ -122,25 +123,25 @@
             )
         last: Answer | None = None
         unknown = ""
-        sendings = 0
+        unsettled = 0
         for attempt in range(ROUNDS * len(self.daemons)):
             daemon = self.daemons[attempt % len(self.daemons)]
             if attempt and attempt % len(self.daemons) == 0:
                 time.sleep(ROUND_PAUSE_S * (1 + random.random()))
-            numbered = {**headers, ATTEMPT_HEADER: str(sendings + 1)}
+            numbered = {**headers, ATTEMPT_HEADER: str(unsettled + 1)}
             try:
                 last = self.send_once(daemon, method, path, body, numbered)
-                sendings += 1
             except NotRunError:
                 continue
             except OutcomeUnknownError as error:
-                sendings += 1
+                unsettled += 1
                 unknown = error.detail
                 if not repeatable:
                     raise
                 continue
             code = last.table().get("code", "")
             if code in UNKNOWN_CODES and repeatable:
+                unsettled += 1
                 unknown = str(last.table().get("detail", ""))
                 continue
             if code not in NOT_RUN_CODES or unknown:
