--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -118,8 +118,8 @@
     """
 
     zones: tuple[str, ...] = field(default=(), validator=_check_names)
-    extra_zones: tuple[str, ...] = field(default=(), validator=_check_names)
     shards_per_zone: int = field(default=1, validator=_between(1, 64))
+    extra_zones: tuple[str, ...] = field(default=(), validator=_check_names)
 
 
 @frozen
--- a/tests/coordination/test_config.py
+++ b/tests/coordination/test_config.py
@@ -23,6 +23,11 @@
     return TeamTemplate(name, ("kochi",), Resources(1_000, 1_000), weight)
 
 
+def address_of(number: int) -> str:
+    """Return a keeper's address."""
+    return f"127.0.0.1:{number}"
+
+
 @define
 class FakeStore:
     """Keys with revisions; calls take time, fail, or lose their answers."""
@@ -112,15 +117,15 @@
     def __attrs_post_init__(self) -> None:
         """Make the store and newborn keepers."""
         self.store = FakeStore(self.random)
-        self.keepers = [self.newborn() for _ in range(self.count)]
+        self.keepers = [self.newborn(n) for n in range(self.count)]
         self.frozen_until = [0] * self.count
         self.seen = [0] * self.count
 
-    def newborn(self) -> ConfigKeeper:
+    def newborn(self, number: int) -> ConfigKeeper:
         """Return a keeper without any knowledge but its seeds."""
-        seeds = tuple(f"k{number}" for number in range(self.count))
+        seeds = tuple(address_of(number) for number in range(self.count))
         own = Settings("m", "kochi", peers=PeerSettings(seeds=seeds))
-        return ConfigKeeper(NodeContext(own), "")
+        return ConfigKeeper(NodeContext(own), address_of(number))
 
     def later(self, low: int, high: int) -> int:
         """Return a random instant between the bounds from now."""
@@ -139,7 +144,7 @@
                 self.send(at_ms, number, command)
             case ports.SendPeer(address=address, message=message):
                 event = ports.PeerReceived(f"k{number}", message)
-                target = int(address[1:])
+                target = int(address.rpartition(":")[2])
                 self.send(self.later(1, 500), target, event)
             case ports.ApiAnswer(call_id=call_id, result=result):
                 self.note_answer(number, call_id, result)
@@ -176,7 +181,7 @@
     def restart(self, number: int) -> None:
         """Replace a keeper by a newborn one; its operators hear nothing."""
         self.revisions.pop(id(self.keepers[number]), None)
-        self.keepers[number] = self.newborn()
+        self.keepers[number] = self.newborn(number)
         self.seen[number] = 0
         self.asked = {key: b for key, b in self.asked.items() if key[0] != number}
 
@@ -225,7 +230,7 @@
     def peers_of(self, number: int) -> tuple[PeerView, ...]:
         """Return the other keepers, as heartbeats show them."""
         return tuple(
-            PeerView(f"k{other}", f"k{other}", self.seen[other])
+            PeerView(f"k{other}", address_of(other), self.seen[other])
             for other in range(self.count)
             if other != number and self.frozen_until[other] <= self.now_ms
         )
