--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -23,7 +23,7 @@
 from poplarlb.exceptions import BadRequestError, NotFoundError, PoplarlbError
 from poplarlb.protocol import codec
 from poplarlb.state.templates import ConfigView, TeamTemplate
-from poplarlb.templates import diff_teams, load_team, to_table
+from poplarlb.templates import EffectiveChange, diff_teams, load_team, to_table
 
 EXIT_CODES = {
     "internal": 1,
@@ -45,6 +45,37 @@
 _CONVERTER = codec.make_converter(())
 
 
+HELP = """\
+poplarlb drives services and batch work on the same workers.
+
+  template apply FILE...  check templates, apply them, wait until in force everywhere
+  template diff FILE...   show the effective changes that an apply would make
+  template show TEAM      show a team's template in force
+  template list           list teams and the latest changes
+  zone out|in ZONE        take an availability zone out, or bring it back
+  zone list               list zones with their states, and who set them
+  job submit TEAM ID      submit a batch job; repeating it changes nothing
+  job show|cancel TEAM ID show or cancel a job
+  job list TEAM           list a team's jobs
+  request TEAM SERVICE [PATH]       send one request to a service
+  explain job TEAM ID | worker ID | request ID
+                          tell what was decided, when and why
+  status                  members, zones, shards, queues, and what waits and why
+
+Flags for every command, after it:
+  --daemons HOST:PORT,... daemons to talk to, the first that answers (or set
+                          POPLARLB_DAEMONS)
+  --json                  print JSON
+  --operator NAME         your name in the record of changes
+
+"poplarlb COMMAND --help" tells a command's own flags. The operators' secret is read
+from POPLARLB_OPERATOR_SECRET, a private TLS authority from POPLARLB_TLS_AUTHORITY.
+
+Exit codes: 0 done, 1 internal error, 2 wrong usage, 3 bad input, 4 unauthorized,
+5 not found, 6 conflict, 7 certainly not run, 8 outcome unknown, 9 accepted but not
+in force everywhere in time."""
+
+
 class NotInForceError(PoplarlbError):
     """A change was accepted but some daemons have not reported it in time."""
 
@@ -103,6 +134,15 @@
         return [name for name, seen in [*own, *others] if seen < version]
 
 
+def effective_changes(
+    view: ConfigView, teams: tuple[TeamTemplate, ...], removed: list[str]
+) -> list[EffectiveChange]:
+    """Return what applying some templates and removing some teams would change."""
+    found = [diff_teams(view.team(team.team), team) for team in teams]
+    found += [diff_teams(view.team(name), None) for name in removed]
+    return [change for changes in found for change in changes]
+
+
 class TemplateCommands:
     """Edit and apply the templates of teams."""
 
@@ -122,7 +162,7 @@
         teams = self._load(files)
         view = session.view()
         removed = [name for name in str(remove).split(",") if name]
-        changes = self._changes(view, teams, removed)
+        changes = effective_changes(view, teams, removed)
         if not changes:
             text = f"no effective change; version {view.version} stays in force"
             return session.show({"version": view.version, "changes": []}, text)
@@ -149,7 +189,7 @@
         """Show the effective changes that applying FILES would make."""
         teams = self._load(files)
         removed = [name for name in str(remove).split(",") if name]
-        changes = self._changes(self._session.view(), teams, removed)
+        changes = effective_changes(self._session.view(), teams, removed)
         table = [{"path": c.path, "old": c.old, "new": c.new} for c in changes]
         return self._session.show(table, rendering.changes_text(changes))
 
@@ -183,7 +223,7 @@
         text = f"{teams}\n\n{rendering.columns([header, *notes])}"
         return self._session.show(_CONVERTER.unstructure(view), text)
 
-    def _load(self, files: tuple[str, ...]) -> list[TeamTemplate]:
+    def _load(self, files: tuple[str, ...]) -> tuple[TeamTemplate, ...]:
         zones = self._session.zones()
         teams, faults = [], []
         for file in files:
@@ -193,12 +233,7 @@
                 faults.append(error.detail)
         if faults:
             raise BadRequestError("\n".join(faults))
-        return teams
-
-    def _changes(self, view: ConfigView, teams: list, removed: list) -> list:
-        found = [diff_teams(view.team(team.team), team) for team in teams]
-        found += [diff_teams(view.team(name), None) for name in removed]
-        return [change for changes in found for change in changes]
+        return tuple(teams)
 
 
 class ZoneCommands:
@@ -425,6 +460,9 @@
 def main(arguments: list[str] | None = None) -> None:
     """Run one command and exit with its code."""
     given = sys.argv[1:] if arguments is None else arguments
+    if not given or given[0] in ("--help", "-h", "help"):
+        print(HELP)
+        return
     # A bare --json would take the next word as its value.
     given = ["--json=True" if item == "--json" else item for item in given]
     as_json = "--json=True" in given
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/relief.py
@@ -27,6 +27,7 @@
 LONG_LIVED_COST_MS = 60_000
 NEARLY_DONE_SHARE = 0.8
 CAUSE_NEEDED = 0.05
+EVICTION_HARM_NEEDED = 0.1
 RESTORE_BACKOFF_LIMIT = 16
 EVICTABLE = (WorkClass.ORDINARY, WorkClass.PATIENT, WorkClass.LONG_LIVED)
 
@@ -230,9 +231,12 @@
         cooldown_ms = self.settings.worker_cooldown_ms
         if record.evicted_ms is not None and now_ms - record.evicted_ms < cooldown_ms:
             return None
-        if self.budget.left(now_ms) <= 0:
+        if self.budget.left(now_ms) <= 0 or not self._is_severe(room, breached, now_ms):
             return None
-        best = max(suspects, key=lambda item: item.harm / item.cost_ms)
+        guilty = [item for item in suspects if item.harm >= EVICTION_HARM_NEEDED]
+        if not guilty:
+            return None
+        best = max(guilty, key=lambda item: item.harm / item.cost_ms)
         self.budget.take(now_ms)
         record.evicted_ms = now_ms
         names = ", ".join(sorted(service_of(spec) for spec in breached))
@@ -244,6 +248,17 @@
             f"{names} slowed by {best.harm:.2f}; costs {best.cost_ms:.0f} ms",
         )
 
+    def _is_severe(
+        self, room: WorkerRoom, breached: Iterable[TaskSpec], now_ms: int
+    ) -> bool:
+        """Tell whether a service misses its target enough to lose batch work."""
+        worker_id = room.worker.worker_id
+        return any(
+            self.breaches.late_share(name, worker_id, now_ms)
+            > self.settings.eviction_factor * self.breaches.limit_of(name)
+            for name in map(service_of, breached)
+        )
+
     def _restore(
         self, room: WorkerRoom, record: WorkerRelief, now_ms: int
     ) -> ThrottleWanted | None:
--- a/poplarlb/protocol/messages.py
+++ b/poplarlb/protocol/messages.py
@@ -262,6 +262,73 @@
     outcomes: tuple[KeyOutcome, ...]
     more: bool = False
     complete: bool = True
+    after: str = ""
+    from_owner: bool = False
+    uncertain_until_ms: int = 0
+
+
+@frozen
+class AdoptSecond:
+    """An owner gives its second daemon a page of everything that it knows.
+
+    The second holds marks of an epoch only after it took the last page. The
+    page is for one ``incarnation`` of it: a restarted daemon has lost its marks.
+    """
+
+    shard: str
+    epoch: int
+    adoption_id: int
+    incarnation: int
+    page: int
+    last: bool
+    marks: tuple[MarkKey, ...]
+    outcomes: tuple[KeyOutcome, ...]
+    uncertain_until_ms: int = 0
+
+
+@frozen
+class SecondAdopted:
+    """The second daemon took a page, or has seen a newer epoch."""
+
+    shard: str
+    epoch: int
+    adoption_id: int
+    page: int
+
+
+# --- slots in use: gateways to a new owner ---------------------------------------
+
+
+@frozen
+class OutstandingGrant:
+    """A slot that a gateway uses or may use until ``deadline_ms``."""
+
+    request_id: str
+    worker_id: str
+    deadline_ms: int
+    gateway: str = ""
+
+
+@frozen
+class GrantsWanted:
+    """A new owner asks a member which slots of the shard it uses."""
+
+    shard: str
+    epoch: int
+
+
+@frozen
+class GrantsReported:
+    """All slots of the shard that the member uses; it takes no older grants now.
+
+    ``whole`` tells that the sender was the owner and knows every grant.
+    """
+
+    shard: str
+    epoch: int
+    incarnation: int
+    grants: tuple[OutstandingGrant, ...]
+    whole: bool = False
 
 
 PeerMessage = (
@@ -276,4 +343,8 @@
     | KeyOutcome
     | CollectMarks
     | MarksCollected
+    | AdoptSecond
+    | SecondAdopted
+    | GrantsWanted
+    | GrantsReported
 )
