--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -6,7 +6,7 @@
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.budget import CallBudget
+from poplarlb.coordination.budget import CallBudget, StoreCallQueue
 from poplarlb.coordination.config import ConfigKeeper, PeerView
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import SendShard
@@ -64,7 +64,7 @@
     budget: CallBudget = None
     requests: RequestParts = None
     hosts: dict[str, ShardHost] = Factory(dict)
-    delayed_calls: collections.deque[ports.StoreCall] = Factory(collections.deque)
+    store_calls: StoreCallQueue = None
     forwarding: dict[int, _Forwarding] = Factory(dict)
     forwarded: dict[int, _ForwardedCall] = Factory(dict)
     next_hosts_ms: int = 0
@@ -79,6 +79,7 @@
         self.ownership = Ownership(self.context, self.membership, self.shards)
         self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
+        self.store_calls = StoreCallQueue(self.budget)
         self.requests = RequestParts(self.context, self.membership, self.ownership)
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
@@ -119,9 +120,7 @@
         if now_ms >= self.next_hosts_ms:
             self.next_hosts_ms = now_ms + self.settings.platform.hosts_period_ms
             outputs.append(ports.ReadHosts())
-        delayed = list(self.delayed_calls)
-        self.delayed_calls.clear()
-        return [*delayed, *outputs]
+        return outputs
 
     def _peer_views(self, now_ms: int) -> tuple[PeerView, ...]:
         return tuple(
@@ -153,7 +152,7 @@
                 case SendShard(message=message):
                     pending.extend(self._send_shard(message, now_ms))
                 case ports.StoreCall():
-                    commands.extend(self._spend(output, now_ms))
+                    self.store_calls.push(output)
                 case ports.ApiAnswer():
                     another = self._try_next_shard(output, now_ms)
                     pending.extend(another)
@@ -161,14 +160,9 @@
                         commands.extend(self._return_answer(output))
                 case _:
                     commands.append(output)
+        commands.extend(self.store_calls.release(now_ms))
         return commands
 
-    def _spend(self, call: ports.StoreCall, now_ms: int) -> list[ports.Command]:
-        if self.budget.take(now_ms):
-            return [call]
-        self.delayed_calls.append(call)
-        return []
-
     def _open_shard(self, acquired: ShardAcquired, now_ms: int) -> list:
         record = acquired.record
         writer = f"{self.own.member_id}/{self.own.incarnation}"
--- a/poplarlb/transport/meter.py
+++ b/poplarlb/transport/meter.py
@@ -39,7 +39,7 @@
         )
         metrics.watch(metrics.view_version, lambda: context.view.version)
         metrics.watch(metrics.store_budget, lambda: node.budget.tokens)
-        metrics.watch(metrics.delayed_calls, lambda: len(node.delayed_calls))
+        metrics.watch(metrics.delayed_calls, lambda: len(node.store_calls))
         metrics.watch(metrics.shards_owned, lambda: len(node.hosts))
         metrics.watch(
             metrics.members_live,
--- a/poplarlb/transport/store.py
+++ b/poplarlb/transport/store.py
@@ -1,32 +1,75 @@
 """The platform's key-value store over its v3 JSON gateway (etcd's protocol)."""
 
 import base64
+import binascii
+import collections
 import json
+import threading
 
 import urllib3
+from attrs import Factory, define
 
 from poplarlb.exceptions import StoreUnavailableError
 from poplarlb.protocol import ports
 from poplarlb.settings import StoreSettings
 
+ANSWER_LIMIT_BYTES = 64 << 20
+READ_CHUNK_BYTES = 1 << 16
+
+
+@define
+class StoreCounters:
+    """Calls by kind, those that failed, and bytes of bodies; safe for threads."""
+
+    calls: collections.Counter[str] = Factory(collections.Counter)
+    failures: collections.Counter[str] = Factory(collections.Counter)
+    sent_bytes: int = 0
+    received_bytes: int = 0
+    lock: threading.Lock = Factory(threading.Lock)
+
+    def note_call(self, kind: str, failed: bool) -> None:
+        """Count a call."""
+        with self.lock:
+            self.calls[kind] += 1
+            self.failures[kind] += failed
+
+    def note_bytes(self, sent: int, received: int) -> None:
+        """Count the bodies of a call and its answer."""
+        with self.lock:
+            self.sent_bytes += sent
+            self.received_bytes += received
+
 
 class StoreAdapter:
     """Carries out store operations, blocking the calling thread.
 
     :param settings: address and timeout of the store.
+    :param answer_limit_bytes: a longer answer counts as none.
     """
 
-    def __init__(self, settings: StoreSettings) -> None:
+    def __init__(
+        self, settings: StoreSettings, answer_limit_bytes: int = ANSWER_LIMIT_BYTES
+    ) -> None:
         """Open a connection pool."""
         self.settings = settings
+        self.answer_limit_bytes = answer_limit_bytes
+        self.counters = StoreCounters()
         self.pool = urllib3.PoolManager(maxsize=8, retries=False)
 
     def execute(self, operation: ports.StoreOperation) -> ports.StoreResult:
         """Carry out one operation; a missing answer is a ``StoreFailed``."""
+        result = self._try(operation)
+        failed = isinstance(result, ports.StoreFailed)
+        self.counters.note_call(type(operation).__name__, failed)
+        return result
+
+    def _try(self, operation: ports.StoreOperation) -> ports.StoreResult:
         try:
             return self._execute(operation)
-        except (StoreUnavailableError, KeyError, ValueError, TypeError) as error:
-            return ports.StoreFailed(f"{type(error).__name__}: {error}")
+        except StoreUnavailableError as error:
+            return ports.StoreFailed(error.detail)
+        except _BAD_ANSWER as error:
+            return ports.StoreFailed(f"bad answer: {type(error).__name__}: {error}")
 
     def _execute(self, operation: ports.StoreOperation) -> ports.StoreResult:
         match operation:
@@ -61,14 +104,9 @@
         if operation.newer_than:
             body["min_mod_revision"] = str(operation.newer_than + 1)
         answer = self._post("kv/range", body)
-        entries = tuple(
-            ports.StoreEntry(
-                base64.b64decode(item["key"]).decode(),
-                base64.b64decode(item.get("value", "")),
-                int(item["mod_revision"]),
-            )
-            for item in answer.get("kvs", ())
-        )
+        entries = tuple(_read_entry(item) for item in answer.get("kvs", ()))
+        if not all(entry.key.startswith(operation.prefix) for entry in entries):
+            raise ValueError("a key outside the prefix")
         return ports.StoreEntries(entries, int(answer["header"]["revision"]))
 
     def _transact(
@@ -85,25 +123,63 @@
         return ports.StoreWritten(applied, int(answer["header"]["revision"]))
 
     def _post(self, path: str, body: dict) -> dict:
+        data = json.dumps(body).encode()
         try:
             response = self.pool.request(
                 "POST",
                 f"http://{self.settings.address}/v3/{path}",
-                body=json.dumps(body),
+                body=data,
                 headers={"Content-Type": "application/json"},
                 timeout=self.settings.timeout_ms / 1000,
+                preload_content=False,
             )
+            answer = self._receive(response)
         except urllib3.exceptions.HTTPError as error:
             raise StoreUnavailableError(str(error)) from error
+        self.counters.note_bytes(len(data), len(answer))
         if response.status != 200:
             raise StoreUnavailableError(f"status {response.status}")
-        return json.loads(response.data)
+        return json.loads(answer)
+
+    def _receive(self, response: urllib3.BaseHTTPResponse) -> bytes:
+        chunks = []
+        size = 0
+        for chunk in response.stream(READ_CHUNK_BYTES):
+            size += len(chunk)
+            if size > self.answer_limit_bytes:
+                response.close()
+                raise StoreUnavailableError("the answer is too large")
+            chunks.append(chunk)
+        response.release_conn()
+        return b"".join(chunks)
+
+
+_BAD_ANSWER = (
+    KeyError,
+    ValueError,
+    TypeError,
+    AttributeError,
+    RecursionError,
+    binascii.Error,
+)
 
 
 def _encode(data: bytes) -> str:
     return base64.b64encode(data).decode()
 
 
+def _decode(text: str) -> bytes:
+    return base64.b64decode(text, validate=True)
+
+
+def _read_entry(item: dict) -> ports.StoreEntry:
+    return ports.StoreEntry(
+        _decode(item["key"]).decode(),
+        _decode(item.get("value", "")),
+        int(item["mod_revision"]),
+    )
+
+
 def _encode_key(key: str) -> str:
     return _encode(key.encode())
 
