--- /dev/null
+++ b/bench/store.py
@@ -0,0 +1,383 @@
+"""Store calls, bytes and processor time of coordination: ``python -m bench.store``.
+
+Daemons' membership, ownership, configuration and journals are driven with a
+hand-held clock against a counting store; no sockets, one process.
+"""
+
+import collections
+import json
+import socket
+import threading
+import time
+
+from attrs import Factory, define, evolve
+
+from bench.rows import Row, save_rows
+from poplarlb.coordination.config import ConfigKeeper
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.journal import Journal, Recovered, SnapshotWanted
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import (
+    HandOverWanted,
+    Ownership,
+    ShardAcquired,
+    ShardLost,
+)
+from poplarlb.coordination.sharding import Member, ShardMap, shard_zone
+from poplarlb.protocol import codec, messages, ports
+from poplarlb.settings import JournalSettings, Settings, ShardSettings, StoreSettings
+from poplarlb.state import changes
+from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
+from poplarlb.state.shard_state import ShardState
+from poplarlb.state.snapshot import SnapshotWriter, decode_state
+from poplarlb.transport.store import StoreAdapter
+from tests.standins.http import serve
+from tests.standins.store import KeyTable, StoreStandIn
+
+STEP_MS = 100
+IDLE_S = 30
+# Long enough for each shard to write a snapshot.
+STEADY_S = 105
+SETTLE_ROUNDS = 20
+FRAME_BYTES = 8
+ITEM_BYTES = 250
+ITEMS_PER_S = 5
+STATE_BYTES = 300_000
+ENDPOINTS_PER_SHARD = 10
+# Shards per zone, zones and daemons: from one shard to the letter's target.
+SIZES = ((1, 1, 3), (1, 4, 7), (1, 11, 15), (4, 11, 60))
+READS = ("kv/range",)
+
+
+class CountingStore(StoreAdapter):
+    """An adapter whose calls go straight to a stand-in under a hand-held clock."""
+
+    def __init__(self) -> None:
+        """Start with an empty store."""
+        super().__init__(StoreSettings())
+        self.stand_in = StoreStandIn()
+        self.now_ms = 0
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.body_bytes = 0
+
+    def _post(self, path: str, body: dict) -> dict:
+        data = json.dumps(body).encode()
+        self.stand_in.table.expire(self.now_ms)
+        answer = self.stand_in._dispatch(f"/v3/{path}", json.loads(data), self.now_ms)
+        self.calls[path] += 1
+        self.body_bytes += len(data) + len(answer.body)
+        return json.loads(answer.body)
+
+
+@define
+class Daemon:
+    """One daemon's coordination without workers and callers."""
+
+    settings: Settings
+    member: Member
+    context: NodeContext = None
+    membership: Membership = None
+    ownership: Ownership = None
+    config: ConfigKeeper = None
+    journals: dict[str, Journal] = Factory(dict)
+    inbox: list[ports.PeerReceived] = Factory(list)
+    opened: int = 0
+
+    def __attrs_post_init__(self) -> None:
+        """Build the machines."""
+        self.context = NodeContext(self.settings)
+        self.membership = Membership(self.context, self.member)
+        shards = ShardMap.from_settings(self.settings.shards)
+        self.ownership = Ownership(self.context, self.membership, shards)
+        self.config = ConfigKeeper(self.context, self.member.peer_address)
+
+    def handle(self, event: ports.Event, now_ms: int) -> list:
+        """Take one event and return store calls and messages."""
+        if isinstance(event, ports.PeerReceived):
+            return self.membership.handle(event, now_ms)
+        summaries = ()
+        if isinstance(event, ports.Tick):
+            summaries = tuple(make_summary(shard, now_ms) for shard in self.journals)
+        outputs = [
+            *self.membership.handle(event, now_ms, summaries),
+            *self.ownership.handle(event, now_ms),
+            *self.config.handle(event, now_ms),
+        ]
+        for journal in list(self.journals.values()):
+            outputs.extend(self.drive(journal, event, now_ms))
+        return [item for item in outputs if not self.take(item, outputs, now_ms)]
+
+    def drive(self, journal: Journal, event: ports.Event, now_ms: int) -> list:
+        """Let a journal take an event."""
+        outputs = journal.handle(event, now_ms)
+        for output in outputs:
+            match output:
+                case SnapshotWanted():
+                    journal.offer_snapshot(bytes(STATE_BYTES))
+                case Recovered():
+                    self.opened += 1
+        return outputs
+
+    def take(self, output: object, outputs: list, now_ms: int) -> bool:
+        """Carry out a change of ownership; tells whether it was none to send."""
+        match output:
+            case ShardAcquired(record=record):
+                writer = f"{self.member.member_id}/{self.member.incarnation}"
+                journal = Journal(self.context, record.shard, writer, record.epoch)
+                self.journals[record.shard] = journal
+            case ShardLost(shard=shard):
+                self.journals.pop(shard, None)
+            case HandOverWanted(shard=shard):
+                outputs.extend(self.ownership.hand_over(shard, now_ms))
+        return not isinstance(output, ports.StoreCall | ports.SendPeer)
+
+
+def make_summary(shard: str, now_ms: int) -> messages.ShardSummary:
+    """Return a summary whose free room changes every few seconds."""
+    free = Resources(64_000 - now_ms // 5_000 % 7 * 4_000, 200_000, 0)
+    endpoints = tuple(
+        messages.EndpointSummary("dairy", f"orders-{number}", 4, 20, 0)
+        for number in range(ENDPOINTS_PER_SHARD)
+    )
+    zone = shard_zone(shard)
+    return messages.ShardSummary(shard, 1, zone, free, free, 0, endpoints)
+
+
+@define
+class Deployment:
+    """Daemons, their store and the clock."""
+
+    settings: Settings
+    store: CountingStore = Factory(CountingStore)
+    daemons: dict[str, Daemon] = Factory(dict)
+    now_ms: int = 1_000_000
+    messages: int = 0
+    message_bytes: int = 0
+
+    def start(self, count: int) -> None:
+        """Start daemons, spread over the zones."""
+        zones = self.settings.shards.zones
+        for number in range(count):
+            name = f"d{number}"
+            zone = zones[number % len(zones)]
+            address = f"10.0.{number}.1"
+            member = Member(name, zone, f"{address}:7000", f"{address}:80", self.now_ms)
+            own = evolve(self.settings, member_id=name, zone=zone)
+            self.daemons[name] = Daemon(own, member)
+
+    def run(self, span_ms: int, items_per_s: int = 0) -> None:
+        """Let time pass; each open shard stages items at a rate."""
+        for step in range(span_ms // STEP_MS):
+            self.now_ms += STEP_MS
+            self.store.now_ms = self.now_ms
+            staged = items_per_s * STEP_MS * (step + 1) // 1000
+            staged -= items_per_s * STEP_MS * step // 1000
+            for daemon in list(self.daemons.values()):
+                inbox, daemon.inbox = daemon.inbox, []
+                for journal in daemon.journals.values():
+                    for _ in range(staged):
+                        journal.stage(bytes(ITEM_BYTES), True)
+                for event in (*inbox, ports.Tick()):
+                    self.feed(daemon, event)
+
+    def feed(self, daemon: Daemon, event: ports.Event) -> None:
+        """Hand an event to a daemon; the store answers at once."""
+        pending = daemon.handle(event, self.now_ms)
+        while pending:
+            command = pending.pop(0)
+            if isinstance(command, ports.SendPeer):
+                self.send(daemon, command)
+                continue
+            result = self.store.execute(command.operation)
+            reply = ports.StoreReplied(command.call_id, result)
+            pending.extend(daemon.handle(reply, self.now_ms))
+
+    def send(self, daemon: Daemon, command: ports.SendPeer) -> None:
+        """Count a message and hand it over."""
+        size = len(codec.encode(command.message, messages.PeerMessage)) + FRAME_BYTES
+        self.messages += 1
+        self.message_bytes += size
+        if command.member_id in self.daemons:
+            received = ports.PeerReceived(daemon.member.member_id, command.message)
+            self.daemons[command.member_id].inbox.append(received)
+
+    def settle(self) -> None:
+        """Run until each shard is open at its preferred owner."""
+        for _ in range(SETTLE_ROUNDS):
+            before = {n: set(d.journals) for n, d in self.daemons.items()}
+            self.run(10_000)
+            if before == {n: set(d.journals) for n, d in self.daemons.items()}:
+                return
+
+    def clear(self) -> None:
+        """Reset all counts."""
+        self.store.calls.clear()
+        self.store.body_bytes = self.messages = self.message_bytes = 0
+
+
+def measure_http_overhead() -> int:
+    """Return the bytes of headers of one call and its answer."""
+    listener = socket.create_server(("127.0.0.1", 0))
+    host, port = listener.getsockname()
+    seen: list[int] = []
+
+    def receive() -> None:
+        connection, _ = listener.accept()
+        with connection:
+            seen.append(connection.recv(65_536).index(b"\r\n\r\n") + 4)
+
+    thread = threading.Thread(target=receive)
+    thread.start()
+    StoreAdapter(StoreSettings(address=f"{host}:{port}")).execute(ports.StoreRead("a"))
+    thread.join()
+    listener.close()
+    server = serve(StoreStandIn().answer)
+    host, port = server.address.split(":")
+    with socket.create_connection((host, int(port))) as connection:
+        connection.sendall(b"GET /control HTTP/1.1\r\nContent-Length: 0\r\n\r\n")
+        seen.append(connection.recv(65_536).index(b"\r\n\r\n") + 4)
+    server.stop()
+    return sum(seen)
+
+
+def rows_of(name: str, deployment: Deployment, span_s: float, overhead: int) -> list:
+    """Return rows of calls and bytes for a span, for all daemons and for each."""
+    daemons = len(deployment.daemons)
+    calls = deployment.store.calls
+    reads = sum(calls[path] for path in READS)
+    writes = sum(calls.values()) - reads
+    store_bytes = deployment.store.body_bytes + overhead * (reads + writes)
+    # A message counts at its sender and at its receiver.
+    peer_bytes = 2 * deployment.message_bytes
+    return [
+        Row(f"{name} store reads", "calls/s", reads / span_s),
+        Row(f"{name} store writes and lease calls", "calls/s", writes / span_s),
+        Row(f"{name} store bytes", "B/s/daemon", store_bytes / span_s / daemons),
+        Row(f"{name} peer bytes", "B/s/daemon", peer_bytes / span_s / daemons),
+    ]
+
+
+def measure_deployment(per_zone: int, zones: int, daemons: int, overhead: int) -> list:
+    """Return the rows of one size: idle, steady load and a takeover."""
+    names = tuple(f"zone{number}" for number in range(zones))
+    settings = Settings("x", "x", shards=ShardSettings(names, per_zone))
+    deployment = Deployment(settings)
+    deployment.start(daemons)
+    deployment.settle()
+    label = f"{per_zone * zones} shards {daemons} daemons"
+    rows = []
+    for name, rate, span_s in (("idle", 0, IDLE_S), ("steady", ITEMS_PER_S, STEADY_S)):
+        deployment.clear()
+        deployment.run(span_s * 1_000, rate)
+        rows.extend(rows_of(f"{label} {name}", deployment, span_s, overhead))
+    return [*rows, *measure_takeover(label, deployment)]
+
+
+def measure_takeover(label: str, deployment: Deployment) -> list:
+    """End the daemon with the most shards and wait for the others to open them."""
+    busiest = max(deployment.daemons.values(), key=lambda daemon: len(daemon.journals))
+    lost = len(busiest.journals)
+    del deployment.daemons[busiest.member.member_id]
+    opened = sum(daemon.opened for daemon in deployment.daemons.values())
+    began_ms = deployment.now_ms
+    deployment.clear()
+    while sum(d.opened for d in deployment.daemons.values()) < opened + lost:
+        deployment.run(STEP_MS)
+    span_ms = deployment.now_ms - began_ms
+    calls = sum(deployment.store.calls.values())
+    return [
+        Row(f"{label} takeover of {lost}", "ms", span_ms),
+        Row(f"{label} takeover store calls", "calls/s", 1_000 * calls / span_ms),
+        Row(
+            f"{label} takeover store bodies",
+            "B/s",
+            1_000 * deployment.store.body_bytes / span_ms,
+        ),
+    ]
+
+
+def measure_entries() -> list:
+    """Return processor time of an entry, and of recovering a full ring."""
+    settings = Settings("x", "x", journal=JournalSettings(snapshot_every=4_096))
+    context = NodeContext(settings)
+    table = KeyTable()
+    rows = []
+    for items in (1, 10, 100):
+        journal = Journal(context, f"zone/{items}", "d/1", 1)
+        drive_journal(journal, table)
+        used = settings.journal.ring_slots // 2 - 2
+        began = time.process_time()
+        for _ in range(used):
+            for _ in range(items):
+                journal.stage(bytes(ITEM_BYTES), True)
+            drive_journal(journal, table)
+        spent_us = (time.process_time() - began) * 1e6 / used
+        rows.append(Row(f"journal entry of {items} items", "us", spent_us))
+    journal = Journal(context, "zone/100", "d/2", 2)
+    began = time.process_time()
+    drive_journal(journal, table)
+    spent_s = time.process_time() - began
+    rows.append(Row("journal items recovered", "items/s", used * 100 / spent_s))
+    return rows
+
+
+def drive_journal(journal: Journal, table: KeyTable) -> None:
+    """Tick a journal and answer its calls until it rests."""
+    pending = journal.handle(ports.Tick(), 0)
+    while pending:
+        output = pending.pop(0)
+        if isinstance(output, ports.StoreCall):
+            result = table.execute(output.operation)
+            reply = ports.StoreReplied(output.call_id, result)
+            pending.extend(journal.handle(reply, 0))
+
+
+def measure_state() -> list:
+    """Return how fast a shard's state is encoded and recovered."""
+    count = 2_000
+    state = ShardState()
+    for number in range(count):
+        key = TaskKey("dairy", f"settlement-{number}")
+        spec = TaskSpec(key, WorkClass.ORDINARY, Resources(1_000, 500))
+        state.apply(changes.TaskAccepted(spec, 1_000_000))
+    began = time.process_time()
+    data = SnapshotWriter(state).encode()
+    encoded_s = time.process_time() - began
+    began = time.process_time()
+    decode_state(data, 2_000)
+    decoded_s = time.process_time() - began
+    return [
+        Row("state size", "B/task", len(data) / count),
+        Row("state encoded whole", "tasks/s", count / encoded_s),
+        Row("state recovered", "tasks/s", count / decoded_s),
+    ]
+
+
+def measure_messages() -> list:
+    """Return encoded sizes of what members tell each other."""
+    beat = messages.Heartbeat(1_790_000_000_000, 3_100, 250)
+    summary = make_summary("zone10/3", 0)
+    bare = evolve(summary, endpoints=())
+    size = len(codec.encode(summary, messages.ShardSummary))
+    bare_size = len(codec.encode(bare, messages.ShardSummary))
+    each = (size - bare_size) / ENDPOINTS_PER_SHARD
+    beat_size = len(codec.encode(beat, messages.PeerMessage))
+    return [
+        Row("heartbeat without summaries", "B", beat_size),
+        Row("shard summary without endpoints", "B", bare_size),
+        Row("endpoint in a shard summary", "B", each),
+    ]
+
+
+def main() -> None:
+    """Measure everything, print the rows and save them."""
+    overhead = measure_http_overhead()
+    rows = [Row("store call headers", "B/call", overhead), *measure_messages()]
+    rows += [*measure_entries(), *measure_state()]
+    for per_zone, zones, daemons in SIZES:
+        rows += measure_deployment(per_zone, zones, daemons, overhead)
+    save_rows("store", rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarlb/coordination/ownership.py
+++ b/poplarlb/coordination/ownership.py
@@ -9,6 +9,7 @@
 
 READ_PERIOD_MS = 1_000
 MOVE_PERIOD_MS = 2_000
+REVIEW_PERIOD_MS = 500
 MOVES_WHILE_STOPPING = 4
 EARLIER_SECONDS_KEPT = 8
 
@@ -311,10 +312,11 @@
         own = self.membership.own
         if record is not None and record.owner == own.member_id:
             return True
-        if owner_order(shard, live)[0].member_id != own.member_id:
+        if record is not None and not self._is_free(record, now_ms):
             return False
-        if record is None:
-            return True
+        return owner_order(shard, live)[0].member_id == own.member_id
+
+    def _is_free(self, record: OwnerRecord, now_ms: int) -> bool:
         gone = self.membership.is_gone(record.owner, now_ms)
         return gone and now_ms >= self.claims_from_ms
 
@@ -333,6 +335,7 @@
             if target is not None and shard not in self.moving
         ]
         chosen = wanted[: max(0, limit - len(self.moving))]
+        self.next_move_ms = now_ms + REVIEW_PERIOD_MS
         for output in chosen:
             self.moving[output.shard] = now_ms
             self.next_move_ms = now_ms + MOVE_PERIOD_MS
--- a/poplarlb/coordination/sharding.py
+++ b/poplarlb/coordination/sharding.py
@@ -1,5 +1,6 @@
 """The fixed maps from workers, tasks and keys to shards, and owner preference."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -9,6 +10,7 @@
 from poplarlb.state.models import TaskKey, Worker
 
 
+@functools.lru_cache(maxsize=1 << 16)
 def score(*parts: str) -> int:
     """Return a 64-bit rendezvous score for the joined parts."""
     digest = hashlib.blake2b("\x00".join(parts).encode(), digest_size=8)
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -128,8 +128,8 @@
     """Group commit, ring and snapshots of a shard's journal."""
 
     commit_period_ms: int = field(default=100, validator=_between(1, 5_000))
-    ring_slots: int = field(default=64, validator=_between(4, 4_096))
-    snapshot_every: int = field(default=32, validator=_between(1, 4_096))
+    ring_slots: int = field(default=1_024, validator=_between(4, 4_096))
+    snapshot_every: int = field(default=512, validator=_between(1, 4_096))
     snapshot_part_bytes: int = field(
         default=400_000, validator=_between(1_000, 512_000)
     )
