--- a/bench/loads.py
+++ b/bench/loads.py
@@ -103,7 +103,7 @@
     35,
     10,
     Resources(64_000, 250_000),
-    ServiceTemplate("reorders", 28, Resources(16_000, 50_000), 60, weight=1.0),
+    ServiceTemplate("reorders", 28, Resources(16_000, 50_000), 60, weight=0.5),
     (
         Kind("shelf", WorkClass.ORDINARY, Resources(8_000, 16_000), 60, 0.3, 0.4),
         Kind("forecast", WorkClass.PATIENT, Resources(16_000, 48_000), 150, 1.8, 0.35),
--- a/poplarlb/coordination/breaches.py
+++ b/poplarlb/coordination/breaches.py
@@ -77,8 +77,11 @@
 
     def limit_of(self, service: str) -> float:
         """Return the share of late requests allowed; less for a higher weight."""
-        weight = max(0.1, self.weights.get(service, 1.0))
-        return min(0.5, self.settings.breach_share / weight)
+        return min(0.5, self.settings.breach_share / self.weight_of(service))
+
+    def weight_of(self, service: str) -> float:
+        """Return the weight of a service's protection."""
+        return max(0.1, self.weights.get(service, 1.0))
 
     def late_share(self, service: str, worker_id: str, now_ms: int) -> float:
         """Return the share of late requests, 0 with too few of them."""
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/relief.py
@@ -140,21 +140,24 @@
     def _standing(self, room: WorkerRoom, now_ms: int) -> tuple[list[TaskSpec], bool]:
         """Return the services in breach, and whether all have been clear a while."""
         record = self.workers.get(room.worker.worker_id, WorkerRelief())
-        wait_ms = self.settings.clear_ms * record.backoff
         breached = []
         clear = True
         for task in room.tasks:
             if not task.spec.service:
                 continue
-            share = self.breaches.check(
-                service_of(task.spec), room.worker.worker_id, now_ms
-            )
+            name = service_of(task.spec)
+            wait_ms = self._clear_ms(name) * record.backoff
+            share = self.breaches.check(name, room.worker.worker_id, now_ms)
             if share is not None and share.breached:
                 breached.append(task.spec)
             if share is not None and now_ms - share.since_ms < wait_ms:
                 clear = False
         return breached, clear and not breached
 
+    def _clear_ms(self, service: str) -> float:
+        """Return how long a service must keep its target; less for a low weight."""
+        return self.settings.clear_ms * min(1.0, self.breaches.weight_of(service))
+
     def _act_on_breach(
         self,
         room: WorkerRoom,
