Graceful stop of a node: shards are given away, then the member leaves

Cause: SIGTERM ended the node with its shards; a failed shard machine stayed closed for ever; a hand-over that found no heir left the shard closed. Change: handover.py flushes and releases a shard, names its next owner, and retakes a shard whose machine failed or whose hand-over is stuck; the node stops once nothing is held and its record is removed.

--- /dev/null
+++ b/poplarlb/coordination/handover.py
@@ -0,0 +1,77 @@
+"""Gives shards away: flush, release, name the next owner; and the daemon's stop."""
+
+from attrs import Factory, define
+
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import Ownership
+from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.protocol import ports
+
+STUCK_MS = 10_000
+
+
+@define
+class HandOvers:
+    """Carries out hand-overs, and retakes the shards whose hand-over is stuck.
+
+    A shard whose machine has failed is retaken too, so that its state is read
+    anew from the journal.
+    """
+
+    membership: Membership
+    ownership: Ownership
+    hosts: dict[str, ShardHost]
+    begun_ms: dict[str, int] = Factory(dict)
+    stopping: bool = False
+
+    def begin(self, shard: str, now_ms: int) -> list:
+        """Stop deciding for a shard and flush its journal."""
+        host = self.hosts.get(shard)
+        if host is None:
+            return []
+        self.begun_ms.setdefault(shard, now_ms)
+        return host.hand_over(now_ms)
+
+    def stop(self, now_ms: int) -> list:
+        """Begin to give every shard away, and then leave."""
+        self.stopping = True
+        self.membership.leave()
+        return []
+
+    def tick(self, now_ms: int) -> list:
+        """Name the next owner of each flushed shard; end the stop when all is done."""
+        outputs = []
+        for shard, host in self.hosts.items():
+            if host.broken:
+                outputs.extend(self.ownership.retake(shard, now_ms))
+            elif shard in self.begun_ms:
+                outputs.extend(self._advance(shard, host, now_ms))
+        self.begun_ms = {s: t for s, t in self.begun_ms.items() if s in self.hosts}
+        if self.stopping:
+            outputs.extend(self._advance_stop(now_ms))
+        return outputs
+
+    def _advance(self, shard: str, host: ShardHost, now_ms: int) -> list:
+        if now_ms - self.begun_ms[shard] >= STUCK_MS and not self.stopping:
+            self.begun_ms[shard] = now_ms
+            return self.ownership.retake(shard, now_ms)
+        if not host.handed_over:
+            return []
+        return self.ownership.hand_over(shard, now_ms)
+
+    def _advance_stop(self, now_ms: int) -> list:
+        if self.hosts and self._has_heir(now_ms):
+            return []
+        outputs = []
+        for shard in self.hosts:
+            outputs.extend(self.begin(shard, now_ms))
+        if not all(host.handed_over for host in self.hosts.values()):
+            return outputs
+        self.membership.deregister()
+        if self.membership.left:
+            outputs.append(ports.Stopped())
+        return outputs
+
+    def _has_heir(self, now_ms: int) -> bool:
+        members = self.membership.live_members(now_ms)
+        return any(self.membership.is_settled(m.member_id, now_ms) for m in members)
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -10,9 +10,15 @@
 from poplarlb.coordination.config import ConfigKeeper, PeerView
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import SendShard
+from poplarlb.coordination.handover import HandOvers
 from poplarlb.coordination.journal import Journal
 from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import Ownership, ShardAcquired, ShardLost
+from poplarlb.coordination.ownership import (
+    HandOverWanted,
+    Ownership,
+    ShardAcquired,
+    ShardLost,
+)
 from poplarlb.coordination.requests import (
     RequestParts,
     Routing,
@@ -64,6 +70,7 @@
     budget: CallBudget = None
     requests: RequestParts = None
     hosts: dict[str, ShardHost] = Factory(dict)
+    handovers: HandOvers = None
     delayed_calls: collections.deque[ports.StoreCall] = Factory(collections.deque)
     forwarding: dict[int, _Forwarding] = Factory(dict)
     forwarded: dict[int, _ForwardedCall] = Factory(dict)
@@ -77,6 +84,7 @@
         self.shards = ShardMap.from_settings(self.settings.shards)
         self.membership = Membership(self.context, self.own)
         self.ownership = Ownership(self.context, self.membership, self.shards)
+        self.handovers = HandOvers(self.membership, self.ownership, self.hosts)
         self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
         self.requests = RequestParts(self.context, self.membership, self.ownership)
@@ -104,7 +112,7 @@
             case ports.PeerReceived():
                 outputs = self._take_peer(event, now_ms)
             case ports.ShutdownRequested():
-                outputs = [ports.Stopped()]
+                outputs = self.handovers.stop(now_ms)
         return self._resolve(outputs, now_ms)
 
     def _tick(self, event: ports.Tick, now_ms: int) -> list:
@@ -113,6 +121,7 @@
             *self.membership.handle(event, now_ms, self._own_summaries(now_ms)),
             *self.ownership.handle(event, now_ms),
             *self._to_hosts(event, now_ms),
+            *self.handovers.tick(now_ms),
             *self.requests.tick(now_ms),
             *self._expire_forwarding(now_ms),
         ]
@@ -150,6 +159,8 @@
                 case ShardLost(shard=shard):
                     pending.extend(self.requests.lose_shard(shard, now_ms))
                     self.hosts.pop(shard, None)
+                case HandOverWanted(shard=shard):
+                    pending.extend(self.handovers.begin(shard, now_ms))
                 case SendShard(message=message):
                     pending.extend(self._send_shard(message, now_ms))
                 case ports.StoreCall():
--- a/poplarlb/coordination/ownership.py
+++ b/poplarlb/coordination/ownership.py
@@ -126,6 +126,14 @@
             return []
         return [self._write(self._next_record(shard, target, now_ms), now_ms)]
 
+    def retake(self, shard: str, now_ms: int) -> list[OwnershipOutput]:
+        """Claim a shard of ours anew, so that its journal is recovered again."""
+        if shard not in self.held or self._is_written(shard):
+            return []
+        return [
+            self._write(self._next_record(shard, self.membership.own, now_ms), now_ms)
+        ]
+
     def name_second(self, shard: str, member_id: str) -> None:
         """Name the member that holds the key marks of a shard that we own.
 
