Measure the shard; ask for quota shares by the queue's need

Change: a round asks for the next 32 tasks' share; what bars the whole shard is checked once a round; losses are looked for every 200 ms; evictions for room only when it is room that lacks.

--- /dev/null
+++ b/bench/shard.py
@@ -0,0 +1,263 @@
+"""Processor time, memory and replay of one shard: ``python -m bench.shard``.
+
+Drives the shard's machine with a hand-held clock; the journal only counts.
+"""
+
+import collections
+import functools
+import gc
+import time
+import tracemalloc
+from collections.abc import Callable
+
+from attrs import define, evolve, field
+
+from bench.rows import Row, save_rows
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.core import ShardCore
+from poplarlb.coordination.effects import Effects, Resume
+from poplarlb.coordination.policy import Policy
+from poplarlb.coordination.shard import ShardMachine
+from poplarlb.coordination.shard_host import CHANGES, ShardHost
+from poplarlb.coordination.sharding import ShardMap
+from poplarlb.protocol import api, codec, ports
+from poplarlb.settings import Settings, ShardSettings
+from poplarlb.state.changes import Change
+from poplarlb.state.models import (
+    Resources,
+    TaskKey,
+    TaskReport,
+    TaskSpec,
+    Worker,
+    WorkerReport,
+)
+from poplarlb.state.models import WorkClass as Kind
+from poplarlb.state.shard_state import ShardState
+from poplarlb.state.snapshot import SnapshotWriter, decode_state
+from poplarlb.state.templates import ConfigView, TeamTemplate
+
+ZONE = "a"
+SHARD = "a/0"
+CAPACITY = Resources(64_000, 250_000)
+SIZE = Resources(1_000, 1_000)
+QUOTA = Resources(100_000_000, 400_000_000)
+START_MS = 1_700_000_000_000
+TASKS_PER_REPORT = 12
+SIZES = (25, 100, 400, 1_600)
+WORKERS_PER_SHARD = 40
+DECISIONS_KEPT = 2_000
+_CONVERTER = codec.make_converter((Change,))
+
+
+@define
+class Bench:
+    """One shard with workers that answer every call at once."""
+
+    workers: int
+    now_ms: int = START_MS
+    entries: list[bytes] = field(factory=list)
+    calls: int = 0
+    running: dict[str, dict] = field(factory=dict)
+    machine: ShardMachine = field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        """Build the machine and let it reach its workers."""
+        settings = Settings("d1", ZONE, shards=ShardSettings((ZONE,), 1))
+        shards = ShardMap.from_settings(settings.shards)
+        team = TeamTemplate("dairy", (ZONE,), QUOTA)
+        context = NodeContext(settings, ConfigView(1, (team,)))
+        context.view_confirmed_ms = self.now_ms
+        names = [f"w{number}" for number in range(self.workers)]
+        workers = [Worker(name, ZONE, name[:2], name, CAPACITY) for name in names]
+        context.set_workers(tuple(workers), shards)
+        core = ShardCore(
+            context,
+            shards,
+            SHARD,
+            1,
+            self.now_ms,
+            ShardState(),
+            Policy(settings.policy),
+            tuple,
+            self.now_ms,
+        )
+        self.machine = ShardMachine(core)
+        self.advance(1_000)
+
+    def handle(self, event: ports.Event) -> None:
+        """Run one event and everything that follows from it."""
+        self.settle(self.machine.handle(event, self.now_ms))
+
+    def settle(self, effects: Effects) -> None:
+        """Commit at once and answer the workers' calls."""
+        if effects.changes:
+            data = codec.encode(tuple(effects.changes), CHANGES, _CONVERTER)
+            self.entries.append(data)
+        for command in (*effects.at_once, *effects.after_commit):
+            match command:
+                case Resume(step=step):
+                    self.settle(self.machine.resume(step, self.now_ms))
+                case ports.WorkerCall():
+                    self.answer(command)
+
+    def answer(self, call: ports.WorkerCall) -> None:
+        """Answer for a worker that starts all that it is told to."""
+        self.calls += 1
+        tasks = self.running.setdefault(call.worker_id, {})
+        for operation in call.batch.operations:
+            if isinstance(operation, ports.StartTask):
+                tasks[operation.spec.key] = TaskReport(
+                    operation.spec.key, operation.attempt, 1, "running", SIZE
+                )
+        report = WorkerReport(
+            call.worker_id, self.now_ms, self.now_ms, tuple(tasks.values())
+        )
+        answer = ports.WorkerAnswer((), report)
+        self.handle(ports.WorkerReplied(call.call_id, call.worker_id, answer))
+
+    def advance(self, duration_ms: int, step_ms: int = 50) -> None:
+        """Tick for a while, with a fresh view and proof."""
+        end_ms = self.now_ms + duration_ms
+        while self.now_ms < end_ms:
+            self.now_ms += step_ms
+            self.machine.core.context.view_confirmed_ms = self.now_ms
+            self.machine.core.proof_ms = self.now_ms
+            self.handle(ports.Tick())
+
+    def submit(self, first: int, count: int) -> None:
+        """Submit tasks, with a tick after each few."""
+        for number in range(first, first + count):
+            key = TaskKey("dairy", f"job-{number}")
+            spec = TaskSpec(key, Kind.URGENT, SIZE, 600_000, submitted_ms=self.now_ms)
+            self.handle(ports.ApiRequested(number, api.SubmitTask(spec)))
+            if number % 4 == 3:
+                self.advance(50)
+
+    def finish(self, count: int) -> None:
+        """Let some tasks succeed and be reported."""
+        for tasks in self.running.values():
+            for key in list(tasks)[: max(1, count // len(self.running))]:
+                tasks[key] = evolve(tasks[key], state="succeeded")
+        self.advance(12_000)
+
+
+def processor_us(action: Callable[[], object], count: int) -> float:
+    """Return the microseconds of processor time for one of ``count`` items."""
+    began_ns = time.process_time_ns()
+    action()
+    return (time.process_time_ns() - began_ns) / 1_000 / count
+
+
+def measure_shard() -> list[Row]:
+    """Measure a shard of the target size with 500 tasks."""
+    bench = Bench(WORKERS_PER_SHARD)
+    bench.submit(0, 300)
+    each = processor_us(lambda: bench.submit(300, 200), 200)
+    bench.advance(3_000)
+    placed = len(bench.machine.core.state.places)
+    renewals = measure_renewal(bench)
+    ticks = 400
+    idle = processor_us(lambda: bench.advance(ticks * 50), ticks)
+    return [
+        Row("shard.accept_place_start", "us/task", round(each, 1)),
+        Row("shard.placed_in_that_run", "tasks", placed),
+        Row("shard.renewal_12_tasks", "us/renewal", round(renewals, 1)),
+        Row("shard.tick_40_workers_500_tasks", "us/tick", round(idle, 1)),
+    ]
+
+
+def measure_renewal(bench: Bench) -> float:
+    """Return the time of one renewal whose report has 12 tasks."""
+    machine = bench.machine
+    contacts = list(machine.contacts.by_worker.values())
+    rounds = 10
+
+    def renew() -> None:
+        for contact in contacts * rounds:
+            machine.core.begin(bench.now_ms)
+            machine.calls.call(contact)
+            bench.settle(machine.core.effects)
+
+    return processor_us(renew, len(contacts) * rounds)
+
+
+def measure_memory() -> list[Row]:
+    """Measure the memory of tasks that run and of workers."""
+    gc.collect()
+    tracemalloc.start()
+    bench = Bench(WORKERS_PER_SHARD)
+    bench.entries.clear()
+    with_workers = tracemalloc.get_traced_memory()[0]
+    bench.submit(0, 1_000)
+    bench.entries.clear()
+    gc.collect()
+    with_tasks = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    return [
+        Row("shard.memory_per_worker", "bytes", with_workers // WORKERS_PER_SHARD),
+        Row("shard.memory_per_task", "bytes", (with_tasks - with_workers) // 1_000),
+    ]
+
+
+def measure_recovery() -> list[Row]:
+    """Measure replay, and snapshots written and read."""
+    bench = Bench(WORKERS_PER_SHARD)
+    bench.submit(0, 1_000)
+    changes = [ShardHost.decode_changes(entry) for entry in bench.entries]
+    count = sum(map(len, changes))
+
+    def replay() -> None:
+        state = ShardState(decisions=collections.deque(maxlen=DECISIONS_KEPT))
+        for entry in bench.entries:
+            for change in ShardHost.decode_changes(entry):
+                state.apply(change)
+
+    replay_us = processor_us(replay, count)
+    writer = SnapshotWriter(bench.machine.core.state)
+    first_us = processor_us(writer.encode, 1)
+    again_us = processor_us(writer.encode, 1)
+    data = writer.encode()
+    read_us = processor_us(lambda: decode_state(data, DECISIONS_KEPT), 1)
+    size = sum(map(len, bench.entries))
+    return [
+        Row("shard.replay", "changes/s", round(1_000_000 / replay_us)),
+        Row("shard.journal_per_task_started", "bytes", size // 1_000),
+        Row("shard.snapshot_1000_tasks", "bytes", len(data)),
+        Row("shard.snapshot_first_encode", "ms", round(first_us / 1_000, 1)),
+        Row("shard.snapshot_unchanged_encode", "ms", round(again_us / 1_000, 2)),
+        Row("shard.snapshot_decode", "ms", round(read_us / 1_000, 1)),
+    ]
+
+
+def measure_growth() -> list[Row]:
+    """Measure one shard that holds all workers, 9 tasks each, at rising sizes."""
+    rows = []
+    for workers in SIZES:
+        bench = Bench(workers)
+        bench.submit(0, min(9 * workers, 2_000))
+        bench.advance(3_000)
+        calls = bench.calls
+        ticks = 240
+        idle = processor_us(functools.partial(bench.advance, ticks * 50), ticks)
+        seconds = ticks * 50 / 1_000
+        per_call = (bench.calls - calls) / seconds
+        rows += [
+            Row(f"shard.{workers}_workers.tick", "us/tick", round(idle, 1)),
+            Row(f"shard.{workers}_workers.worker_calls", "calls/s", round(per_call, 1)),
+        ]
+    return rows
+
+
+def main() -> None:
+    """Print and save all figures."""
+    rows = [
+        *measure_shard(),
+        *measure_memory(),
+        *measure_recovery(),
+        *measure_growth(),
+    ]
+    save_rows("shard", rows)
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarlb/coordination/core.py
+++ b/poplarlb/coordination/core.py
@@ -97,6 +97,12 @@
         used = self.state.used_by_team.get(team, Resources())
         return self.quota.may_use(team, used, extra, self.context.view)
 
+    def want_quota(self, team: str, extra: Resources) -> None:
+        """Have the ledger ask for ``extra`` beyond what the team uses here."""
+        used = self.state.used_by_team.get(team, Resources())
+        known = self.quota.needs.get(team, Resources())
+        self.quota.needs[team] = used.plus(extra).larger(known)
+
     def after_commit(self, step: object) -> None:
         """Have the machine take a step once all changes so far are durable."""
         self.effects.after_commit.append(Resume(step))
--- a/poplarlb/coordination/leases.py
+++ b/poplarlb/coordination/leases.py
@@ -3,7 +3,7 @@
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.sharding import score
+from poplarlb.coordination.sharding import score, shard_zone
 from poplarlb.protocol import ports
 from poplarlb.state.models import HostState, Reason, Worker
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord
@@ -47,13 +47,13 @@
 
     core: ShardCore
     by_worker: dict[str, Contact] = Factory(dict)
+    silence_ms: int = 0
 
-    @property
-    def silence_ms(self) -> int:
-        """How long a worker may stay silent before its leases are left to lapse."""
+    def __attrs_post_init__(self) -> None:
+        """Fix how long a worker may stay silent before its leases lapse."""
         settings = self.core.context.settings
         shortest = settings.tasks.renew_period_ms + settings.platform.worker_timeout_ms
-        return max(settings.tasks.lease_ms // 2, shortest)
+        self.silence_ms = max(settings.tasks.lease_ms // 2, shortest)
 
     def update(self) -> None:
         """Follow the host list and the workers that hold reservations."""
@@ -169,12 +169,22 @@
 
     def barred(self, worker: Worker) -> Reason | None:
         """Return why the worker gets no starts now, or ``None``."""
+        return self.barred_all() or self.barred_one(worker)
+
+    def barred_all(self) -> Reason | None:
+        """Return why no worker of the shard gets starts now, or ``None``."""
         context = self.core.context
-        contact = self.by_worker.get(worker.worker_id)
         if not context.view_is_fresh(self.core.now_ms):
             return Reason.VIEW_STALE
-        if not context.view.zone_allows_starts(worker.zone):
+        if not context.view.zone_allows_starts(shard_zone(self.core.shard)):
             return Reason.ZONE_OUT
+        if not self._may_renew():
+            return Reason.NO_OWNER
+        return None
+
+    def barred_one(self, worker: Worker) -> Reason | None:
+        """Return why this worker alone gets no starts now, or ``None``."""
+        contact = self.by_worker.get(worker.worker_id)
         if worker.state is HostState.LEAVING:
             return Reason.HOST_LEAVING
         if worker.state is HostState.DEAD:
@@ -183,8 +193,6 @@
             return Reason.HOST_DEAD
         if not contact.clock_checked or contact.strays:
             return Reason.START_REFUSED
-        if not self._may_renew():
-            return Reason.NO_OWNER
         return None
 
     def lost(self, place: PlaceRecord) -> bool:
--- a/poplarlb/coordination/places.py
+++ b/poplarlb/coordination/places.py
@@ -53,14 +53,17 @@
     def rooms(self) -> list[WorkerRoom]:
         """Return every listed worker of the shard with its free room."""
         quarantined = self.core.policy.quarantined(self.core.now_ms)
+        barred_all = self.contacts.barred_all()
         return [
-            self.room_of(worker, worker.worker_id in quarantined)
+            self.room_of(worker, barred_all, worker.worker_id in quarantined)
             for worker in self.core.workers().values()
         ]
 
-    def room_of(self, worker: Worker, quarantined: bool = False) -> WorkerRoom:
+    def room_of(
+        self, worker: Worker, barred_all: Reason | None, quarantined: bool = False
+    ) -> WorkerRoom:
         """Return one worker with its free room."""
-        barred = self.contacts.barred(worker)
+        barred = barred_all or self.contacts.barred_one(worker)
         if barred is None and quarantined:
             barred = Reason.WORKER_QUARANTINED
         free = worker.capacity.minus(self.core.state.reserved_at(worker.worker_id))
--- a/poplarlb/coordination/queue.py
+++ b/poplarlb/coordination/queue.py
@@ -1,5 +1,8 @@
 """Gives waiting tasks a place: here, at another shard, or not yet."""
 
+import collections
+import functools
+
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.core import ShardCore
@@ -26,6 +29,7 @@
 PROMISE_MS = 2_000
 IMPOSSIBLE_GRACE_MS = 10_000
 WAITING_SHOWN = 20
+TASKS_PER_QUOTA_WISH = 32
 URGENT_CLASSES = (WorkClass.LATENCY_CRITICAL, WorkClass.URGENT)
 
 
@@ -100,17 +104,33 @@
         ordered = self.core.policy.order_queue(
             ready, state.used_by_team, self.core.context.view, self.core.now_ms
         )
-        blocked: set[_Shape] = set()
+        self._place_in_order(ordered, limit)
+        self._want_quotas(ordered)
+
+    def _want_quotas(self, ordered: list[QueuedTask]) -> None:
+        """Ask at once for the shares that the next tasks of each team need."""
+        short = collections.defaultdict(list)
+        for task in ordered:
+            result = self.waiting.get(task.spec.key)
+            if result is not None and result.reason is Reason.QUOTA_EXCEEDED:
+                short[task.spec.key.team].append(task.spec.size)
+        for team, sizes in short.items():
+            amount = functools.reduce(Resources.plus, sizes[:TASKS_PER_QUOTA_WISH])
+            self.core.want_quota(team, amount)
+
+    def _place_in_order(self, ordered: list[QueuedTask], limit: int) -> None:
+        state = self.core.state
+        blocked: dict[_Shape, NotPlaced] = {}
         placed = 0
         for task in ordered:
             record = state.tasks[task.spec.key]
             shape = _shape_of(record)
             if shape in blocked:
-                continue
-            if self._try(record):
+                self.waiting[task.spec.key] = blocked[shape]
+            elif self._try(record):
                 placed += 1
-            else:
-                blocked.add(shape)
+            elif task.spec.key in self.waiting:
+                blocked[shape] = self.waiting[task.spec.key]
             if placed >= limit:
                 self.home.queue_changed = True
                 return
@@ -141,7 +161,8 @@
             self.waiting.pop(key, None)
             return True
         self.waiting[key] = result
-        self._make_room(record, reserved)
+        if result.reason is Reason.NO_CAPACITY:
+            self._make_room(record, reserved)
         self._end_if_impossible(record)
         return False
 
--- a/poplarlb/coordination/reports.py
+++ b/poplarlb/coordination/reports.py
@@ -35,7 +35,7 @@
         if contact.strays:
             core.counters["strays"] += len(contact.strays)
             contact.next_call_ms = core.now_ms
-        room = self.places.room_of(contact.worker)
+        room = self.places.room_of(contact.worker, self.places.contacts.barred_all())
         core.policy.observe_report(answer.report, room, core.now_ms)
 
     def _find_strays(
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -29,6 +29,7 @@
 )
 
 UPKEEP_PERIOD_MS = 1_000
+WATCH_PERIOD_MS = 200
 SUMMARY_PERIOD_MS = 200
 TO_HOME = (
     messages.AttemptPlaced
@@ -63,6 +64,7 @@
     drain: Drain = None
     authority: QuotaAuthority = None
     next_quota_ms: int = 0
+    next_watch_ms: int = 0
     next_upkeep_ms: int = 0
     resending: bool = False
     last_summary: messages.ShardSummary | None = None
@@ -118,8 +120,10 @@
     # --- events -----------------------------------------------------------------------
 
     def _tick(self) -> None:
-        self.contacts.update()
-        self.places.end_lost()
+        if self.core.now_ms >= self.next_watch_ms:
+            self.next_watch_ms = self.core.now_ms + WATCH_PERIOD_MS
+            self.contacts.update()
+            self.places.end_lost()
         self.drain.tick(shard_zone(self.core.shard))
         # What ended above must reach the home records before the queue is read.
         self._finish()
