Idempotency keys use the second daemon that the owner record names

Cause: the table learned of earlier owners from its own reads and could miss an epoch between two of them, taking a stale second's marks for whole.

Change: the seconds of earlier epochs come from the owner record itself; only marks that are whole for the epoch just before count. A silent second is replaced through the record once all earlier marks are known, and the record's earlier seconds are cleared after the new one holds the whole table.

--- a/poplarlb/coordination/idempotency.py
+++ b/poplarlb/coordination/idempotency.py
@@ -29,11 +29,15 @@
 
 @frozen
 class PreviousOwner:
-    """The owner record that the claim of this epoch replaced."""
+    """The owner of the epoch before this one.
+
+    ``owner`` is empty if it is not known. The last of the ``seconds`` named by
+    any earlier owner is among ``seconds``.
+    """
 
     epoch: int
     owner: str
-    second: str
+    seconds: tuple[str, ...]
 
 
 @frozen
@@ -182,6 +186,10 @@
                 return self._tick(now_ms)
         return []
 
+    def is_certain(self, now_ms: int) -> bool:
+        """Tell whether all keys are known that earlier owners dispatched."""
+        return now_ms >= self.marked.until_ms
+
     def depose(self, now_ms: int) -> list[ports.Command]:
         """Stop dispatching for good and leave the ledger for the new owner."""
         if self.deposed:
@@ -505,10 +513,10 @@
         self, sender: str, page: messages.MarksCollected, now_ms: int
     ) -> None:
         previous = self.previous
-        if sender not in (previous.owner, previous.second):
+        if sender not in (previous.owner, *previous.seconds):
             return
         whole = page.complete and page.epoch == previous.epoch
-        if not whole and previous.epoch > 1:
+        if not whole and (previous.epoch > 1 or len(previous.seconds) > 1):
             # The epoch before may not have been fenced by the one that ended.
             return
         until_ms = page.uncertain_until_ms if whole else now_ms + self._longest_window()
--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests.py
@@ -9,6 +9,7 @@
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.coordination.membership import Membership
 from poplarlb.coordination.ownership import OwnerRecord, Ownership
+from poplarlb.coordination.sharding import choose_second
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 
@@ -77,13 +78,10 @@
     ) -> list[ports.Command]:
         """Begin to serve keys and slots of a shard that was just acquired."""
         shard = record.shard
-        old = self.previous.get(shard)
         commands = []
+        previous = self._previous_owner(record)
         if shard in self.tables:
-            epoch, second = self.tables[shard].epoch, self._second_of(shard)
-            old = OwnerRecord(shard, record.owner, epoch, record.incarnation, second)
             commands = self.lose_shard(shard, now_ms)
-        previous = PreviousOwner(old.epoch, old.owner, old.second) if old else None
         self.tables[shard] = KeyTable(
             self.context,
             shard,
@@ -98,6 +96,17 @@
             self._begin_takeover(admission, previous, now_ms)
         return commands
 
+    def _previous_owner(self, record: OwnerRecord) -> PreviousOwner | None:
+        if record.epoch == 1:
+            return None
+        epoch = record.epoch - 1
+        noted = self.previous.get(record.shard)
+        owner = noted.owner if noted and noted.epoch == epoch else ""
+        table = self.tables.get(record.shard)
+        if table is not None and table.epoch == epoch:
+            owner = self.membership.own.member_id
+        return PreviousOwner(epoch, owner, record.earlier_seconds)
+
     def _begin_takeover(
         self, admission: Admission, previous: PreviousOwner, now_ms: int
     ) -> None:
@@ -108,7 +117,8 @@
             if peer.registered or now_ms - peer.heard_ms < LONGEST_GRANT_MS
         }
         early = {own.member_id: own.incarnation}
-        admission.begin_takeover(members | {previous.owner}, early, now_ms)
+        earlier = {previous.owner} if previous.owner else set()
+        admission.begin_takeover(members | earlier, early, now_ms)
         admission.takeover.previous_owner = previous.owner
 
     def _key_peers(self, shard: str) -> KeyPeers:
@@ -124,7 +134,33 @@
     def _second_of(self, shard: str) -> str:
         record = self.ownership.owner_of(shard)
         own_id = self.membership.own.member_id
-        return record.second if record and record.owner == own_id else ""
+        if record is None or record.owner != own_id:
+            return ""
+        return self.ownership.certain_second(shard)
+
+    def _check_second(self, shard: str, now_ms: int) -> None:
+        """Name another second for a silent one; forget seconds that were asked."""
+        second = self._second_of(shard)
+        record = self.ownership.owner_of(shard)
+        if record is None or shard in self.ownership.naming:
+            return
+        table = self.tables[shard]
+        if table.second.ready and record.earlier_seconds and table.is_certain(now_ms):
+            self.ownership.name_second(shard, second)
+        elif not second or not self.membership.answers(second, now_ms):
+            self._name_another(shard, second, now_ms)
+
+    def _name_another(self, shard: str, silent: str, now_ms: int) -> None:
+        own = self.membership.own
+        live = [
+            member
+            for member in self.membership.live_members(now_ms)
+            if self.membership.answers(member.member_id, now_ms)
+            and member.member_id != silent
+        ]
+        name = choose_second(shard, own, live)
+        if name and self.tables[shard].is_certain(now_ms):
+            self.ownership.name_second(shard, name)
 
     def lose_shard(self, shard: str, now_ms: int) -> list[ports.Command]:
         """Stop serving a shard; what is known goes to the new owner on request."""
@@ -150,6 +186,7 @@
         """Advance takeovers and forget what has expired."""
         commands: list[ports.Command] = []
         for shard, table in list(self.tables.items()):
+            self._check_second(shard, now_ms)
             commands.extend(table.handle(ports.Tick(), now_ms))
             self.admissions[shard].members = self._count_members(now_ms)
             commands.extend(self._ask_for_grants(shard, now_ms))
--- a/tests/coordination/key_world.py
+++ b/tests/coordination/key_world.py
@@ -140,7 +140,7 @@
             self.read_record(name)
             return
         old = self.record
-        previous = PreviousOwner(old.epoch, old.owner, old.second)
+        previous = PreviousOwner(old.epoch, old.owner, (old.second,))
         self.record = OwnerEntry(old.epoch + 1, name, second)
         daemon.known = evolve(self.record)
         daemon.proof_ms = self.now_ms
