Policy: read the templates once for a queue's order; bench of single decisions

Cause: the overdue set was worked out task by task, each time from all templates. Change: the order and the overdue set come from one pass.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import importlib.util
 
-MODULES = ("store", "shard", "requests", "daemon", "policy")
+MODULES = ("store", "shard", "requests", "decisions", "daemon", "policy")
 
 
 def main() -> None:
--- a/poplarlb/coordination/fairness.py
+++ b/poplarlb/coordination/fairness.py
@@ -3,11 +3,11 @@
 import heapq
 from collections.abc import Iterable, Sequence
 
-from attrs import define
+from attrs import define, frozen
 
 from poplarlb.coordination.rooms import QueuedTask
 from poplarlb.settings import PolicySettings
-from poplarlb.state.models import Resources, WorkClass
+from poplarlb.state.models import Resources, TaskKey, WorkClass
 from poplarlb.state.templates import ConfigView
 
 OVERDUE_BAND = 2
@@ -40,20 +40,28 @@
         return dominant / self.weight
 
 
+@frozen
+class QueueOrder:
+    """The waiting tasks in the order in which to place them."""
+
+    tasks: list[QueuedTask]
+    overdue: set[TaskKey]
+
+
 def order_by_band(
     queued: Sequence[QueuedTask],
     used_by_team: dict[str, Resources],
     view: ConfigView,
     settings: PolicySettings,
     now_ms: int,
-) -> list[QueuedTask]:
-    """Return the tasks by band, and within a band by fairness between teams.
+) -> QueueOrder:
+    """Order the tasks by band, and within a band by fairness between teams.
 
     Overdue tasks go oldest first whatever their team, so that none starves.
     """
     limits = _wait_limits(view)
     bands: dict[int, list[QueuedTask]] = {}
-    for task in sorted(queued, key=lambda item: (item.queued_ms, item.spec.key)):
+    for task in sorted(queued, key=_arrival):
         band = _band(task, limits, settings, now_ms)
         bands.setdefault(band, []).append(task)
     shares = _team_shares({task.spec.key.team for task in queued}, used_by_team, view)
@@ -61,14 +69,13 @@
     for band in sorted(bands):
         tasks = bands[band]
         ordered.extend(tasks if band == OVERDUE_BAND else _interleave(tasks, shares))
-    return ordered
+    overdue = {task.spec.key for task in bands.get(OVERDUE_BAND, ())}
+    return QueueOrder(ordered, overdue)
 
 
-def is_overdue(
-    task: QueuedTask, view: ConfigView, settings: PolicySettings, now_ms: int
-) -> bool:
-    """Tell whether a task has waited past its limit."""
-    return _band(task, _wait_limits(view), settings, now_ms) == OVERDUE_BAND
+def _arrival(task: QueuedTask) -> tuple[int, str, str]:
+    key = task.spec.key
+    return task.queued_ms, key.team, key.task_id
 
 
 def _wait_limits(view: ConfigView) -> dict[tuple[str, str], int]:
@@ -131,6 +138,7 @@
         if task is None:
             continue
         merged.append(task)
-        shares[team].used = shares[team].used.plus(task.spec.size)
-        heapq.heappush(heap, (shares[team].value(), team))
+        share = shares[team]
+        share.used = share.used.plus(task.spec.size)
+        heapq.heappush(heap, (share.value(), team))
     return merged
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -8,7 +8,7 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.breaches import BreachMonitor
-from poplarlb.coordination.fairness import is_overdue, order_by_band
+from poplarlb.coordination.fairness import order_by_band
 from poplarlb.coordination.interference import HarmTable
 from poplarlb.coordination.placement import Placement
 from poplarlb.coordination.quarantine import Quarantine
@@ -103,12 +103,9 @@
         now_ms: int,
     ) -> list[QueuedTask]:
         """Return the waiting tasks in the order in which to place them."""
-        self.overdue = {
-            task.spec.key
-            for task in queued
-            if is_overdue(task, view, self.settings, now_ms)
-        }
-        return order_by_band(queued, used_by_team, view, self.settings, now_ms)
+        order = order_by_band(queued, used_by_team, view, self.settings, now_ms)
+        self.overdue = order.overdue
+        return order.tasks
 
     def choose_worker(
         self,
