Placement: keep a digest of each worker's tasks

Cause: each decision walked every task of every worker. Change: replicas and the shares of kinds are kept while a worker's tasks are the same.

--- a/poplarlb/coordination/placement.py
+++ b/poplarlb/coordination/placement.py
@@ -10,8 +10,10 @@
     Chosen,
     HarmEstimates,
     NotPlaced,
+    RoomDigest,
+    RoomDigests,
     WorkerRoom,
-    cpu_share,
+    kind_of,
     service_of,
 )
 from poplarlb.settings import PolicySettings
@@ -30,6 +32,7 @@
     view: ConfigView
     spec: TaskSpec
     reserved: Resources
+    digests: RoomDigests
     quarantined: Collection[str] = ()
     held: Collection[str] = ()
     pressed: Collection[str] = ()
@@ -110,36 +113,37 @@
             return {}
         racks: collections.Counter[str] = collections.Counter()
         for room in rooms:
-            racks[room.worker.rack] += sum(map(self._is_sibling, room.tasks))
+            racks[room.worker.rack] += self._siblings(self.digests.of(room))
         weight = self.settings.spread_weight
         return {rack: weight * count for rack, count in racks.items()}
 
-    def _is_sibling(self, task: object) -> bool:
-        spec = task.spec
-        return spec.service == self.spec.service and spec.key.team == self.spec.key.team
+    def _siblings(self, digest: RoomDigest) -> int:
+        """Return how many replicas of the same service a worker has."""
+        own = service_of(self.spec)
+        return sum(service_of(replica) == own for replica in digest.replicas)
 
     def _service_cost(self, room: WorkerRoom) -> float:
-        siblings = sum(map(self._is_sibling, room.tasks))
-        name = service_of(self.spec)
-        harm = sum(
-            self.harm.added(name, task.spec, cpu_share(task, room.worker))
-            for task in room.tasks
-            if not task.spec.service
-        )
-        crowd = 4 * self.settings.spread_weight * siblings
-        return crowd + self._protection(self.spec) * harm + self._room_cost(room, -1)
+        digest = self.digests.of(room)
+        crowd = 4 * self.settings.spread_weight * self._siblings(digest)
+        harm = self._protection(self.spec) * self._harm_at(self.spec, digest)
+        return crowd + harm + self._room_cost(room, -1)
 
     def _batch_cost(self, room: WorkerRoom) -> float:
         share = self.reserved.cpu_millis / max(1, room.worker.capacity.cpu_millis)
-        replicas = [task.spec for task in room.tasks if task.spec.service]
+        digest = self.digests.of(room)
         harm = sum(
-            self._protection(spec) * self._harm_to(spec, room, share)
-            for spec in replicas
+            self._protection(replica) * self._harm_to(replica, digest, share)
+            for replica in digest.replicas
         )
-        if not replicas:
+        if not digest.replicas:
             harm = self._opportunity_cost(share)
         return self.settings.harm_weight * harm + self._room_cost(room, 1)
 
+    def _harm_at(self, replica: TaskSpec, digest: RoomDigest) -> float:
+        """Return the slowdown of a replica by a worker's batch work."""
+        name = service_of(replica)
+        return sum(self.harm.harm(name, kind) * x for kind, x in digest.shares)
+
     def _opportunity_cost(self, share: float) -> float:
         """Return the cost of using a worker without services.
 
@@ -150,18 +154,13 @@
         weights = [service.weight for service in team.services] if team else []
         return max(weights, default=0.0) * self.harm.typical() * share
 
-    def _harm_to(self, replica: TaskSpec, room: WorkerRoom, share: float) -> float:
+    def _harm_to(self, replica: TaskSpec, digest: RoomDigest, share: float) -> float:
         """Return the growth of the squared slowdown of a replica at a worker.
 
         The square makes the last of many harmful tasks the costliest.
         """
-        name = service_of(replica)
-        before = sum(
-            self.harm.added(name, task.spec, cpu_share(task, room.worker))
-            for task in room.tasks
-            if not task.spec.service
-        )
-        added = self.harm.added(name, self.spec, share)
+        before = self._harm_at(replica, digest)
+        added = share * self.harm.harm(service_of(replica), kind_of(self.spec))
         return added * (1 + before + added / 2)
 
     def _protection(self, replica: TaskSpec) -> float:
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -25,6 +25,7 @@
     PlacedTask,
     QueuedTask,
     Relief,
+    RoomDigests,
     ThrottleWanted,
     WorkerRoom,
 )
@@ -76,6 +77,7 @@
     budget: EvictionBudget = Factory(
         lambda self: EvictionBudget(self.settings.eviction_budget_per_min), True
     )
+    digests: RoomDigests = Factory(RoomDigests)
     targets_ms: dict[str, int] = Factory(dict)
     overdue: set[TaskKey] = Factory(set)
     held: dict[str, HeldWorker] = Factory(dict)
@@ -123,6 +125,7 @@
             view,
             spec,
             reserved,
+            self.digests,
             self._barred_for(spec, now_ms),
             self._held_from(spec, now_ms),
             self._pressed_for(spec, now_ms),
--- a/poplarlb/coordination/rooms.py
+++ b/poplarlb/coordination/rooms.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from attrs import frozen
+from attrs import Factory, define, frozen
 
 from poplarlb.state.models import (
     Alternative,
@@ -101,14 +101,38 @@
 Relief = ThrottleWanted | EvictionWanted
 
 
+@frozen
+class RoomDigest:
+    """What placement needs of a worker's tasks.
+
+    ``shares`` has the processor share of each kind of batch work.
+    """
+
+    tasks: tuple[PlacedTask, ...]
+    replicas: tuple[TaskSpec, ...]
+    shares: tuple[tuple[str, float], ...]
+
+
+@define
+class RoomDigests:
+    """Keeps a digest of each worker for as long as its tasks are the same object."""
+
+    by_worker: dict[str, RoomDigest] = Factory(dict)
+
+    def of(self, room: WorkerRoom) -> RoomDigest:
+        """Return the digest of a worker's tasks."""
+        digest = self.by_worker.get(room.worker.worker_id)
+        if digest is None or digest.tasks is not room.tasks:
+            digest = make_digest(room)
+            self.by_worker[room.worker.worker_id] = digest
+        return digest
+
+
 class HarmEstimates(typing.Protocol):
     """Estimates of how much batch work slows services down."""
 
-    def added(self, service: str, spec: TaskSpec, share: float) -> float:
-        """Return the slowdown that a task adds to a service, at least 0.
-
-        :param share: the task's part of the worker's processors.
-        """
+    def harm(self, service: str, kind: str) -> float:
+        """Return the expected slowdown by a whole worker's worth of a kind."""
 
     def typical(self) -> float:
         """Return the harm of a typical pair by a whole worker's worth."""
@@ -130,3 +154,14 @@
     """Return the part of a worker's processors that a task may use now."""
     cpu = task.reserved.cpu_millis * task.throttle_percent / 100
     return cpu / max(1, worker.capacity.cpu_millis)
+
+
+def make_digest(room: WorkerRoom) -> RoomDigest:
+    """Return the replicas and the shares of batch work at a worker."""
+    shares: dict[str, float] = {}
+    for task in room.tasks:
+        if not task.spec.service:
+            kind = kind_of(task.spec)
+            shares[kind] = shares.get(kind, 0.0) + cpu_share(task, room.worker)
+    replicas = tuple(task.spec for task in room.tasks if task.spec.service)
+    return RoomDigest(room.tasks, replicas, tuple(shares.items()))
