Test: a planned stop finishes the request in flight and exits 0

Cause: the graceful shutdown of a process had no test over real sockets. Change: a request of 3.5 s is in flight when SIGTERM comes; it is answered whole and the daemon exits 0.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,5 +1,6 @@
 """The whole path through real daemons over real sockets."""
 
+import concurrent.futures
 import json
 import pathlib
 import subprocess
@@ -62,6 +63,7 @@
         self.addCleanup(self.platform.stop)
         hosts = serve(self.platform.answer)
         self.addCleanup(hosts.stop)
+        self.processes: dict[str, subprocess.Popen] = {}
         self.addresses = [
             self.start(name, zone, store.address, hosts.address)
             for name, zone in (("d1", "kochi"), ("d2", "thrissur"))
@@ -78,6 +80,7 @@
                 [sys.executable, "-m", "poplarlb.daemon", "--config", str(path)],
                 stderr=output,
             )
+        self.processes[name] = process
         self.addCleanup(self.stop, process)
         for _ in range(600):
             for line in log.read_text().splitlines():
@@ -107,8 +110,8 @@
             time.sleep(0.1)
         raise AssertionError(f"{method} {path}: {status} {answer}")
 
-    def test_template_request_and_job(self) -> None:
-        """The thin whole path."""
+    def apply_template(self) -> None:
+        """Put one team's template in force."""
         change = {
             "change_id": "c1",
             "operator": "asha",
@@ -117,6 +120,34 @@
             "removed": [],
         }
         self.wait(0, "POST", "/v1/config", change, lambda s, a: a.get("version") == 1)
+
+    def test_graceful_shutdown(self) -> None:
+        """A planned stop finishes the request in flight and then exits 0."""
+        self.apply_template()
+        path = "/v1/services/dairy/orders/confirm"
+        self.wait(0, "POST", path, {}, lambda s, a: s == 200)
+        url = f"http://{self.addresses[0]}{path}"
+        headers = {"standin-work-ms": "3500"}
+        with concurrent.futures.ThreadPoolExecutor(1) as pool:
+            slow = pool.submit(self.http.request, "POST", url, headers=headers)
+            self.wait_until_served()
+            self.processes["d1"].terminate()
+            answer = slow.result(30)
+        self.assertEqual(answer.status, 200)
+        self.assertIn(b"worker", answer.data)
+        self.assertEqual(self.processes["d1"].wait(60), 0)
+
+    def wait_until_served(self) -> None:
+        """Wait until a worker has a request in a slot."""
+        for _ in range(300):
+            if any(item.model.busy for item in self.platform.workers.values()):
+                return
+            time.sleep(0.02)
+        raise AssertionError("no request reached a worker")
+
+    def test_template_request_and_job(self) -> None:
+        """The thin whole path."""
+        self.apply_template()
         path = "/v1/services/dairy/orders/confirm"
         for number in (0, 1):
             answer = self.wait(number, "POST", path, {}, lambda s, a: s == 200)
