--- a/tests/coordination/shard_world.py
+++ b/tests/coordination/shard_world.py
@@ -397,6 +397,10 @@
 
         self.after(there_ms, arrive)
 
+    def was_reachable(self, worker_id: str, from_ms: int, to_ms: int) -> bool:
+        """Tell that nothing is known of a worker's reach."""
+        return False
+
     # --- callers and operators --------------------------------------------------------
 
     def ask(self, body: api.ApiBody, shard: str) -> None:
--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -39,41 +39,53 @@
 
     A host may fail, or be out of reach, before it can tell a daemon, and the
     daemon that it told may fail while the store is down; a success therefore
-    counts from when a daemon had time to record it.
+    counts from when a daemon had time to record it, and at once if every daemon
+    could ask the host all the time.
     """
     found = []
     running: dict[str, HistoryRow] = {}
-    known_ms: dict[str, int] = {}
+    done: dict[str, HistoryRow] = {}
     # An end and a start at the same instant do not overlap.
     rows = sorted(world.history(), key=lambda row: (row.at_ms, row.what == "start"))
     for row in rows:
         if row.what == "start":
-            found.extend(_check_start(row, running.get(row.subject), known_ms))
+            found.extend(_check_start(world, row, running, done))
             running[row.subject] = row
         elif row.what in OVER:
             current = running.get(row.subject)
             if current is not None and current.worker_id == row.worker_id:
                 del running[row.subject]
-            success = ReportedSuccess(row.subject, row.attempt)
-            if row.what == "succeeded" and success in world.reported:
-                known_ms[row.subject] = world.reported[success]
+            if row.what == "succeeded":
+                done[row.subject] = row
     return found
 
 
 def _check_start(
-    row: HistoryRow, other: HistoryRow | None, known_ms: dict[str, int]
+    world: World,
+    row: HistoryRow,
+    running: dict[str, HistoryRow],
+    done: dict[str, HistoryRow],
 ) -> list[Violation]:
     found = []
-    where = f"{row.subject} #{row.attempt} at {row.worker_id}"
+    where = f"{row.subject} #{row.attempt} at {row.worker_id}, {row.at_ms}"
+    other = running.get(row.subject)
     if other is not None:
-        detail = f"{where} while at {other.worker_id}, {row.at_ms}"
+        detail = f"{where} while at {other.worker_id}"
         found.append(Violation("one place at a time", detail))
-    if row.at_ms > known_ms.get(row.subject, row.at_ms):
-        detail = f"{where} after its success"
+    success = done.get(row.subject)
+    if success is not None and _was_known(world, success, row.at_ms):
+        detail = f"{where} after its success at {success.at_ms}"
         found.append(Violation("ended work never runs again", detail))
     return found
 
 
+def _was_known(world: World, success: HistoryRow, at_ms: int) -> bool:
+    reported = ReportedSuccess(success.subject, success.attempt)
+    if world.reported.get(reported, at_ms) < at_ms:
+        return True
+    return world.was_reachable(success.worker_id, success.at_ms, at_ms)
+
+
 def check_capacity(world: World) -> list[Violation]:
     """No host is given more than it can hold."""
     found = []
--- a/tests/harness/walk.py
+++ b/tests/harness/walk.py
@@ -145,6 +145,12 @@
         faults.repeat_message = peers / 100
         faults.lose_worker_answer = workers / 100
 
+    def set_delays(self, store_factor: int, worker_ms: int) -> None:
+        """Slow the store's answers and the calls to workers."""
+        self.note(f"store {store_factor} times slower, worker calls {worker_ms} ms")
+        self.world.faults.store_factor = store_factor
+        self.world.faults.slow_worker_call_ms = worker_ms
+
     def toggle_host(self, worker: int, how: int) -> None:
         """Let a host fail, vanish from the network, leave, or come back."""
         names = sorted(self.world.workers)
@@ -184,6 +190,7 @@
         world = self.world
         self.note("quiet")
         self.set_losses(0, 0, 0)
+        self.set_delays(1, 0)
         world.faults.store_down = False
         for daemon in world.daemons.values():
             daemon.no_store = False
@@ -227,6 +234,7 @@
         (1.5, lambda: walk.toggle_cut(chance.randrange(9), chance.randrange(3))),
         (0.7, walk.toggle_store),
         (1, lambda: walk.set_losses(*(chance.choice((0, 0, 5, 30)) for _ in "xyz"))),
+        (0.7, lambda: _set_delays(walk, chance)),
         (1.5, lambda: walk.toggle_host(chance.randrange(9), chance.randrange(3))),
         (1, lambda: _set_zone(walk, chance)),
     )
@@ -249,5 +257,9 @@
     )
 
 
+def _set_delays(walk: Walk, chance: random.Random) -> None:
+    walk.set_delays(chance.choice((1, 1, 100)), chance.choice((0, 0, 1_500, 4_000)))
+
+
 def _set_zone(walk: Walk, chance: random.Random) -> None:
     walk.set_zone(chance.randrange(9), chance.randrange(3), chance.random() < 0.5)
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -1,5 +1,6 @@
 """Whole nodes on one hand-held clock, joined by a network that misbehaves."""
 
+import bisect
 import heapq
 import itertools
 import random
@@ -19,6 +20,7 @@
 STORE_TIMEOUT_MS = 2_000
 WORKER_TIMEOUT_MS = 3_000
 RECORD_MS = 10_000
+SAMPLE_MS = 100
 
 
 @define
@@ -113,6 +115,7 @@
     answers: list[Answered] = Factory(list)
     views: list[ViewSeen] = Factory(list)
     reported: dict[ReportedSuccess, int] = Factory(dict)
+    troubles: dict[str, list[int]] = Factory(dict)
     queue: list = Factory(list)
     order: itertools.count = Factory(itertools.count)
     pending: dict[tuple[str, int], tuple[api.ApiBody, int, Callable]] = Factory(dict)
@@ -122,6 +125,23 @@
     def __attrs_post_init__(self) -> None:
         """Seed the delays."""
         self.chance = random.Random(self.seed)
+        self.after(SAMPLE_MS, self._sample_reach)
+
+    def _sample_reach(self) -> None:
+        """Note which workers some daemon may fail to reach now."""
+        faults = self.faults
+        cut = any(daemon.cut_workers for daemon in self.daemons.values())
+        poor = faults.lose_worker_answer > 0 or faults.slow_worker_call_ms > 0
+        for worker_id, model in self.workers.items():
+            if cut or poor or model.faults.dead:
+                self.troubles.setdefault(worker_id, []).append(self.now_ms)
+        self.after(SAMPLE_MS, self._sample_reach)
+
+    def was_reachable(self, worker_id: str, from_ms: int, to_ms: int) -> bool:
+        """Tell whether every daemon could reach a worker all the time."""
+        troubles = self.troubles.get(worker_id, [])
+        first = bisect.bisect_left(troubles, from_ms - 2 * SAMPLE_MS)
+        return first == len(troubles) or troubles[first] > to_ms
 
     # --- time -----------------------------------------------------------------
 
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -72,6 +72,14 @@
         """Lose answers and messages."""
         self.walk.set_losses(store, peers, workers)
 
+    @rule(
+        store_factor=st.sampled_from((1, 100)),
+        worker_ms=st.sampled_from((0, 1_500, 4_000)),
+    )
+    def set_delays(self, store_factor: int, worker_ms: int) -> None:
+        """Slow the store and the calls to workers."""
+        self.walk.set_delays(store_factor, worker_ms)
+
     @rule(worker=st.integers(0, 5), how=st.integers(0, 2))
     def toggle_host(self, worker: int, how: int) -> None:
         """Let a host fail, vanish, leave or come back."""
