--- a/poplarlb/state/shard_state.py
+++ b/poplarlb/state/shard_state.py
@@ -21,6 +21,7 @@
 from poplarlb.state.quota import QuotaTable
 
 ATTEMPTS_KEPT = 8
+STABLE_MS = 600_000
 DECISIONS_KEPT = 2_000
 _NOTHING = Resources()
 
@@ -199,15 +200,19 @@
         record.checkpoint = change.checkpoint or record.checkpoint
         record.evictions += change.evicted
         if change.counts_as_failure:
-            record.failures += 1
-            self._note_failed_worker(record)
+            self._count_failure(record, change.at_ms)
         self.open_elsewhere.pop(change.key, None)
         self.queued[change.key] = None
 
-    def _note_failed_worker(self, record: TaskRecord) -> None:
+    @staticmethod
+    def _count_failure(record: TaskRecord, at_ms: int) -> None:
         last = record.attempts[-1] if record.attempts else None
+        record.failures += 1
         if last is None or last.number != record.number:
             return
+        if record.spec.service and at_ms - last.placed_ms >= STABLE_MS:
+            record.failures = 1
+            record.failed_workers = ()
         if last.worker_id not in record.failed_workers:
             kept = record.failed_workers[-ATTEMPTS_KEPT + 1 :]
             record.failed_workers = (*kept, last.worker_id)
