--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 
 from poplarlb.coordination.admission import Endpoint
 from poplarlb.coordination.core import ShardCore
@@ -67,6 +67,7 @@
     next_watch_ms: int = 0
     next_upkeep_ms: int = 0
     resending: bool = False
+    sender_epochs: dict[str, int] = Factory(dict)
     last_summary: messages.ShardSummary | None = None
     summary_until_ms: int = 0
 
@@ -158,6 +159,10 @@
         if message.recipient != self.core.shard or not self._is_from_party(message):
             self.core.counters["messages_refused"] += 1
             return
+        if message.epoch < self.sender_epochs.get(message.sender, 0):
+            self.core.counters["messages_of_old_epochs"] += 1
+            return
+        self.sender_epochs[message.sender] = message.epoch
         match message.body:
             case messages.QuotaWanted() | messages.QuotaShare() as body:
                 self._take_quota(message.sender, body)
--- a/tests/coordination/test_shard.py
+++ b/tests/coordination/test_shard.py
@@ -5,7 +5,7 @@
 from attrs import define, evolve, field
 
 from poplarlb.coordination.policy import EvictionWanted, Policy
-from poplarlb.protocol import api
+from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import (
     HostState,
     Reason,
@@ -317,6 +317,25 @@
         return [EvictionWanted(self.worker_id, key, 1, Reason.SERVICE_BREACH)]
 
 
+class MessageTest(ShardCase):
+    """Messages that nobody may send are dropped and counted."""
+
+    def test_wrong_sender_and_old_epoch_are_refused(self) -> None:
+        """Only the home shard may ask for a place, and only its latest owner."""
+        machine = self.world.daemons["d1"].hosts["b/0"].machine
+        spec = make_spec(key_at(self.world, "a/0"))
+        later_ms = self.world.now_ms + 10_000
+        body = messages.PlaceAttempt(spec, 1, spec.size, "", later_ms)
+        forged = (("b/0", 9, "b/0"), ("a/0", 9, "a/0"))
+        stale = (("a/0", 2, "b/0"), ("a/0", 1, "b/0"))
+        for sender, epoch, recipient in (*forged, *stale):
+            message = messages.ShardMessage(sender, epoch, recipient, body)
+            machine.handle(ports.PeerReceived("d9", message), self.world.now_ms)
+        counters = machine.core.counters
+        self.assertEqual(counters["messages_refused"], 2)
+        self.assertEqual(counters["messages_of_old_epochs"], 1)
+
+
 class HandOverTest(ShardCase):
     """Giving a shard away on purpose."""
 
