--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -3,27 +3,27 @@
 import bisect
 import collections
 import itertools
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import GRANT_MARGIN_MS, LONGEST_GRANT_MS
-from poplarlb.coordination.health import (
-    EWMA_WEIGHT,
-    OUTLIER_SAMPLES,
-    UNKNOWN_SERVICE_MS,
-    EndpointHealth,
-    may_eject,
-    mean_service_ms,
+from poplarlb.coordination.health import EWMA_WEIGHT, OUTLIER_SAMPLES, may_eject
+from poplarlb.coordination.service_queue import (
+    SCAN_LIMIT,
+    Endpoint,
+    QueuedRequest,
+    ServiceQueue,
+    ServingEndpoint,
 )
+from poplarlb.coordination.slots import GrantedSlot, ServiceKey, SlotTable, Takeover
 from poplarlb.protocol import api, messages, ports
 from poplarlb.protocol.messages import EndpointSummary
-from poplarlb.state.models import Alternative, Decision, Reason, WorkClass, Worker
+from poplarlb.state.models import Alternative, Decision, Reason, WorkClass
 
 GRANT_USE_MS = 2_000
 DEADLINE_STEP_MS = 50
-SCAN_LIMIT = 16
 LOAD_FACTOR = 0.5
 DEFAULT_QUEUE_LIMIT = 256
 SHORTEST_RETRY_MS = 20
@@ -33,134 +33,6 @@
 REPORT_RESEND_MS = 200
 CLASS_ORDER = {item: number for number, item in enumerate(WorkClass)}
 
-ServiceKey = tuple[str, str]
-
-
-@frozen
-class Endpoint:
-    """A running replica of a service at a worker."""
-
-    team: str
-    service: str
-    worker: Worker
-    slowdown: float = 1.0
-
-
-@define
-class ServingEndpoint:
-    """An endpoint with what was learned of it."""
-
-    endpoint: Endpoint
-    limit: int
-    health: EndpointHealth = Factory(EndpointHealth)
-
-
-@frozen
-class GrantedSlot:
-    """A slot that a gateway may be using until ``free_ms`` at the latest."""
-
-    request_id: str
-    worker_id: str
-    service: ServiceKey
-    gateway: str
-    free_ms: int
-
-
-@frozen(order=True)
-class QueuedRequest:
-    """A request that waits for a slot; ordered by deadline, then class."""
-
-    deadline_step: int
-    class_order: int
-    number: int
-    call_id: int
-    body: api.AdmitRequest
-
-
-@define
-class ServiceQueue:
-    """A service's endpoints in the shard and the requests that wait for them."""
-
-    endpoints: dict[str, ServingEndpoint] = Factory(dict)
-    waiting: list[QueuedRequest] = Factory(list)
-    listed: list[ServingEndpoint] = Factory(list)
-    cursor: int = 0
-    mean_ms: float = UNKNOWN_SERVICE_MS
-    least_slowdown: float = 1.0
-
-    def update(self, wanted: dict[str, Endpoint]) -> None:
-        """Take the endpoints that may get requests; the others get no more."""
-        for worker_id in self.endpoints.keys() - wanted.keys():
-            del self.endpoints[worker_id]
-        for worker_id, endpoint in wanted.items():
-            known = self.endpoints.get(worker_id)
-            if known is None:
-                limit = slots_of(endpoint.worker)
-                self.endpoints[worker_id] = ServingEndpoint(endpoint, limit)
-            else:
-                known.endpoint = endpoint
-                known.limit = slots_of(endpoint.worker)
-        self.listed = list(self.endpoints.values())
-        self.least_slowdown = min(
-            (item.endpoint.slowdown for item in self.listed), default=1.0
-        )
-        self.learn_mean()
-
-    def learn_mean(self) -> None:
-        """Take the mean time of the endpoints that have answered."""
-        self.mean_ms = mean_service_ms(item.health for item in self.listed)
-
-    def next_listed(self) -> Iterator[ServingEndpoint]:
-        """Return the endpoints, beginning after those that were looked at."""
-        if len(self.listed) <= SCAN_LIMIT:
-            return iter(self.listed)
-        self.cursor = (self.cursor + SCAN_LIMIT) % len(self.listed)
-        after = itertools.islice(self.listed, self.cursor, None)
-        return itertools.chain(after, itertools.islice(self.listed, self.cursor))
-
-    def soonest_ms(self, avoid: tuple[str, ...], now_ms: int) -> int | None:
-        """Return when an endpoint may get a request; ``None`` if never."""
-        soonest = None
-        for item in self.listed:
-            if item.endpoint.worker.worker_id in avoid:
-                continue
-            if not item.health.ejected:
-                return now_ms
-            after_ms = item.health.probe_after_ms
-            soonest = after_ms if soonest is None else min(soonest, after_ms)
-        return soonest
-
-    def health(self) -> list[EndpointHealth]:
-        """Return the health of every endpoint."""
-        return [item.health for item in self.endpoints.values()]
-
-    def healthy(self) -> list[ServingEndpoint]:
-        """Return the endpoints that are not ejected."""
-        return [item for item in self.endpoints.values() if not item.health.ejected]
-
-
-@define
-class Takeover:
-    """Which members may use slots that this owner doesn't know of.
-
-    ``unreported`` maps a member to when its old grants have surely ended.
-    """
-
-    unreported: dict[str, int] = Factory(dict)
-    reported: set[str] = Factory(set)
-    previous_owner: str = ""
-    next_send_ms: int = 0
-
-    def knows(self, member_id: str) -> bool:
-        """Tell whether all that a member uses now is known."""
-        return member_id in self.reported or member_id not in self.unreported
-
-    def drop_passed(self, now_ms: int) -> None:
-        """Forget members whose old grants have ended."""
-        passed = [name for name, end_ms in self.unreported.items() if now_ms >= end_ms]
-        for name in passed:
-            del self.unreported[name]
-
 
 @define
 class Admission:
@@ -176,9 +48,7 @@
     epoch: int
     members: int = 1
     services: dict[ServiceKey, ServiceQueue] = Factory(dict)
-    granted: dict[tuple[str, str], GrantedSlot] = Factory(dict)
-    in_use: dict[str, int] = Factory(dict)
-    held: dict[tuple[str, str], int] = Factory(dict)
+    slots: SlotTable = Factory(SlotTable)
     takeover: Takeover = Factory(Takeover)
     numbers: itertools.count = Factory(itertools.count)
     refusals: collections.deque[Decision] = Factory(
@@ -252,18 +122,6 @@
             queue.waiting.clear()
         return [ports.ApiAnswer(item.call_id, fault) for item in queued]
 
-    def outstanding(self) -> tuple[messages.OutstandingGrant, ...]:
-        """Return every slot that is in use."""
-        return tuple(
-            messages.OutstandingGrant(
-                slot.request_id,
-                slot.worker_id,
-                slot.free_ms - GRANT_MARGIN_MS,
-                slot.gateway,
-            )
-            for slot in self.granted.values()
-        )
-
     def wanted_reports(self, now_ms: int) -> list[str]:
         """Return the members to ask now for the slots that they use."""
         if not self.takeover.unreported or now_ms < self.takeover.next_send_ms:
@@ -290,25 +148,9 @@
 
     def _free(self, item: ServingEndpoint) -> int:
         unknown = len(self.takeover.unreported) * self._member_limit(item.limit)
-        used = self.in_use.get(item.endpoint.worker.worker_id, 0)
+        used = self.slots.used_at(item.endpoint.worker.worker_id)
         return item.limit - used - unknown
 
-    def _hold(self, slot: GrantedSlot) -> None:
-        self.granted[(slot.request_id, slot.worker_id)] = slot
-        self.in_use[slot.worker_id] = self.in_use.get(slot.worker_id, 0) + 1
-        key = (slot.gateway, slot.worker_id)
-        self.held[key] = self.held.get(key, 0) + 1
-
-    def _release(self, slot: GrantedSlot) -> None:
-        del self.granted[(slot.request_id, slot.worker_id)]
-        for counts, key in (
-            (self.in_use, slot.worker_id),
-            (self.held, (slot.gateway, slot.worker_id)),
-        ):
-            counts[key] -= 1
-            if not counts[key]:
-                del counts[key]
-
     # --- choosing -------------------------------------------------------------------
 
     def _candidates(
@@ -333,10 +175,10 @@
     ) -> bool:
         worker_id = item.endpoint.worker.worker_id
         own_limit = self._member_limit(item.limit)
-        used = self.in_use.get(worker_id, 0) + unreported * own_limit
+        used = self.slots.used_at(worker_id) + unreported * own_limit
         return (
             used < item.limit
-            and self.held.get((body.gateway, worker_id), 0) < own_limit
+            and self.slots.used_by(body.gateway, worker_id) < own_limit
             and worker_id not in body.avoid
             and item.health.may_take(now_ms)
         )
@@ -344,7 +186,7 @@
     def _expected_ms(self, item: ServingEndpoint, mean_ms: float) -> float:
         known_ms = item.health.service_ms if item.health.samples else mean_ms
         worker = item.endpoint.worker
-        load = self.in_use.get(worker.worker_id, 0) / item.limit
+        load = self.slots.used_at(worker.worker_id) / item.limit
         return known_ms * item.endpoint.slowdown * (1 + LOAD_FACTOR * load)
 
     def _choose(
@@ -367,7 +209,7 @@
         item.health.begin(body.request_id)
         key = (body.team, body.service)
         free_ms = deadline_ms + GRANT_MARGIN_MS
-        self._hold(
+        self.slots.hold(
             GrantedSlot(body.request_id, worker.worker_id, key, body.gateway, free_ms)
         )
         spare = max(0, worker.connections - item.limit)
@@ -524,10 +366,10 @@
     # --- the end of requests ----------------------------------------------------------
 
     def _finish(self, body: api.FinishRequest, now_ms: int) -> list[ports.Command]:
-        slot = self.granted.get((body.request_id, body.worker_id))
+        slot = self.slots.find(body.request_id, body.worker_id)
         if slot is None:
             return []
-        self._release(slot)
+        self.slots.release(slot)
         self._learn(slot, body, now_ms)
         return self._drain(slot.worker_id, now_ms)
 
@@ -576,15 +418,14 @@
                 item.gateway or sender,
                 free_ms,
             )
-            if (item.request_id, item.worker_id) not in self.granted:
-                self._hold(slot)
+            if self.slots.find(item.request_id, item.worker_id) is None:
+                self.slots.hold(slot)
         return self._drain_all(now_ms)
 
     def _tick(self, now_ms: int) -> list[ports.Command]:
         self.takeover.drop_passed(now_ms)
-        lapsed = [slot for slot in self.granted.values() if now_ms >= slot.free_ms]
-        for slot in lapsed:
-            self._release(slot)
+        for slot in self.slots.lapsed(now_ms):
+            self.slots.release(slot)
             body = api.FinishRequest(
                 slot.request_id, self.shard, slot.worker_id, 0, "unknown"
             )
@@ -611,11 +452,6 @@
         ]
 
 
-def slots_of(worker: Worker) -> int:
-    """Return how many requests a worker takes at once."""
-    return max(1, min(worker.slots, worker.connections))
-
-
 def _refuse(reason: Reason, detail: str, retry_ms: float) -> api.Fault:
     retry_after_ms = int(min(max(retry_ms, SHORTEST_RETRY_MS), LONGEST_RETRY_MS))
     return api.Fault("not_run", reason, detail, retry_after_ms)
--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests.py
@@ -175,7 +175,7 @@
                 shard,
                 admission.epoch,
                 self.membership.own.incarnation,
-                admission.outstanding(),
+                admission.slots.outstanding(),
                 whole=not admission.takeover.unreported,
             )
         return commands
--- /dev/null
+++ b/poplarlb/coordination/service_queue.py
@@ -0,0 +1,113 @@
+"""A service's endpoints in a shard and the requests that wait for them."""
+
+import itertools
+from collections.abc import Iterator
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.health import (
+    UNKNOWN_SERVICE_MS,
+    EndpointHealth,
+    mean_service_ms,
+)
+from poplarlb.protocol import api
+from poplarlb.state.models import Worker
+
+SCAN_LIMIT = 16
+
+
+@frozen
+class Endpoint:
+    """A running replica of a service at a worker."""
+
+    team: str
+    service: str
+    worker: Worker
+    slowdown: float = 1.0
+
+
+@define
+class ServingEndpoint:
+    """An endpoint with what was learned of it."""
+
+    endpoint: Endpoint
+    limit: int
+    health: EndpointHealth = Factory(EndpointHealth)
+
+
+@frozen(order=True)
+class QueuedRequest:
+    """A request that waits for a slot; ordered by deadline, then class."""
+
+    deadline_step: int
+    class_order: int
+    number: int
+    call_id: int
+    body: api.AdmitRequest
+
+
+@define
+class ServiceQueue:
+    """A service's endpoints in the shard and the requests that wait for them."""
+
+    endpoints: dict[str, ServingEndpoint] = Factory(dict)
+    waiting: list[QueuedRequest] = Factory(list)
+    listed: list[ServingEndpoint] = Factory(list)
+    cursor: int = 0
+    mean_ms: float = UNKNOWN_SERVICE_MS
+    least_slowdown: float = 1.0
+
+    def update(self, wanted: dict[str, Endpoint]) -> None:
+        """Take the endpoints that may get requests; the others get no more."""
+        for worker_id in self.endpoints.keys() - wanted.keys():
+            del self.endpoints[worker_id]
+        for worker_id, endpoint in wanted.items():
+            known = self.endpoints.get(worker_id)
+            if known is None:
+                limit = slots_of(endpoint.worker)
+                self.endpoints[worker_id] = ServingEndpoint(endpoint, limit)
+            else:
+                known.endpoint = endpoint
+                known.limit = slots_of(endpoint.worker)
+        self.listed = list(self.endpoints.values())
+        self.least_slowdown = min(
+            (item.endpoint.slowdown for item in self.listed), default=1.0
+        )
+        self.learn_mean()
+
+    def learn_mean(self) -> None:
+        """Take the mean time of the endpoints that have answered."""
+        self.mean_ms = mean_service_ms(item.health for item in self.listed)
+
+    def next_listed(self) -> Iterator[ServingEndpoint]:
+        """Return the endpoints, beginning after those that were looked at."""
+        if len(self.listed) <= SCAN_LIMIT:
+            return iter(self.listed)
+        self.cursor = (self.cursor + SCAN_LIMIT) % len(self.listed)
+        after = itertools.islice(self.listed, self.cursor, None)
+        return itertools.chain(after, itertools.islice(self.listed, self.cursor))
+
+    def soonest_ms(self, avoid: tuple[str, ...], now_ms: int) -> int | None:
+        """Return when an endpoint may get a request; ``None`` if never."""
+        soonest = None
+        for item in self.listed:
+            if item.endpoint.worker.worker_id in avoid:
+                continue
+            if not item.health.ejected:
+                return now_ms
+            after_ms = item.health.probe_after_ms
+            soonest = after_ms if soonest is None else min(soonest, after_ms)
+        return soonest
+
+    def health(self) -> list[EndpointHealth]:
+        """Return the health of every endpoint."""
+        return [item.health for item in self.endpoints.values()]
+
+    def healthy(self) -> list[ServingEndpoint]:
+        """Return the endpoints that are not ejected."""
+        return [item for item in self.endpoints.values() if not item.health.ejected]
+
+
+def slots_of(worker: Worker) -> int:
+    """Return how many requests a worker takes at once."""
+    return max(1, min(worker.slots, worker.connections))
--- /dev/null
+++ b/poplarlb/coordination/slots.py
@@ -0,0 +1,97 @@
+"""The slots in use at a shard's workers, and those that a new owner can't know."""
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.grants import GRANT_MARGIN_MS
+from poplarlb.protocol import messages
+
+ServiceKey = tuple[str, str]
+
+
+@frozen
+class GrantedSlot:
+    """A slot that a gateway may be using until ``free_ms`` at the latest."""
+
+    request_id: str
+    worker_id: str
+    service: ServiceKey
+    gateway: str
+    free_ms: int
+
+
+@define
+class Takeover:
+    """Which members may use slots that this owner doesn't know of.
+
+    ``unreported`` maps a member to when its old grants have surely ended.
+    """
+
+    unreported: dict[str, int] = Factory(dict)
+    reported: set[str] = Factory(set)
+    previous_owner: str = ""
+    next_send_ms: int = 0
+
+    def knows(self, member_id: str) -> bool:
+        """Tell whether all that a member uses now is known."""
+        return member_id in self.reported or member_id not in self.unreported
+
+    def drop_passed(self, now_ms: int) -> None:
+        """Forget members whose old grants have ended."""
+        passed = [name for name, end_ms in self.unreported.items() if now_ms >= end_ms]
+        for name in passed:
+            del self.unreported[name]
+
+
+@define
+class SlotTable:
+    """Every slot that is in use, counted by worker and by gateway."""
+
+    granted: dict[tuple[str, str], GrantedSlot] = Factory(dict)
+    in_use: dict[str, int] = Factory(dict)
+    held: dict[tuple[str, str], int] = Factory(dict)
+
+    def find(self, request_id: str, worker_id: str) -> GrantedSlot | None:
+        """Return a request's slot at a worker, or ``None``."""
+        return self.granted.get((request_id, worker_id))
+
+    def used_at(self, worker_id: str) -> int:
+        """Return how many of a worker's slots are in use."""
+        return self.in_use.get(worker_id, 0)
+
+    def used_by(self, gateway: str, worker_id: str) -> int:
+        """Return how many of a worker's slots a gateway uses."""
+        return self.held.get((gateway, worker_id), 0)
+
+    def hold(self, slot: GrantedSlot) -> None:
+        """Count a slot as in use."""
+        self.granted[(slot.request_id, slot.worker_id)] = slot
+        self.in_use[slot.worker_id] = self.in_use.get(slot.worker_id, 0) + 1
+        key = (slot.gateway, slot.worker_id)
+        self.held[key] = self.held.get(key, 0) + 1
+
+    def release(self, slot: GrantedSlot) -> None:
+        """Count a slot as free again."""
+        del self.granted[(slot.request_id, slot.worker_id)]
+        for counts, key in (
+            (self.in_use, slot.worker_id),
+            (self.held, (slot.gateway, slot.worker_id)),
+        ):
+            counts[key] -= 1
+            if not counts[key]:
+                del counts[key]
+
+    def lapsed(self, now_ms: int) -> list[GrantedSlot]:
+        """Return the slots whose gateways have not given them back in time."""
+        return [slot for slot in self.granted.values() if now_ms >= slot.free_ms]
+
+    def outstanding(self) -> tuple[messages.OutstandingGrant, ...]:
+        """Return every slot in use, to tell a new owner."""
+        return tuple(
+            messages.OutstandingGrant(
+                slot.request_id,
+                slot.worker_id,
+                slot.free_ms - GRANT_MARGIN_MS,
+                slot.gateway,
+            )
+            for slot in self.granted.values()
+        )
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -10,7 +10,7 @@
 from prometheus_client import CONTENT_TYPE_LATEST
 
 from poplarlb.exceptions import NotFoundError, PoplarlbError, RateLimitedError
-from poplarlb.transport import gateway, tls
+from poplarlb.transport import service_calls, tls
 from poplarlb.transport.gateway import ServiceGateway
 from poplarlb.transport.jobs import JobRoutes
 from poplarlb.transport.limits import make_server
@@ -79,7 +79,7 @@
     """Return one WSGI application that hands services' paths to the gateway."""
 
     def application(environ: dict, start_response: Callable) -> Iterable[bytes]:
-        if environ["PATH_INFO"].startswith(gateway.PREFIX):
+        if environ["PATH_INFO"].startswith(service_calls.PREFIX):
             return services(environ, start_response)
         return others(environ, start_response)
 
--- a/poplarlb/transport/gateway.py
+++ b/poplarlb/transport/gateway.py
@@ -5,18 +5,15 @@
 """
 
 import contextlib
-import hashlib
 import itertools
 import json
 import math
-import re
 import threading
 from collections.abc import Callable, Iterator
 
-from attrs import Factory, define, field, frozen
+from attrs import Factory, define, field
 from loguru import logger
 
-from poplarlb.coordination.grants import LONGEST_GRANT_MS
 from poplarlb.coordination.retries import RetryBudget
 from poplarlb.exceptions import (
     BadRequestError,
@@ -26,59 +23,37 @@
     RefusedError,
 )
 from poplarlb.protocol import api
-from poplarlb.state.models import Reason, WorkClass
+from poplarlb.state.models import Reason
 from poplarlb.transport import views
 from poplarlb.transport.bodies import (
     WHOLE_BODY_BYTES,
     BufferBudget,
-    RequestBody,
     buffered,
 )
 from poplarlb.transport.endpoints import (
     NO_BODY_STATUS,
-    NOT_FORWARDED,
     BrokenError,
     EndpointAnswer,
     EndpointClient,
     OutgoingRequest,
     UnsentError,
-    forwarded_headers,
 )
 from poplarlb.transport.limits import REQUEST_KEY
 from poplarlb.transport.operators import RateLimit
 from poplarlb.transport.runtime import Runtime, now_ms
+from poplarlb.transport.service_calls import (
+    ServiceCall,
+    digest_of,
+    parse_call,
+    parse_target,
+)
 
-PREFIX = "/v1/services/"
 BUFFER_BYTES = 64 << 20
 RESERVED_THREADS = 2
 BUSY_RETRY_MS = 100
 RETRIED_STATUS = frozenset({429, 502, 503, 504})
 KEY_CALL_TIMEOUT_S = 8.0
 
-_METHOD = re.compile(r"[A-Z]{1,20}")
-_NAME = re.compile(r"[A-Za-z0-9._-]{1,64}")
-_KEY = re.compile(r"[A-Za-z0-9._:/+=-]{1,128}")
-_TARGET = re.compile(r"[!-~]{1,8000}")
-_DOTS = re.compile(r"(?:\.|%2e){1,2}", re.IGNORECASE)
-
-
-@frozen
-class ServiceCall:
-    """One caller's request to a service, as it was understood."""
-
-    request_id: str
-    team: str
-    service: str
-    method: str
-    target: str
-    headers: tuple[tuple[str, str], ...]
-    body: RequestBody
-    deadline_ms: int
-    idempotent: bool
-    work_class: WorkClass
-    key: str = ""
-    first_sending: bool = False
-
 
 @define
 class Exchange:
@@ -205,37 +180,15 @@
     # --- parsing --------------------------------------------------------------------
 
     def _parse(self, environ: dict, request_id: str, began_ms: int) -> ServiceCall:
-        request = environ[REQUEST_KEY]
         team, service, rest = parse_target(environ["REQUEST_URI"])
-        method = environ["REQUEST_METHOD"]
-        if not _METHOD.fullmatch(method) or method in ("CONNECT", "TRACE"):
-            raise BadRequestError("the method is not one that can be passed on")
         template = self._find_template(team, service)
-        headers = {
-            name.decode("latin-1").lower(): value.decode("latin-1")
-            for name, value in request.inheaders.items()
-        }
-        passed = forwarded_headers(
-            ((name.title(), value) for name, value in headers.items()), NOT_FORWARDED
-        )
-        settings = self.runtime.settings.requests
-        timeout_ms = parse_timeout(headers, settings.default_timeout_ms)
-        key = headers.get("idempotency-key", "")
-        if "idempotency-key" in headers and not _KEY.fullmatch(key):
-            raise BadRequestError(f"Idempotency-Key: allowed: {_KEY.pattern}")
-        return ServiceCall(
+        return parse_call(
+            environ[REQUEST_KEY],
+            (team, service, rest),
+            template,
+            self.runtime.settings.requests,
             request_id,
-            team,
-            service,
-            method,
-            f"/service/{team}/{service}/{rest}",
-            (*passed, ("Poplarlb-Request-Id", request_id)),
-            RequestBody.of(request, settings.body_limit_bytes),
-            began_ms + timeout_ms,
-            template.idempotent,
-            parse_class(headers),
-            key,
-            parse_attempt(headers) == 1,
+            began_ms,
         )
 
     def _find_template(self, team: str, service: str):
@@ -493,69 +446,3 @@
     if retry_after_ms:
         headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
     return Reply(status, "Refused", headers, iter([data]), fault.code)
-
-
-def parse_target(uri: str) -> tuple[str, str, str]:
-    """Return the team, the service, and the rest of a request's target.
-
-    :raises PoplarlbError: if it is not a service's path, or could be read as
-        another path by the endpoint.
-    """
-    if not _TARGET.fullmatch(uri) or "#" in uri or "\\" in uri:
-        raise BadRequestError("the target is too long or has forbidden characters")
-    if not uri.startswith(PREFIX):
-        raise NotFoundError(uri.partition("?")[0])
-    path, mark, query = uri[len(PREFIX) :].partition("?")
-    team, _, remainder = path.partition("/")
-    service, _, rest = remainder.partition("/")
-    if not _NAME.fullmatch(team) or not _NAME.fullmatch(service):
-        raise NotFoundError(f"{PREFIX}TEAM/SERVICE: allowed: {_NAME.pattern}")
-    if any(_DOTS.fullmatch(part) for part in (team, service, *rest.split("/"))):
-        raise BadRequestError("a path with . or .. is not passed on")
-    return team, service, rest + mark + query
-
-
-def parse_timeout(headers: dict[str, str], default_ms: int) -> int:
-    """Return how long the caller waits.
-
-    :raises BadRequestError: if the header is out of range.
-    """
-    text = headers.get("poplarlb-timeout-ms")
-    if text is None:
-        return min(default_ms, LONGEST_GRANT_MS)
-    if not re.fullmatch(r"[0-9]{1,6}", text) or not 1 <= int(text) <= LONGEST_GRANT_MS:
-        raise BadRequestError(f"Poplarlb-Timeout-Ms: from 1 to {LONGEST_GRANT_MS}")
-    return int(text)
-
-
-def parse_class(headers: dict[str, str]) -> WorkClass:
-    """Return the request's class.
-
-    :raises BadRequestError: if there is no such class.
-    """
-    text = headers.get("poplarlb-class", WorkClass.LATENCY_CRITICAL.value)
-    try:
-        return WorkClass(text)
-    except ValueError as error:
-        allowed = ", ".join(item.value for item in WorkClass)
-        raise BadRequestError(f"Poplarlb-Class: allowed: {allowed}") from error
-
-
-def parse_attempt(headers: dict[str, str]) -> int:
-    """Return which sending of its key the caller says this is; 0 if unsaid.
-
-    :raises BadRequestError: if it is not a small number.
-    """
-    text = headers.get("poplarlb-attempt", "0")
-    if not re.fullmatch(r"[0-9]{1,4}", text):
-        raise BadRequestError("Poplarlb-Attempt: a number from 1 to 9999")
-    return int(text)
-
-
-def digest_of(call: ServiceCall) -> bytes:
-    """Return the digest that tells whether a key comes with the same request."""
-    digest = hashlib.blake2b(digest_size=16)
-    for part in (call.method, call.target):
-        digest.update(part.encode() + b"\n")
-    digest.update(call.body.whole or b"")
-    return digest.digest()
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -4,10 +4,11 @@
 import random
 import unittest
 
-from poplarlb.coordination.admission import Admission, Endpoint, ServiceQueue
+from poplarlb.coordination.admission import Admission, Endpoint
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
 from poplarlb.coordination.health import EJECTION_MS
+from poplarlb.coordination.service_queue import ServiceQueue
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason, Resources, WorkClass, Worker
@@ -134,7 +135,7 @@
         self.admission.takeover.previous_owner = "d0"
         if alive and not old.takeover.unreported:
             whole = messages.GrantsReported(
-                SHARD, self.epoch, 0, old.outstanding(), whole=True
+                SHARD, self.epoch, 0, old.slots.outstanding(), whole=True
             )
             self.run(ports.PeerReceived("d0", whole))
 
@@ -207,8 +208,8 @@
 
 def release_at_once(self, now_ms):
     """Free the slots of gateways that have not answered."""
-    for slot in list(self.granted.values()):
-        self._release(slot)
+    for slot in list(self.slots.granted.values()):
+        self.slots.release(slot)
     return []
 
 
@@ -337,7 +338,7 @@
         world.finish(old)
         self.assertNotIn(name, world.answers)
         world.admission.set_endpoints(world.endpoints, world.now_ms)
-        self.assertEqual(world.admission.in_use["w0"], 7)
+        self.assertEqual(world.admission.slots.in_use["w0"], 7)
 
     def test_new_owner_waits_for_reports(self) -> None:
         """A silent member's slots are kept free until its grants have ended."""
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -117,7 +117,7 @@
             self.refused(answer, "outcome_unknown")
         with self.assertRaises(urllib3.exceptions.HTTPError):
             self.call("GET", f"{SERVICE}/stock/bigshort")
-        self.assertEqual(self.runtime.admission.in_use, {})
+        self.assertEqual(self.runtime.admission.slots.in_use, {})
 
     def test_unsafe_request_is_sent_once(self) -> None:
         """After a byte may have arrived the answer is "outcome unknown"."""
@@ -190,7 +190,7 @@
         self.assertEqual([json.loads(a.data)["target"] for a in answers], wanted)
         ids = {answer.headers["Poplarlb-Request-Id"] for answer in answers}
         self.assertEqual(len(ids), 100)
-        self.assertEqual(self.runtime.admission.in_use, {})
+        self.assertEqual(self.runtime.admission.slots.in_use, {})
 
 
 class HostileTest(CallersCase):
@@ -332,4 +332,4 @@
         self.assertGreater(counts[429], 0)
         self.assertGreater(counts[200], 0)
         self.assertEqual(self.call("GET", "/healthz").status, 200)
-        self.assertEqual(self.runtime.admission.in_use, {})
+        self.assertEqual(self.runtime.admission.slots.in_use, {})
