--- a/poplarlb/transport/gateway.py
+++ b/poplarlb/transport/gateway.py
@@ -6,8 +6,6 @@
 
 import contextlib
 import itertools
-import json
-import math
 import threading
 from collections.abc import Callable, Iterator
 
@@ -24,7 +22,6 @@
 )
 from poplarlb.protocol import api
 from poplarlb.state.models import Reason
-from poplarlb.transport import views
 from poplarlb.transport.bodies import (
     WHOLE_BODY_BYTES,
     BufferBudget,
@@ -40,6 +37,7 @@
 )
 from poplarlb.transport.limits import REQUEST_KEY
 from poplarlb.transport.operators import RateLimit
+from poplarlb.transport.replies import Exchange, Reply, Tries, busy, refuse
 from poplarlb.transport.runtime import Runtime, now_ms
 from poplarlb.transport.service_calls import (
     ServiceCall,
@@ -50,63 +48,10 @@
 
 BUFFER_BYTES = 64 << 20
 RESERVED_THREADS = 2
-BUSY_RETRY_MS = 100
 RETRIED_STATUS = frozenset({429, 502, 503, 504})
 KEY_CALL_TIMEOUT_S = 8.0
 
 
-@define
-class Exchange:
-    """An answer on its way, and the slot that it uses until it is read."""
-
-    grant: api.Grant | None
-    answer: EndpointAnswer
-
-
-@define
-class Tries:
-    """What became of the tries to have one request answered.
-
-    ``fault`` is what to tell if none was; once a byte may have reached an
-    endpoint it is no more "not run". ``answered`` is an answer that was worth
-    another try, ``exchange`` that of the last one.
-    """
-
-    avoid: tuple[str, ...] = ()
-    fault: api.Fault | None = None
-    answered: Exchange | None = None
-    exchange: Exchange | None = None
-
-    def note_unsent(self, detail: str) -> None:
-        """Note that an endpoint could not be reached."""
-        if self.fault is None:
-            self.fault = api.Fault("not_run", Reason.ENDPOINT_FAILED, detail, 500)
-
-    def note_broken(self, detail: str) -> None:
-        """Note that an exchange broke off."""
-        self.fault = api.Fault("outcome_unknown", Reason.ENDPOINT_FAILED, detail)
-
-    def settle(self, last: api.Fault | None) -> Exchange:
-        """Return an earlier answer, as there will be no other.
-
-        :raises RefusedError: if there is none.
-        """
-        if self.answered is not None:
-            return self.answered
-        raise RefusedError(self.fault or last)
-
-
-@define
-class Reply:
-    """What the caller is told."""
-
-    status: int
-    reason: str
-    headers: list[tuple[str, str]]
-    chunks: Iterator[bytes]
-    result: str = "ok"
-
-
 @define
 class ServiceGateway:
     """The WSGI application under ``/v1/services``.
@@ -143,7 +88,7 @@
                 call = self._parse(environ, request_id, began_ms)
                 names = (call.team, call.service)
                 if not stack.enter_context(buffered(self.buffers, call.body)):
-                    raise RefusedError(_busy("too many bodies are being read"))
+                    raise RefusedError(busy("too many bodies are being read"))
                 reply = self._serve(call, stack)
             except PoplarlbError as error:
                 # What is left of the body is not worth waiting for.
@@ -169,7 +114,7 @@
             raise RateLimitedError("too many requests a second")
         with self.lock:
             if self.places <= 0:
-                raise RefusedError(_busy("every thread is in use"))
+                raise RefusedError(busy("every thread is in use"))
             self.places -= 1
         stack.callback(self._leave)
 
@@ -193,11 +138,11 @@
 
     def _find_template(self, team: str, service: str):
         if not self.runtime.started.is_set():
-            raise RefusedError(_busy("the daemon is starting"))
+            raise RefusedError(busy("the daemon is starting"))
         view = self.runtime.node.context.view
         template = view.service(team, service)
         if template is None and view.version == 0:
-            raise RefusedError(_busy("the configuration is not known yet"))
+            raise RefusedError(busy("the configuration is not known yet"))
         if template is None:
             raise NotFoundError(f"no service {service} of team {team}")
         return template
@@ -422,27 +367,3 @@
         if self._finish_answer(exchange):
             with self.lock:
                 self._budget_of(call).note_success()
-
-
-def _busy(detail: str) -> api.Fault:
-    return api.Fault("not_run", Reason.RATE_LIMITED, detail, BUSY_RETRY_MS)
-
-
-def refuse(error: PoplarlbError) -> Reply:
-    """Return the reply that tells a caller of an error."""
-    if isinstance(error, RefusedError):
-        fault = error.fault
-        status = views.status_of(fault)
-        table = views.to_json(fault)
-    else:
-        fault = api.Fault(error.code, Reason.RATE_LIMITED, error.detail)
-        status = error.http_status
-        table = {"code": error.code, "detail": error.detail}
-        if isinstance(error, RateLimitedError):
-            table["retry_after_ms"] = 1_000
-    data = json.dumps(table).encode() + b"\n"
-    headers = [("Content-Type", "application/json"), ("Content-Length", str(len(data)))]
-    retry_after_ms = table.get("retry_after_ms", 0)
-    if retry_after_ms:
-        headers.append(("Retry-After", str(math.ceil(retry_after_ms / 1000))))
-    return Reply(status, "Refused", headers, iter([data]), fault.code)
