--- a/poplarlb/coordination/idempotency.py
+++ b/poplarlb/coordination/idempotency.py
@@ -1,25 +1,23 @@
 """The owner's table of idempotency keys: at most one dispatch of each key."""
 
-from collections.abc import Callable, Iterable
-
-from attrs import Factory, define, evolve, frozen
+from attrs import Factory, define, evolve
 
 from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.marks import (
-    KeyLedger,
-    MarkedKey,
-    MarkStore,
-    join_records,
-    name_key,
-    outcomes_of,
+from poplarlb.coordination.key_second import SecondDaemon
+from poplarlb.coordination.key_takeover import (
+    RESEND_MS,
+    KeyPeers,
+    MarkCollector,
+    PreviousOwner,
+    Uncertainty,
 )
+from poplarlb.coordination.marks import KeyLedger, MarkedKey, MarkStore, name_key
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 
 DEFAULT_WINDOW_MS = 600_000
 KEYS_LIMIT = 50_000
 LEDGER_LIMIT_BYTES = 32 << 20
-RESEND_MS = 200
 MARK_TIMEOUT_MS = 1_500
 ANSWER_MARGIN_MS = 2_000
 RETRY_AFTER_MS = 500
@@ -27,36 +25,6 @@
 DURABILITY_MEMORY = "memory"
 
 
-@frozen
-class PreviousOwner:
-    """The owner of the epoch before this one.
-
-    ``owner`` is empty if it is not known. The last of the ``seconds`` named by
-    any earlier owner is among ``seconds``.
-    """
-
-    epoch: int
-    owner: str
-    seconds: tuple[str, ...]
-
-
-@frozen
-class KeyPeers:
-    """What the table needs to know of the other daemons.
-
-    ``members`` and ``second`` return member ids, ``second`` the one that the
-    owner record names now; ``proof_ms`` returns when a read that proved the
-    ownership was last sent.
-    """
-
-    own_id: str
-    address_of: Callable[[str], str]
-    incarnation_of: Callable[[str], int]
-    members: Callable[[], Iterable[str]]
-    second: Callable[[], str]
-    proof_ms: Callable[[], int]
-
-
 @define
 class PendingClaim:
     """A claim that waits for the second daemon."""
@@ -68,50 +36,6 @@
     sent_ms: int = 0
 
 
-@define
-class Collection:
-    """The marks that one member holds, read page by page."""
-
-    after: str = ""
-    sent_ms: int = 0
-    done: bool = False
-
-
-@define
-class SecondState:
-    """How far the second daemon has taken over the table.
-
-    ``sent`` is the page under way; it is repeated unchanged until it is taken.
-    """
-
-    member_id: str = ""
-    adoption_id: int = 0
-    page: int = 0
-    after: str = ""
-    sent: messages.AdoptSecond | None = None
-    sent_ms: int = 0
-    ready: bool = False
-
-
-@define
-class Uncertainty:
-    """What a new owner can't know of earlier epochs.
-
-    Until ``fenced_ms`` an earlier owner may still dispatch. From then until
-    ``until_ms`` a key may have been dispatched without this owner knowing it.
-    """
-
-    fenced_ms: int = 0
-    until_ms: int = 0
-
-    def lower(self, fenced_ms: int, until_ms: int) -> bool:
-        """Take the earlier instants; tells whether any changed."""
-        before = (self.fenced_ms, self.until_ms)
-        self.fenced_ms = min(self.fenced_ms, fenced_ms)
-        self.until_ms = min(self.until_ms, until_ms)
-        return before != (self.fenced_ms, self.until_ms)
-
-
 @define
 class KeyTable:
     """Claims keys for gateways under one epoch of a shard.
@@ -119,9 +43,6 @@
     :param previous: the owner record before this epoch; ``None`` for the first.
     :param marks: this daemon's own marks, which it may hold as the second of the
         previous owner.
-
-    ``marked`` is what is uncertain of keys with a mark on a second daemon,
-    ``unmarked`` of those kept in the owner's memory only.
     """
 
     context: NodeContext
@@ -134,34 +55,25 @@
     ledger: KeyLedger = None
     pending: dict[str, PendingClaim] = Factory(dict)
     running_until_ms: dict[str, int] = Factory(dict)
-    collections: dict[str, Collection] = Factory(dict)
-    second: SecondState = Factory(SecondState)
-    marked: Uncertainty = Factory(Uncertainty)
-    unmarked: Uncertainty = Factory(Uncertainty)
+    collector: MarkCollector = None
+    second: SecondDaemon = None
     ledger_bytes: int = 0
     next_sweep_ms: int = 0
     deposed: bool = False
 
     def __attrs_post_init__(self) -> None:
         """Start with what this daemon holds itself."""
+        settings = self.context.settings
         self.ledger = KeyLedger(self.shard)
         self.marks.fence(self.shard, self.epoch)
-        if self.previous is None:
-            return
-        horizon_ms = self.context.settings.members.orphan_horizon_ms
-        margin_ms = self.context.settings.tasks.clock_margin_ms
-        fenced_ms = self.acquired_ms + horizon_ms + margin_ms
-        until_ms = fenced_ms + self._longest_window()
-        self.marked = Uncertainty(fenced_ms, until_ms)
-        self.unmarked = Uncertainty(fenced_ms, until_ms)
-        after = ""
-        while True:
-            page = self.marks.collect(self.shard, self.epoch, after)
-            records = self._merge_page(page)
-            if not page.more:
-                break
-            after = records[-1].name
-        self._judge_answer(self.peers.own_id, page, self.acquired_ms)
+        self.second = SecondDaemon(
+            self.shard, self.epoch, self.peers, self.context.next_call
+        )
+        self.collector = MarkCollector(
+            self.shard, self.epoch, self.peers, self._longest_window(), self.previous
+        )
+        horizon_ms = settings.members.orphan_horizon_ms + settings.tasks.clock_margin_ms
+        self._merge(self.collector.begin(self.marks, horizon_ms, self.acquired_ms))
 
     # --- events -------------------------------------------------------------------
 
@@ -188,7 +100,7 @@
 
     def is_certain(self, now_ms: int) -> bool:
         """Tell whether all keys are known that earlier owners dispatched."""
-        return now_ms >= self.marked.until_ms
+        return now_ms >= self.collector.marked.until_ms
 
     def depose(self, now_ms: int) -> list[ports.Command]:
         """Stop dispatching for good and leave the ledger for the new owner."""
@@ -201,10 +113,10 @@
             for claim in self.pending.values()
         ]
         self.pending.clear()
-        if now_ms >= self.marked.fenced_ms:
+        if now_ms >= self.collector.marked.fenced_ms:
             self.ledger.complete_epoch = self.epoch
-            self.ledger.uncertain_until_ms = self.marked.until_ms
-            self.ledger.from_owner = now_ms >= self.unmarked.until_ms
+            self.ledger.uncertain_until_ms = self.collector.marked.until_ms
+            self.ledger.from_owner = now_ms >= self.collector.unmarked.until_ms
         self.marks.keep(self.ledger)
         return answers
 
@@ -213,7 +125,7 @@
             self.next_sweep_ms = now_ms + SWEEP_MS
             self._sweep(now_ms)
         return [
-            *self._collect(now_ms),
+            *([] if self.deposed else self.collector.ask(now_ms)),
             *self._advance_second(now_ms),
             *self._resend_marks(now_ms),
         ]
@@ -270,7 +182,9 @@
         return None
 
     def _uncertainty_of(self, body: api.BeginKey) -> Uncertainty:
-        return self.unmarked if self._in_memory(body) else self.marked
+        if self._in_memory(body):
+            return self.collector.unmarked
+        return self.collector.marked
 
     def _in_memory(self, body: api.BeginKey) -> bool:
         template = self.context.view.service(body.team, body.service)
@@ -337,7 +251,7 @@
             self.ledger_bytes += held.size_bytes
         else:
             del self.ledger.keys[name]
-        return self._to_second(outcome)
+        return self.second.send(outcome)
 
     def _make_outcome(self, body: api.FinishKey) -> messages.KeyOutcome:
         limit = self.context.settings.requests.key_body_limit_bytes
@@ -363,17 +277,11 @@
         )
         return [
             ports.ApiAnswer(claim.call_id, fault),
-            *self._to_second(self._make_outcome(released)),
+            *self.second.send(self._make_outcome(released)),
         ]
 
     # --- the second daemon --------------------------------------------------------
 
-    def _to_second(self, message: messages.PeerMessage) -> list[ports.Command]:
-        address = self.peers.address_of(self.second.member_id)
-        if not address:
-            return []
-        return [ports.SendPeer(self.second.member_id, address, message)]
-
     def _resend_marks(self, now_ms: int) -> list[ports.Command]:
         commands: list[ports.Command] = []
         for name, claim in list(self.pending.items()):
@@ -383,7 +291,7 @@
                 commands.extend(self._give_up(name, fault))
             elif self.second.ready and now_ms >= claim.sent_ms + RESEND_MS:
                 claim.sent_ms = now_ms
-                commands.extend(self._to_second(claim.mark))
+                commands.extend(self.second.send(claim.mark))
         return commands
 
     def _take_mark(
@@ -399,70 +307,31 @@
         if not found or sender != self.second.member_id or not self.second.ready:
             return []
         if not marked.held:
-            self._adopt_again()
+            self.second.restart(self.second.member_id)
             return self._advance_second(now_ms)
         name, claim = found[0]
         del self.pending[name]
         return self._claim(claim.mark, claim.call_id, now_ms)
 
-    def _adopt_again(self) -> None:
-        member_id = self.second.member_id
-        self.second = SecondState(member_id, self.context.next_call())
-
     def _advance_second(self, now_ms: int) -> list[ports.Command]:
         wanted = self.peers.second()
         if wanted != self.second.member_id:
-            self.second = SecondState(wanted, self.context.next_call())
-        if self.second.ready or self.deposed or not self._may_adopt(wanted):
+            self.second.restart(wanted)
+        if self.deposed or not self.collector.may_adopt(wanted):
             return []
-        if now_ms < self.marked.fenced_ms or now_ms < self.second.sent_ms + RESEND_MS:
+        if now_ms < self.collector.marked.fenced_ms:
             return []
-        incarnation = self.peers.incarnation_of(wanted)
-        if self.second.sent and self.second.sent.incarnation != incarnation:
-            self._adopt_again()
-        if self.second.sent is None:
-            self._make_page()
-        self.second.sent_ms = now_ms
-        return self._to_second(self.second.sent)
-
-    def _make_page(self) -> None:
-        state = self.second
-        page, more = self.ledger.page_after(state.after)
-        state.after = page[-1].name if page else state.after
-        state.sent = messages.AdoptSecond(
-            self.shard,
-            self.epoch,
-            state.adoption_id,
-            self.peers.incarnation_of(state.member_id),
-            state.page,
-            not more,
-            tuple(item.mark for item in page),
-            outcomes_of(page),
-            self.marked.until_ms,
-        )
-
-    def _may_adopt(self, member_id: str) -> bool:
-        if not member_id or member_id == self.peers.own_id:
-            return False
-        if self.previous is None:
-            return True
-        return member_id in self.collections and self.collections[member_id].done
+        return self.second.advance(self.ledger, self.collector.marked.until_ms, now_ms)
 
     def _take_adopted(
         self, sender: str, adopted: messages.SecondAdopted, now_ms: int
     ) -> list[ports.Command]:
         if adopted.epoch > self.epoch:
             return self.depose(now_ms)
-        state = self.second
-        current = (state.member_id, state.adoption_id, state.page)
-        if state.ready or current != (sender, adopted.adoption_id, adopted.page):
-            return []
-        if state.sent is None:
+        if not self.second.take_adopted(sender, adopted):
             return []
-        if not state.sent.last:
-            state.sent, state.page, state.sent_ms = None, state.page + 1, 0
+        if not self.second.ready:
             return self._advance_second(now_ms)
-        state.ready = True
         for claim in self.pending.values():
             # A late answer for the mark's old id may come from before a restart.
             claim.mark = evolve(claim.mark, mark_id=self.context.next_call())
@@ -471,59 +340,25 @@
 
     # --- takeover -----------------------------------------------------------------
 
-    def _collect(self, now_ms: int) -> list[ports.Command]:
-        if self.previous is None or self.deposed:
-            return []
-        commands = []
-        for member_id in self.peers.members():
-            item = self.collections.setdefault(member_id, Collection())
-            address = self.peers.address_of(member_id)
-            if item.done or not address or now_ms < item.sent_ms + RESEND_MS:
-                continue
-            item.sent_ms = now_ms
-            message = messages.CollectMarks(self.shard, self.epoch, item.after)
-            commands.append(ports.SendPeer(member_id, address, message))
-        return commands
-
     def _take_collected(
         self, sender: str, page: messages.MarksCollected, now_ms: int
     ) -> list[ports.Command]:
-        item = self.collections.get(sender)
-        if item is None or item.done or page.after != item.after or self.deposed:
+        if self.deposed:
             return []
-        records = self._merge_page(page)
-        if page.more and records:
-            item.after, item.sent_ms = records[-1].name, 0
-            return self._collect(now_ms)
-        item.done = True
-        self._judge_answer(sender, page, now_ms)
-        return self._advance_second(now_ms)
-
-    def _merge_page(self, page: messages.MarksCollected) -> list[MarkedKey]:
-        records = join_records(page.marks, page.outcomes)
-        news = [self.ledger.merge(item) for item in records if self._is_new(item)]
-        if any(news) and self.second.member_id:
-            self._adopt_again()
-        return records
-
-    def _is_new(self, item: MarkedKey) -> bool:
-        return item.name not in self.pending
-
-    def _judge_answer(
-        self, sender: str, page: messages.MarksCollected, now_ms: int
-    ) -> None:
-        previous = self.previous
-        if sender not in (previous.owner, *previous.seconds):
-            return
-        whole = page.complete and page.epoch == previous.epoch
-        if not whole and (previous.epoch > 1 or len(previous.seconds) > 1):
-            # The epoch before may not have been fenced by the one that ended.
-            return
-        until_ms = page.uncertain_until_ms if whole else now_ms + self._longest_window()
-        if self.marked.lower(now_ms, until_ms) and self.second.member_id:
-            self._adopt_again()
-        if page.from_owner or (not whole and sender == previous.owner):
-            self.unmarked.lower(now_ms, until_ms)
+        until_ms = self.collector.marked.until_ms
+        records = self.collector.take(sender, page, now_ms)
+        if records is None:
+            return []
+        news = self._merge(records) or until_ms != self.collector.marked.until_ms
+        if news and self.second.member_id:
+            self.second.restart(self.second.member_id)
+        return [*self.collector.ask(now_ms), *self._advance_second(now_ms)]
+
+    def _merge(self, records: list[MarkedKey]) -> bool:
+        """Add what is not known; tells whether there was anything."""
+        unclaimed = (item for item in records if item.name not in self.pending)
+        news = [self.ledger.merge(item) for item in unclaimed]
+        return any(news)
 
     def _longest_window(self) -> int:
         windows = [
--- /dev/null
+++ b/poplarlb/coordination/key_takeover.py
@@ -0,0 +1,159 @@
+"""What a new owner learns of the keys that earlier owners dispatched."""
+
+from collections.abc import Callable, Iterable
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.marks import MarkedKey, MarkStore, join_records
+from poplarlb.protocol import messages, ports
+
+RESEND_MS = 200
+
+
+@frozen
+class PreviousOwner:
+    """The owner of the epoch before this one.
+
+    ``owner`` is empty if it is not known. The last of the ``seconds`` named by
+    any earlier owner is among ``seconds``.
+    """
+
+    epoch: int
+    owner: str
+    seconds: tuple[str, ...]
+
+
+@frozen
+class KeyPeers:
+    """What the table needs to know of the other daemons.
+
+    ``members`` and ``second`` return member ids, ``second`` the one that the
+    owner record names now; ``proof_ms`` returns when a read that proved the
+    ownership was last sent.
+    """
+
+    own_id: str
+    address_of: Callable[[str], str]
+    incarnation_of: Callable[[str], int]
+    members: Callable[[], Iterable[str]]
+    second: Callable[[], str]
+    proof_ms: Callable[[], int]
+
+
+@define
+class Collection:
+    """The marks that one member holds, read page by page."""
+
+    after: str = ""
+    sent_ms: int = 0
+    done: bool = False
+
+
+@define
+class Uncertainty:
+    """What a new owner can't know of earlier epochs.
+
+    Until ``fenced_ms`` an earlier owner may still dispatch. From then until
+    ``until_ms`` a key may have been dispatched without this owner knowing it.
+    """
+
+    fenced_ms: int = 0
+    until_ms: int = 0
+
+    def lower(self, fenced_ms: int, until_ms: int) -> bool:
+        """Take the earlier instants; tells whether any changed."""
+        before = (self.fenced_ms, self.until_ms)
+        self.fenced_ms = min(self.fenced_ms, fenced_ms)
+        self.until_ms = min(self.until_ms, until_ms)
+        return before != (self.fenced_ms, self.until_ms)
+
+
+@define
+class MarkCollector:
+    """Collects the marks of every member, and judges when they are whole.
+
+    ``marked`` is what is uncertain of keys with a mark on a second daemon,
+    ``unmarked`` of those kept in an owner's memory only.
+
+    :param window_ms: how long a key is kept at most.
+    """
+
+    shard: str
+    epoch: int
+    peers: KeyPeers
+    window_ms: int
+    previous: PreviousOwner | None = None
+    marked: Uncertainty = Factory(Uncertainty)
+    unmarked: Uncertainty = Factory(Uncertainty)
+    collections: dict[str, Collection] = Factory(dict)
+
+    def begin(self, marks: MarkStore, horizon_ms: int, now_ms: int) -> list[MarkedKey]:
+        """Return what this daemon holds itself.
+
+        :param horizon_ms: how long an owner dispatches without proof.
+        """
+        if self.previous is None:
+            return []
+        fenced_ms = now_ms + horizon_ms
+        until_ms = fenced_ms + self.window_ms
+        self.marked = Uncertainty(fenced_ms, until_ms)
+        self.unmarked = Uncertainty(fenced_ms, until_ms)
+        records: list[MarkedKey] = []
+        while True:
+            after = records[-1].name if records else ""
+            page = marks.collect(self.shard, self.epoch, after)
+            records.extend(join_records(page.marks, page.outcomes))
+            if not page.more:
+                self._judge(self.peers.own_id, page, now_ms)
+                return records
+
+    def may_adopt(self, member_id: str) -> bool:
+        """Tell whether a daemon may become the second: its marks are known."""
+        if not member_id or member_id == self.peers.own_id:
+            return False
+        if self.previous is None:
+            return True
+        return member_id in self.collections and self.collections[member_id].done
+
+    def ask(self, now_ms: int) -> list[ports.Command]:
+        """Ask every member for its next page."""
+        if self.previous is None:
+            return []
+        commands = []
+        for member_id in self.peers.members():
+            item = self.collections.setdefault(member_id, Collection())
+            address = self.peers.address_of(member_id)
+            if item.done or not address or now_ms < item.sent_ms + RESEND_MS:
+                continue
+            item.sent_ms = now_ms
+            message = messages.CollectMarks(self.shard, self.epoch, item.after)
+            commands.append(ports.SendPeer(member_id, address, message))
+        return commands
+
+    def take(
+        self, sender: str, page: messages.MarksCollected, now_ms: int
+    ) -> list[MarkedKey] | None:
+        """Return the records of a page, or ``None`` if it is not the next one."""
+        item = self.collections.get(sender)
+        if item is None or item.done or page.after != item.after:
+            return None
+        records = join_records(page.marks, page.outcomes)
+        if page.more and records:
+            item.after, item.sent_ms = records[-1].name, 0
+            return records
+        item.done = True
+        self._judge(sender, page, now_ms)
+        return records
+
+    def _judge(self, sender: str, page: messages.MarksCollected, now_ms: int) -> None:
+        previous = self.previous
+        if sender not in (previous.owner, *previous.seconds):
+            return
+        whole = page.complete and page.epoch == previous.epoch
+        if not whole and (previous.epoch > 1 or len(previous.seconds) > 1):
+            # The epoch before may not have been fenced by the one that ended.
+            return
+        until_ms = page.uncertain_until_ms if whole else now_ms + self.window_ms
+        self.marked.lower(now_ms, until_ms)
+        if page.from_owner or (not whole and sender == previous.owner):
+            self.unmarked.lower(now_ms, until_ms)
--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests.py
@@ -5,7 +5,8 @@
 from poplarlb.coordination.admission import Admission
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
-from poplarlb.coordination.idempotency import KeyPeers, KeyTable, PreviousOwner
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.coordination.membership import Membership
 from poplarlb.coordination.ownership import OwnerRecord, Ownership
--- a/tests/coordination/key_world.py
+++ b/tests/coordination/key_world.py
@@ -5,7 +5,8 @@
 from attrs import Factory, define, evolve
 
 from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyPeers, KeyTable, PreviousOwner
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import MemberSettings, Settings
--- a/tests/coordination/test_idempotency.py
+++ b/tests/coordination/test_idempotency.py
@@ -14,7 +14,8 @@
 )
 
 from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.marks import KeyLedger, MarkStore, join_records
+from poplarlb.coordination.key_takeover import MarkCollector
+from poplarlb.coordination.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 from tests.coordination.key_world import HORIZON_MS, NAMES, WINDOW_MS, KeyWorld, without
@@ -189,11 +190,10 @@
     return self._claim(self._make_mark(body, now_ms), call_id, now_ms)
 
 
-def forget_previous(self):
+def collect_nothing(self, marks, horizon_ms, now_ms):
     """Begin without collecting what earlier epochs dispatched."""
     self.previous = None
-    self.ledger = KeyLedger(self.shard)
-    self.marks.fence(self.shard, self.epoch)
+    return []
 
 
 def believe_not_run(original):
@@ -245,14 +245,14 @@
 
     def begin(self):
         original(self)
-        self.marked.fenced_ms = 0
+        self.collector.marked.fenced_ms = 0
 
     return begin
 
 
-def merge_nothing(self, page):
+def merge_nothing(self, records):
     """Collect, and keep nothing of it."""
-    return join_records(page.marks, page.outcomes)
+    return False
 
 
 def refuse_surely(original):
@@ -270,12 +270,8 @@
 
 PLANTED = {
     "no mark on the second": (KeyTable, "_begin", claim_unmarked),
-    "new owner collects nothing": (
-        KeyTable,
-        "__attrs_post_init__",
-        forget_previous,
-    ),
-    "collected marks dropped": (KeyTable, "_merge_page", merge_nothing),
+    "new owner collects nothing": (MarkCollector, "begin", collect_nothing),
+    "collected marks dropped": (KeyTable, "_merge", merge_nothing),
     "not run believed too early": (
         KeyTable,
         "_answer_repeat",
--- a/tests/transport/owner.py
+++ b/tests/transport/owner.py
@@ -10,7 +10,8 @@
 
 from poplarlb.coordination.admission import Admission, Endpoint
 from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyPeers, KeyTable
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.key_takeover import KeyPeers
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.exceptions import OutcomeUnknownError
 from poplarlb.metrics import Metrics
