--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -6,13 +6,19 @@
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.budget import CallBudget
+from poplarlb.coordination.budget import CallBudget, StoreCallQueue
 from poplarlb.coordination.config import ConfigKeeper, PeerView
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.effects import SendShard
+from poplarlb.coordination.handover import HandOvers
 from poplarlb.coordination.journal import Journal
 from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import Ownership, ShardAcquired, ShardLost
+from poplarlb.coordination.ownership import (
+    HandOverWanted,
+    Ownership,
+    ShardAcquired,
+    ShardLost,
+)
 from poplarlb.coordination.requests import (
     RequestParts,
     Routing,
@@ -64,7 +70,8 @@
     budget: CallBudget = None
     requests: RequestParts = None
     hosts: dict[str, ShardHost] = Factory(dict)
-    delayed_calls: collections.deque[ports.StoreCall] = Factory(collections.deque)
+    handovers: HandOvers = None
+    store_calls: StoreCallQueue = None
     forwarding: dict[int, _Forwarding] = Factory(dict)
     forwarded: dict[int, _ForwardedCall] = Factory(dict)
     next_hosts_ms: int = 0
@@ -77,8 +84,10 @@
         self.shards = ShardMap.from_settings(self.settings.shards)
         self.membership = Membership(self.context, self.own)
         self.ownership = Ownership(self.context, self.membership, self.shards)
+        self.handovers = HandOvers(self.membership, self.ownership, self.hosts)
         self.config = ConfigKeeper(self.context, self.own.peer_address)
         self.budget = CallBudget(self.settings.store)
+        self.store_calls = StoreCallQueue(self.budget)
         self.requests = RequestParts(self.context, self.membership, self.ownership)
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
@@ -104,7 +113,7 @@
             case ports.PeerReceived():
                 outputs = self._take_peer(event, now_ms)
             case ports.ShutdownRequested():
-                outputs = [ports.Stopped()]
+                outputs = self.handovers.stop(now_ms)
         return self._resolve(outputs, now_ms)
 
     def _tick(self, event: ports.Tick, now_ms: int) -> list:
@@ -113,15 +122,14 @@
             *self.membership.handle(event, now_ms, self._own_summaries(now_ms)),
             *self.ownership.handle(event, now_ms),
             *self._to_hosts(event, now_ms),
+            *self.handovers.tick(now_ms),
             *self.requests.tick(now_ms),
             *self._expire_forwarding(now_ms),
         ]
         if now_ms >= self.next_hosts_ms:
             self.next_hosts_ms = now_ms + self.settings.platform.hosts_period_ms
             outputs.append(ports.ReadHosts())
-        delayed = list(self.delayed_calls)
-        self.delayed_calls.clear()
-        return [*delayed, *outputs]
+        return outputs
 
     def _peer_views(self, now_ms: int) -> tuple[PeerView, ...]:
         return tuple(
@@ -150,10 +158,12 @@
                 case ShardLost(shard=shard):
                     pending.extend(self.requests.lose_shard(shard, now_ms))
                     self.hosts.pop(shard, None)
+                case HandOverWanted(shard=shard):
+                    pending.extend(self.handovers.begin(shard, now_ms))
                 case SendShard(message=message):
                     pending.extend(self._send_shard(message, now_ms))
                 case ports.StoreCall():
-                    commands.extend(self._spend(output, now_ms))
+                    self.store_calls.push(output)
                 case ports.ApiAnswer():
                     another = self._try_next_shard(output, now_ms)
                     pending.extend(another)
@@ -161,14 +171,9 @@
                         commands.extend(self._return_answer(output))
                 case _:
                     commands.append(output)
+        commands.extend(self.store_calls.release(now_ms))
         return commands
 
-    def _spend(self, call: ports.StoreCall, now_ms: int) -> list[ports.Command]:
-        if self.budget.take(now_ms):
-            return [call]
-        self.delayed_calls.append(call)
-        return []
-
     def _open_shard(self, acquired: ShardAcquired, now_ms: int) -> list:
         record = acquired.record
         writer = f"{self.own.member_id}/{self.own.incarnation}"
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -8,7 +8,7 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.breaches import BreachMonitor
-from poplarlb.coordination.fairness import is_overdue, order_by_band
+from poplarlb.coordination.fairness import order_by_band
 from poplarlb.coordination.interference import HarmTable
 from poplarlb.coordination.placement import Placement
 from poplarlb.coordination.quarantine import Quarantine
@@ -25,6 +25,7 @@
     PlacedTask,
     QueuedTask,
     Relief,
+    RoomDigests,
     ThrottleWanted,
     WorkerRoom,
 )
@@ -76,6 +77,7 @@
     budget: EvictionBudget = Factory(
         lambda self: EvictionBudget(self.settings.eviction_budget_per_min), True
     )
+    digests: RoomDigests = Factory(RoomDigests)
     targets_ms: dict[str, int] = Factory(dict)
     overdue: set[TaskKey] = Factory(set)
     held: dict[str, HeldWorker] = Factory(dict)
@@ -103,12 +105,9 @@
         now_ms: int,
     ) -> list[QueuedTask]:
         """Return the waiting tasks in the order in which to place them."""
-        self.overdue = {
-            task.spec.key
-            for task in queued
-            if is_overdue(task, view, self.settings, now_ms)
-        }
-        return order_by_band(queued, used_by_team, view, self.settings, now_ms)
+        order = order_by_band(queued, used_by_team, view, self.settings, now_ms)
+        self.overdue = order.overdue
+        return order.tasks
 
     def choose_worker(
         self,
@@ -126,6 +125,7 @@
             view,
             spec,
             reserved,
+            self.digests,
             self._barred_for(spec, now_ms),
             self._held_from(spec, now_ms),
             self._pressed_for(spec, now_ms),
