Ask silent members more rarely; nothing is sent to members without address

Cause: a new owner asked every member for its marks five times a second for as long as one stayed silent, and asked a member that it knows only by name at an empty address, to which the transport then tried to connect for ever.

Change: the wait doubles to 10 s; messages without an address are not sent; connections are kept to the 2,000 endpoints used last.

--- a/poplarlb/coordination/key_takeover.py
+++ b/poplarlb/coordination/key_takeover.py
@@ -8,6 +8,7 @@
 from poplarlb.protocol import messages, ports
 
 RESEND_MS = 200
+LONGEST_RESEND_MS = 10_000
 
 
 @frozen
@@ -45,9 +46,18 @@
     """The marks that one member holds, read page by page."""
 
     after: str = ""
-    sent_ms: int = 0
+    next_ms: int = 0
+    wait_ms: int = RESEND_MS
     done: bool = False
 
+    def is_due(self, now_ms: int) -> bool:
+        """Tell whether to ask now; a silent member is asked ever more rarely."""
+        if self.done or now_ms < self.next_ms:
+            return False
+        self.next_ms = now_ms + self.wait_ms
+        self.wait_ms = min(2 * self.wait_ms, LONGEST_RESEND_MS)
+        return True
+
 
 @define
 class Uncertainty:
@@ -123,9 +133,8 @@
         for member_id in self.peers.members():
             item = self.collections.setdefault(member_id, Collection())
             address = self.peers.address_of(member_id)
-            if item.done or not address or now_ms < item.sent_ms + RESEND_MS:
+            if not address or not item.is_due(now_ms):
                 continue
-            item.sent_ms = now_ms
             message = messages.CollectMarks(self.shard, self.epoch, item.after)
             commands.append(ports.SendPeer(member_id, address, message))
         return commands
@@ -139,7 +148,8 @@
             return None
         records = join_records(page.marks, page.outcomes)
         if page.more and records:
-            item.after, item.sent_ms = records[-1].name, 0
+            item.after, item.next_ms = records[-1].name, 0
+            item.wait_ms = RESEND_MS
             return records
         item.done = True
         self._judge(sender, page, now_ms)
--- a/poplarlb/coordination/marks.py
+++ b/poplarlb/coordination/marks.py
@@ -154,9 +154,10 @@
         match event:
             case ports.PeerReceived(sender=sender, message=message):
                 answer = self._answer(message)
-                if answer is None:
+                address = self.address_of(sender)
+                if answer is None or not address:
                     return []
-                return [ports.SendPeer(sender, self.address_of(sender), answer)]
+                return [ports.SendPeer(sender, address, answer)]
             case ports.Tick():
                 for ledger in self.ledgers.values():
                     ledger.drop_expired(now_ms)
--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests.py
@@ -211,10 +211,15 @@
                 event = ports.PeerReceived(name, report)
                 commands.extend(admission.handle(event, now_ms))
             else:
-                address = self.membership.address_of(name)
-                commands.append(ports.SendPeer(name, address, wanted))
+                commands.extend(self._send(name, wanted))
         return commands
 
+    def _send(
+        self, member_id: str, message: messages.PeerMessage
+    ) -> list[ports.Command]:
+        address = self.membership.address_of(member_id)
+        return [ports.SendPeer(member_id, address, message)] if address else []
+
     def handle_key(
         self, event: ports.ApiRequested, shard: str, now_ms: int
     ) -> list[ports.Command]:
@@ -256,8 +261,7 @@
             commands.extend(self.lose_shard(wanted.shard, now_ms))
         report = self._report_grants(wanted)
         if report is not None:
-            address = self.membership.address_of(sender)
-            commands.append(ports.SendPeer(sender, address, report))
+            commands.extend(self._send(sender, report))
         return commands
 
     def _report_grants(
--- a/poplarlb/transport/endpoints.py
+++ b/poplarlb/transport/endpoints.py
@@ -13,6 +13,7 @@
 from poplarlb.transport.bodies import CHUNK_BYTES, RequestBody
 
 CONNECT_TIMEOUT_S = 1.0
+POOLS_LIMIT = 2_000
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -74,7 +75,10 @@
 
 @define
 class EndpointClient:
-    """Keeps connections to endpoints, at most as many as each grant allows."""
+    """Keeps connections to the endpoints that were used last.
+
+    There are at most as many idle ones to each as its grant allows.
+    """
 
     pools: dict[str, urllib3.HTTPConnectionPool] = Factory(dict)
     lock: threading.Lock = Factory(threading.Lock)
@@ -102,10 +106,12 @@
 
     def _pool_for(self, grant: api.Grant) -> urllib3.HTTPConnectionPool:
         with self.lock:
-            pool = self.pools.get(grant.address)
+            pool = self.pools.pop(grant.address, None)
             if pool is None:
                 pool = self._make_pool(grant.address, grant.idle_connections)
-                self.pools[grant.address] = pool
+            self.pools[grant.address] = pool
+            if len(self.pools) > POOLS_LIMIT:
+                self.pools.pop(next(iter(self.pools))).close()
             return pool
 
     def _make_pool(self, address: str, idle: int) -> urllib3.HTTPConnectionPool:
