--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -28,6 +28,7 @@
     RoomDigests,
     ThrottleWanted,
     WorkerRoom,
+    service_of,
 )
 from poplarlb.coordination.sizes import SizeLearner
 from poplarlb.settings import PolicySettings
@@ -166,9 +167,26 @@
         self.sizes.note_capacity(room.worker.capacity)
         specs = {task.spec.key: task.spec for task in room.tasks}
         self.sizes.note_report(report, specs)
+        self._note_latencies(report, room, now_ms)
         self.harm.note_report(report, room.tasks)
         self.harm.note_room(room, now_ms)
 
+    def _note_latencies(
+        self, report: WorkerReport, room: WorkerRoom, now_ms: int
+    ) -> None:
+        names = {
+            task.spec.service: service_of(task.spec)
+            for task in room.tasks
+            if task.spec.service
+        }
+        for latency in report.service_latency_ms:
+            name = names.get(latency.service)
+            if name is not None:
+                target_ms = self.targets_ms.get(name, DEFAULT_TARGET_MS)
+                self.breaches.note_report(
+                    name, report.worker_id, latency, target_ms, now_ms
+                )
+
     def observe_end(
         self,
         spec: TaskSpec,
--- a/tests/coordination/test_relief.py
+++ b/tests/coordination/test_relief.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.breaches import BreachMonitor
+from poplarlb.coordination.breaches import BreachMonitor, late_share_of
 from poplarlb.coordination.policy import (
     EvictionWanted,
     PlacedTask,
@@ -252,6 +252,26 @@
                 monitor.note("s", "w", i < late, now_ms)
             self.assertEqual(monitor.check("s", "w", now_ms).breached, breached)
 
+    def test_reports_alone_reveal_a_breach(self) -> None:
+        """Where no request is seen, lagging reports lead to a limit."""
+        policy = Policy(PolicySettings())
+        replica, task = placed(replica_of(0)), task_of("a", "a")
+        room = room_of("w0", replica, task)
+        planned = []
+        for second in range(1, 31):
+            now_ms = second * 1_000
+            if second % 10 == 0:
+                latencies = (ServiceLatency("orders", 40.0, 90.0, 500),)
+                report = WorkerReport("w0", now_ms, now_ms - 5_000, (), latencies)
+                policy.observe_report(report, room, now_ms)
+            planned += policy.plan_relief([room], VIEW, now_ms)
+        self.assertTrue(planned)
+        self.assertIsInstance(planned[0], ThrottleWanted)
+        share = late_share_of(ServiceLatency("s", 10.0, 20.0, 9), 20.0)
+        self.assertEqual(share, 0.0)
+        share = late_share_of(ServiceLatency("s", 10.0, 20.0, 9), 19.99)
+        self.assertAlmostEqual(share, 0.01, delta=0.001)
+
 
 class QuarantineTest(unittest.TestCase):
     """Failing workers and failing jobs."""
