Policy: learned tables are bounded and forget workers that left

Cause: a caller chooses work_kind, so sizes, harm pairs and failing kinds grew with every new name, and records of replaced hosts stayed for ever. Change: the tables keep what was written last (1,000 kinds, 5,000 pairs, 2,000 failing kinds) and drop workers that the shard no longer lists.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -126,10 +126,9 @@
         self, rooms: Sequence[WorkerRoom], view: ConfigView, now_ms: int
     ) -> list[Relief]:
         """Evict the largest task from each worker with a service in breach."""
-        super().plan_relief((), view, now_ms)
+        self.note_state(rooms, view, now_ms)
         planned = []
         for room in rooms:
-            self.harm.note_room(room, now_ms)
             batch = [t for t in room.tasks if not t.spec.service and not t.stopping]
             if not batch or not self._is_breached(room, now_ms):
                 continue
--- a/poplarlb/coordination/interference.py
+++ b/poplarlb/coordination/interference.py
@@ -17,6 +17,7 @@
 
 from attrs import Factory, define, frozen
 
+from poplarlb.coordination.recent import keep_recent
 from poplarlb.coordination.rooms import (
     PlacedTask,
     WorkerRoom,
@@ -37,6 +38,7 @@
 BASELINE_DRIFT_PER_S = 0.02
 CLIP_DEVIATIONS = 2.5
 HISTORY_KEPT = 64
+PAIRS_KEPT = 5_000
 
 
 @frozen
@@ -103,7 +105,9 @@
     """Estimates of the harm that kinds of batch work do to services."""
 
     settings: PolicySettings
-    pairs: dict[tuple[str, str], Estimate] = Factory(dict)
+    pairs: collections.OrderedDict[tuple[str, str], Estimate] = Factory(
+        collections.OrderedDict
+    )
     baselines: dict[str, Estimate] = Factory(dict)
     histories: dict[str, MixtureHistory] = Factory(dict)
     windows: dict[tuple[str, str], LatencyWindow] = Factory(dict)
@@ -216,6 +220,7 @@
         if pair is None:
             pair = Estimate(self.settings.harm_prior, PRIOR_DEVIATION**2, at_ms)
             self.pairs[service, kind] = pair
+        keep_recent(self.pairs, (service, kind), PAIRS_KEPT)
         passed_ms = max(0, at_ms - pair.at_ms)
         fade = 0.5 ** (passed_ms / self.settings.harm_half_life_ms)
         prior = PRIOR_DEVIATION**2
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy.py
@@ -12,6 +12,7 @@
 from poplarlb.coordination.interference import HarmTable
 from poplarlb.coordination.placement import Placement
 from poplarlb.coordination.quarantine import Quarantine
+from poplarlb.coordination.recent import forget_absent
 from poplarlb.coordination.relief import (
     EvictionBudget,
     EvictionCosts,
@@ -224,6 +225,13 @@
         if now_ms < self.next_relief_ms:
             return []
         self.next_relief_ms = now_ms + self.settings.relief_period_ms
+        self.note_state(rooms, view, now_ms)
+        return self.planner.plan(rooms, view, now_ms)
+
+    def note_state(
+        self, rooms: Sequence[WorkerRoom], view: ConfigView, now_ms: int
+    ) -> None:
+        """Take the services' targets and weights, and what runs at each worker."""
         self.targets_ms = {
             f"{team.team}/{service.name}": service.target_ms
             for team in view.teams
@@ -234,14 +242,28 @@
             for team in view.teams
             for service in team.services
         }
+        self._forget_absent(rooms)
         for room in rooms:
             self.harm.note_room(room, now_ms)
-        return self.planner.plan(rooms, view, now_ms)
 
     def quarantined(self, now_ms: int) -> tuple[str, ...]:
         """Return the workers that get no starts because they fail too often."""
         return self.quarantine.barred(now_ms)
 
+    def _forget_absent(self, rooms: Sequence[WorkerRoom]) -> None:
+        """Drop what is known of workers that the shard no longer has."""
+        present = {room.worker.worker_id for room in rooms}
+        for table in (
+            self.harm.histories,
+            self.quarantine.workers,
+            self.planner.workers,
+            self.digests.by_worker,
+        ):
+            forget_absent(table, present)
+        for table in (self.harm.windows, self.breaches.shares):
+            for key in [key for key in table if key[1] not in present]:
+                del table[key]
+
     def _note_rooms(self, rooms: Sequence[WorkerRoom]) -> None:
         self.quarantine.known_workers = len(rooms)
         for room in rooms:
--- a/poplarlb/coordination/quarantine.py
+++ b/poplarlb/coordination/quarantine.py
@@ -5,6 +5,7 @@
 
 from attrs import Factory, define
 
+from poplarlb.coordination.recent import keep_recent
 from poplarlb.coordination.rooms import kind_of
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import TaskKey, TaskSpec
@@ -65,7 +66,9 @@
     failed_at: collections.OrderedDict[TaskKey, set[str]] = Factory(
         collections.OrderedDict
     )
-    kind_failed_at: dict[str, set[str]] = Factory(dict)
+    kind_failed_at: collections.OrderedDict[str, set[str]] = Factory(
+        collections.OrderedDict
+    )
     known_workers: int = 0
 
     def note_end(
@@ -133,10 +136,10 @@
         """Tell whether a failure speaks against the worker rather than the job."""
         places = self.failed_at.setdefault(spec.key, set())
         places.add(worker_id)
-        if len(self.failed_at) > BLAMED_JOBS_KEPT:
-            self.failed_at.popitem(last=False)
+        keep_recent(self.failed_at, spec.key, BLAMED_JOBS_KEPT)
         kind_places = self.kind_failed_at.setdefault(kind_of(spec), set())
         kind_places.add(worker_id)
+        keep_recent(self.kind_failed_at, kind_of(spec), BLAMED_JOBS_KEPT)
         if sum(map(self._is_good, places)) < WORKERS_TO_CLEAR:
             return len(kind_places) <= WORKERS_TO_CLEAR
         for place in places:
@@ -148,7 +151,9 @@
         return record is None or record.standing is Standing.GOOD
 
     def _take_back(self, worker_id: str, key: TaskKey) -> None:
-        record = self.workers[worker_id]
+        record = self.workers.get(worker_id)
+        if record is None:
+            return
         kept = [item for item in record.results if item != (False, key)]
         record.results.clear()
         record.results.extend(kept)
--- a/poplarlb/coordination/sizes.py
+++ b/poplarlb/coordination/sizes.py
@@ -8,6 +8,7 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.amounts import smaller
+from poplarlb.coordination.recent import keep_recent
 from poplarlb.coordination.rooms import kind_of
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkerReport
@@ -15,6 +16,7 @@
 PEAKS_KEPT = 64
 RUN_TIMES_KEPT = 32
 SAMPLES_NEEDED = 5
+KINDS_KEPT = 1_000
 
 
 @define
@@ -62,7 +64,7 @@
     """Learns sizes and run times by team and kind of work."""
 
     settings: PolicySettings
-    kinds: dict[str, KindRecord] = Factory(dict)
+    kinds: collections.OrderedDict[str, KindRecord] = Factory(collections.OrderedDict)
     capacities: set[Resources] = Factory(set)
 
     def note_capacity(self, capacity: Resources) -> None:
@@ -75,13 +77,17 @@
             spec = specs.get(task.key)
             if spec is None or task.used == Resources():
                 continue
-            record = self.kinds.setdefault(kind_of(spec), KindRecord())
+            record = self._record(kind_of(spec))
             record.note_peak(task.key, task.used)
 
     def note_run_time(self, spec: TaskSpec, run_time_ms: int) -> None:
         """Learn from the run time of a task that succeeded."""
-        record = self.kinds.setdefault(kind_of(spec), KindRecord())
-        record.run_times_ms.append(run_time_ms)
+        self._record(kind_of(spec)).run_times_ms.append(run_time_ms)
+
+    def _record(self, kind: str) -> KindRecord:
+        record = self.kinds.setdefault(kind, KindRecord())
+        keep_recent(self.kinds, kind, KINDS_KEPT)
+        return record
 
     def reserve_for(self, spec: TaskSpec) -> Resources:
         """Return the larger of the declared and the learned size.
--- a/tests/coordination/test_relief.py
+++ b/tests/coordination/test_relief.py
@@ -273,6 +273,33 @@
         self.assertAlmostEqual(share, 0.01, delta=0.001)
 
 
+class MemoryTest(unittest.TestCase):
+    """Nothing grows with the names that callers choose, or with replaced hosts."""
+
+    def test_tables_are_bounded(self) -> None:
+        """Many kinds of work and many workers leave bounded tables."""
+        policy = Policy(PolicySettings())
+        replica = placed(replica_of(0))
+        for number in range(6_000):
+            task = task_of(f"t{number}", f"kind{number}")
+            room = room_of(f"w{number}", replica, task)
+            policy.plan_relief([room], VIEW, number * 1_000)
+            latencies = (ServiceLatency("orders", 40.0, 90.0, 500),)
+            at_ms = number * 1_000 + 1
+            report = WorkerReport(f"w{number}", at_ms, at_ms, (), latencies)
+            policy.observe_report(report, room, at_ms)
+            spec = task.spec
+            policy.observe_end(spec, f"w{number}", number % 2 == 0, 1_000, at_ms)
+            lasting = spec_of("lasting", work_kind="lasting")
+            policy.observe_end(lasting, f"w{number}", False, 0, at_ms)
+        self.assertLessEqual(len(policy.sizes.kinds), 1_000)
+        self.assertLessEqual(len(policy.harm.pairs), 5_000)
+        self.assertLessEqual(len(policy.quarantine.kind_failed_at), 2_000)
+        for table in (policy.harm.histories, policy.breaches.shares):
+            self.assertLessEqual(len(table), 2)
+        self.assertLessEqual(len(policy.quarantine.workers), 2)
+
+
 class QuarantineTest(unittest.TestCase):
     """Failing workers and failing jobs."""
 
