--- a/examples/demo.py
+++ b/examples/demo.py
@@ -41,8 +41,6 @@
 hosts_period_ms = 300
 [shards]
 zones = [{zones}]
-[members]
-orphan_horizon_ms = 10000
 [tasks]
 renew_period_ms = 500
 lease_ms = 8000
--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -448,7 +448,8 @@
         statuses, unreachable = [first], []
         for name, address in sorted(addresses.items()):
             try:
-                answer = client.send_once(address, "GET", quote("status"))
+                url = client.with_scheme(address)
+                answer = client.send_once(url, "GET", quote("status"))
                 statuses.append(answer.table())
             except PoplarlbError:
                 unreachable.append(f"{name} ({address})")
--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -83,6 +83,11 @@
             os.environ.get(AUTHORITY_VARIABLE, ""),
         )
 
+    def with_scheme(self, address: str) -> str:
+        """Return a member's address with the scheme of the named daemons."""
+        secure = any(item.startswith("https://") for item in self.daemons)
+        return f"https://{address}" if secure else address
+
     def call(
         self, method: str, path: str, table: dict | None = None, repeatable: bool = True
     ) -> dict:
