--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -2,7 +2,7 @@
 
 import functools
 
-from attrs import define, frozen
+from attrs import Factory, define, frozen
 
 from poplarlb.coordination.admission import Endpoint
 from poplarlb.coordination.core import ShardCore
@@ -29,6 +29,7 @@
 )
 
 UPKEEP_PERIOD_MS = 1_000
+WATCH_PERIOD_MS = 200
 SUMMARY_PERIOD_MS = 200
 TO_HOME = (
     messages.AttemptPlaced
@@ -63,8 +64,10 @@
     drain: Drain = None
     authority: QuotaAuthority = None
     next_quota_ms: int = 0
+    next_watch_ms: int = 0
     next_upkeep_ms: int = 0
     resending: bool = False
+    sender_epochs: dict[str, int] = Factory(dict)
     last_summary: messages.ShardSummary | None = None
     summary_until_ms: int = 0
 
@@ -118,8 +121,10 @@
     # --- events -----------------------------------------------------------------------
 
     def _tick(self) -> None:
-        self.contacts.update()
-        self.places.end_lost()
+        if self.core.now_ms >= self.next_watch_ms:
+            self.next_watch_ms = self.core.now_ms + WATCH_PERIOD_MS
+            self.contacts.update()
+            self.places.end_lost()
         self.drain.tick(shard_zone(self.core.shard))
         # What ended above must reach the home records before the queue is read.
         self._finish()
@@ -154,6 +159,10 @@
         if message.recipient != self.core.shard or not self._is_from_party(message):
             self.core.counters["messages_refused"] += 1
             return
+        if message.epoch < self.sender_epochs.get(message.sender, 0):
+            self.core.counters["messages_of_old_epochs"] += 1
+            return
+        self.sender_epochs[message.sender] = message.epoch
         match message.body:
             case messages.QuotaWanted() | messages.QuotaShare() as body:
                 self._take_quota(message.sender, body)
--- a/tests/coordination/key_world.py
+++ b/tests/coordination/key_world.py
@@ -5,7 +5,8 @@
 from attrs import Factory, define, evolve
 
 from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyPeers, KeyTable, PreviousOwner
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import MemberSettings, Settings
@@ -140,7 +141,7 @@
             self.read_record(name)
             return
         old = self.record
-        previous = PreviousOwner(old.epoch, old.owner, old.second)
+        previous = PreviousOwner(old.epoch, old.owner, (old.second,))
         self.record = OwnerEntry(old.epoch + 1, name, second)
         daemon.known = evolve(self.record)
         daemon.proof_ms = self.now_ms
--- a/tests/coordination/shard_world.py
+++ b/tests/coordination/shard_world.py
@@ -212,7 +212,7 @@
     offsets_ms: dict[str, int] = Factory(dict)
     pending: dict[int, tuple[api.ApiBody, int, str]] = Factory(dict)
     answers: list[Answered] = Factory(list)
-    reported: frozenset = frozenset()
+    reported: dict = Factory(dict)
     worker_delay_ms: int = 10
     lose: float = 0.0
     repeat: float = 0.0
@@ -397,6 +397,10 @@
 
         self.after(there_ms, arrive)
 
+    def was_reachable(self, worker_id: str, from_ms: int, to_ms: int) -> bool:
+        """Tell that nothing is known of a worker's reach."""
+        return False
+
     # --- callers and operators --------------------------------------------------------
 
     def ask(self, body: api.ApiBody, shard: str) -> None:
