Coordination at 60 daemons: fewer looks at free shards, figures

Cause: at 60 daemons and 44 shards each tick looked at every shard for a claim and each heartbeat at every summary of every peer.

Change: claims are considered five times a second, and summaries only when a heartbeat brings some.

--- a/poplarlb/coordination/membership.py
+++ b/poplarlb/coordination/membership.py
@@ -245,7 +245,8 @@
         known = peer.heartbeat.summaries if peer.heartbeat else ()
         merged = {item.shard: item for item in (*known, *beat.summaries)}
         peer.heartbeat = evolve(beat, summaries=tuple(merged.values()))
-        self._drop_outdated(sender, beat.summaries)
+        if beat.summaries:
+            self._drop_outdated(sender, beat.summaries)
         # A peer that sends sooner than we would wants to know whether we live.
         full_rate_ms = self.context.settings.members.heartbeat_ms
         if now_ms - peer.sent_ms >= full_rate_ms:
--- a/poplarlb/coordination/ownership.py
+++ b/poplarlb/coordination/ownership.py
@@ -10,6 +10,7 @@
 READ_PERIOD_MS = 1_000
 MOVE_PERIOD_MS = 2_000
 REVIEW_PERIOD_MS = 500
+CLAIM_PERIOD_MS = 200
 MOVES_WHILE_STOPPING = 4
 EARLIER_SECONDS_KEPT = 8
 
@@ -87,6 +88,7 @@
     next_read_ms: int = 0
     next_move_ms: int = 0
     claims_from_ms: int = 0
+    next_claim_ms: int = 0
 
     def owner_of(self, shard: str) -> OwnerRecord | None:
         """Return the last known owner record of a shard."""
@@ -304,8 +306,9 @@
 
     def _claim(self, now_ms: int) -> list[OwnershipOutput]:
         ready = self.membership.registered and not self.membership.stopping
-        if not ready or not self.read_answered_ms:
+        if not ready or not self.read_answered_ms or now_ms < self.next_claim_ms:
             return []
+        self.next_claim_ms = now_ms + CLAIM_PERIOD_MS
         live = self.membership.live_members(now_ms)
         return [
             self._write(self._next_record(shard, self.membership.own, now_ms), now_ms)
