Stop a replica only after the requests that it serves

Cause: a replica that leaves a zone or a template was stopped with the next call to its worker, which cuts off requests in flight. Change: it gets no new requests at once, and is stopped when its worker's slots are free, after half a second at the least and the request timeout at the most.

--- a/poplarlb/coordination/core.py
+++ b/poplarlb/coordination/core.py
@@ -38,6 +38,7 @@
     :param acquired_ms: when this owner took the shard over.
     :param summaries: returns the newest summary of every shard.
     :param proof_ms: when the last read that proved the ownership was sent.
+    :param busy_slots: returns how many requests a worker serves now.
     """
 
     context: NodeContext
@@ -56,6 +57,7 @@
     listed: dict[str, Worker] | None = None
     own_workers: dict[str, Worker] = Factory(dict)
     quota: QuotaLedger = None
+    busy_slots: Callable[[str], int] = lambda worker_id: 0
 
     def __attrs_post_init__(self) -> None:
         """Hold the shares of the teams' quotas that the state records."""
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -125,6 +125,7 @@
             self.next_watch_ms = self.core.now_ms + WATCH_PERIOD_MS
             self.contacts.update()
             self.places.end_lost()
+            self.calls.stop_drained()
         self.drain.tick(shard_zone(self.core.shard))
         # What ended above must reach the home records before the queue is read.
         self._finish()
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -236,10 +236,14 @@
             Policy(self.context.settings.policy),
             self.summaries,
             self.proof_ms,
+            busy_slots=self._busy_slots,
         )
         self.machine = ShardMachine(core)
         self.writer = SnapshotWriter(state)
 
+    def _busy_slots(self, worker_id: str) -> int:
+        return self.admission.in_use.get(worker_id, 0)
+
     def _replay(self, recovered: Recovered) -> ShardState:
         kept = self.context.settings.tasks.decisions_kept
         state = ShardState(decisions=collections.deque(maxlen=kept))
--- a/poplarlb/coordination/worker_calls.py
+++ b/poplarlb/coordination/worker_calls.py
@@ -8,6 +8,8 @@
 from poplarlb.state.models import TaskReport
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord
 
+DRAIN_AT_LEAST_MS = 500
+
 
 @frozen
 class PlaceReady:
@@ -16,6 +18,14 @@
     key: PlaceKey
 
 
+@frozen
+class Draining:
+    """When a replica that takes no new requests may be stopped."""
+
+    earliest_ms: int
+    latest_ms: int
+
+
 @define
 class WorkerCalls:
     """Keeps what each worker must still carry out and builds the calls.
@@ -30,6 +40,7 @@
     stops: dict[str, dict[PlaceKey, None]] = Factory(dict)
     throttles: dict[str, dict[PlaceKey, int]] = Factory(dict)
     progress: dict[PlaceKey, TaskReport] = Factory(dict)
+    draining: dict[PlaceKey, Draining] = Factory(dict)
 
     def recover(self) -> None:
         """Resume every start and stop that an earlier owner committed."""
@@ -41,6 +52,9 @@
         worker_id = place.attempt.worker_id
         if place.stopping is not None:
             self.starts.get(worker_id, {}).pop(key, None)
+            if place.spec.service and place.attempt.running:
+                self._begin_drain(key)
+                return
             self.stops.setdefault(worker_id, {})[key] = None
         elif not place.attempt.running:
             self.starts.setdefault(worker_id, {})[key] = None
@@ -53,6 +67,24 @@
         self._add(key, place)
         self.call_soon(place.attempt.worker_id)
 
+    def _begin_drain(self, key: PlaceKey) -> None:
+        """Keep a replica until its requests are done; it gets no new ones."""
+        timeout_ms = self.core.context.settings.requests.default_timeout_ms
+        now_ms = self.core.now_ms
+        drain = Draining(now_ms + DRAIN_AT_LEAST_MS, now_ms + timeout_ms)
+        self.draining.setdefault(key, drain)
+
+    def stop_drained(self) -> None:
+        """Stop the replicas whose requests are done or took too long."""
+        for key, drain in list(self.draining.items()):
+            worker_id = self.core.state.places[key].attempt.worker_id
+            idle = not self.core.busy_slots(worker_id)
+            due_ms = drain.earliest_ms if idle else drain.latest_ms
+            if self.core.now_ms >= due_ms:
+                del self.draining[key]
+                self.stops.setdefault(worker_id, {})[key] = None
+                self.call_soon(worker_id)
+
     def throttle(self, worker_id: str, key: PlaceKey, percent: int) -> None:
         """Limit an attempt's processor time; 100 lifts the limit."""
         self.throttles.setdefault(worker_id, {})[key] = percent
@@ -63,6 +95,7 @@
         for waiting in (self.starts, self.stops, self.throttles):
             waiting.get(worker_id, {}).pop(key, None)
         self.progress.pop(key, None)
+        self.draining.pop(key, None)
 
     def started(self, key: PlaceKey, worker_id: str) -> None:
         """Stop sending an attempt's start."""
--- a/tests/coordination/test_shard.py
+++ b/tests/coordination/test_shard.py
@@ -274,6 +274,23 @@
             self.world.run(12_000)
             self.assertEqual(len(self.running()), expected)
 
+    def test_replica_is_stopped_after_its_requests(self) -> None:
+        """A replica that leaves finishes what it serves, within the timeout."""
+        self.set_replicas(2)
+        self.world.run(5_000)
+        for daemon in self.world.daemons.values():
+            for host in daemon.hosts.values():
+                host.admission.in_use.update(dict.fromkeys(self.world.workers, 1))
+        self.set_replicas(0)
+        self.world.run(6_000)
+        self.assertEqual(len(self.running()), 2)
+        for daemon in self.world.daemons.values():
+            for host in daemon.hosts.values():
+                self.assertEqual(host.machine.endpoints(), [])
+                host.admission.in_use.clear()
+        self.world.run(1_500)
+        self.assertEqual(len(self.running()), 0)
+
     def set_replicas(self, count: int) -> None:
         """Put a template with one service in force."""
         service = ServiceTemplate("orders", count, Resources(500, 100))
