--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests.py
@@ -5,7 +5,8 @@
 from poplarlb.coordination.admission import Admission
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
-from poplarlb.coordination.idempotency import KeyPeers, KeyTable, PreviousOwner
+from poplarlb.coordination.idempotency import KeyTable
+from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
 from poplarlb.coordination.marks import MarkStore
 from poplarlb.coordination.membership import Membership
 from poplarlb.coordination.ownership import OwnerRecord, Ownership
@@ -175,7 +176,7 @@
                 shard,
                 admission.epoch,
                 self.membership.own.incarnation,
-                admission.outstanding(),
+                admission.slots.outstanding(),
                 whole=not admission.takeover.unreported,
             )
         return commands
@@ -210,10 +211,15 @@
                 event = ports.PeerReceived(name, report)
                 commands.extend(admission.handle(event, now_ms))
             else:
-                address = self.membership.address_of(name)
-                commands.append(ports.SendPeer(name, address, wanted))
+                commands.extend(self._send(name, wanted))
         return commands
 
+    def _send(
+        self, member_id: str, message: messages.PeerMessage
+    ) -> list[ports.Command]:
+        address = self.membership.address_of(member_id)
+        return [ports.SendPeer(member_id, address, message)] if address else []
+
     def handle_key(
         self, event: ports.ApiRequested, shard: str, now_ms: int
     ) -> list[ports.Command]:
@@ -255,8 +261,7 @@
             commands.extend(self.lose_shard(wanted.shard, now_ms))
         report = self._report_grants(wanted)
         if report is not None:
-            address = self.membership.address_of(sender)
-            commands.append(ports.SendPeer(sender, address, report))
+            commands.extend(self._send(sender, report))
         return commands
 
     def _report_grants(
