--- a/tests/coordination/test_shard.py
+++ b/tests/coordination/test_shard.py
@@ -280,14 +280,14 @@
         self.world.run(5_000)
         for daemon in self.world.daemons.values():
             for host in daemon.hosts.values():
-                host.admission.in_use.update(dict.fromkeys(self.world.workers, 1))
+                host.admission.slots.in_use.update(dict.fromkeys(self.world.workers, 1))
         self.set_replicas(0)
         self.world.run(6_000)
         self.assertEqual(len(self.running()), 2)
         for daemon in self.world.daemons.values():
             for host in daemon.hosts.values():
                 self.assertEqual(host.machine.endpoints(), [])
-                host.admission.in_use.clear()
+                host.admission.slots.in_use.clear()
         self.world.run(1_500)
         self.assertEqual(len(self.running()), 0)
 
