--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/admission.py
@@ -1,7 +1,6 @@
 """Exact admission to the endpoints of one shard."""
 
 import bisect
-import collections
 import itertools
 from collections.abc import Iterable
 
@@ -10,6 +9,7 @@
 from poplarlb.coordination.context import NodeContext
 from poplarlb.coordination.grants import GRANT_MARGIN_MS, LONGEST_GRANT_MS
 from poplarlb.coordination.health import EWMA_WEIGHT, OUTLIER_SAMPLES, may_eject
+from poplarlb.coordination.refusals import RefusalLog
 from poplarlb.coordination.service_queue import (
     SCAN_LIMIT,
     Endpoint,
@@ -20,7 +20,7 @@
 from poplarlb.coordination.slots import GrantedSlot, ServiceKey, SlotTable, Takeover
 from poplarlb.protocol import api, messages, ports
 from poplarlb.protocol.messages import EndpointSummary
-from poplarlb.state.models import Alternative, Decision, Reason, WorkClass
+from poplarlb.state.models import Alternative, Reason, WorkClass
 
 GRANT_USE_MS = 2_000
 DEADLINE_STEP_MS = 50
@@ -28,7 +28,6 @@
 DEFAULT_QUEUE_LIMIT = 256
 SHORTEST_RETRY_MS = 20
 LONGEST_RETRY_MS = 30_000
-REFUSALS_KEPT = 1_000
 ALTERNATIVES_KEPT = 8
 REPORT_RESEND_MS = 200
 CLASS_ORDER = {item: number for number, item in enumerate(WorkClass)}
@@ -51,9 +50,7 @@
     slots: SlotTable = Factory(SlotTable)
     takeover: Takeover = Factory(Takeover)
     numbers: itertools.count = Factory(itertools.count)
-    refusals: collections.deque[Decision] = Factory(
-        lambda: collections.deque(maxlen=REFUSALS_KEPT)
-    )
+    refusals: RefusalLog = Factory(RefusalLog)
     closed: bool = False
 
     # --- what the daemon tells the machine ------------------------------------------
@@ -103,8 +100,8 @@
                 answer = ports.ApiAnswer(call_id, api.Done())
                 return [answer, *self._finish(body, now_ms)]
             case ports.ApiRequested(call_id=call_id, body=api.Explain() as body):
-                found = tuple(d for d in self.refusals if d.subject == body.subject)
-                return [ports.ApiAnswer(call_id, api.Decisions(found))]
+                found = api.Decisions(self.refusals.find(body.subject))
+                return [ports.ApiAnswer(call_id, found)]
             case ports.PeerReceived(
                 sender=sender, message=messages.GrantsReported() as report
             ):
@@ -265,7 +262,7 @@
             body,
         )
         position = bisect.bisect(queue.waiting, item)
-        wait_ms = self._wait_ms(queue, position)
+        wait_ms = queue.wait_ms(position)
         finish_ms = now_ms + wait_ms + queue.mean_ms
         if finish_ms > body.deadline_ms:
             detail = f"about {wait_ms:.0f} ms to wait"
@@ -282,35 +279,21 @@
         self, call_id: int, body: api.AdmitRequest, fault: api.Fault, now_ms: int
     ) -> list[ports.Command]:
         """Refuse a request, and keep why for a while."""
-        queue = self.services.get((body.team, body.service))
-        weighed = queue.endpoints.items() if queue else ()
-        mean_ms = queue.mean_ms if queue else 0.0
-        decision = Decision(
-            f"request/{body.request_id}",
-            "refuse",
-            fault.reason,
-            now_ms,
-            self.epoch,
-            self.context.view.version,
-            detail=fault.detail,
-            alternatives=tuple(
-                Alternative(name, self._expected_ms(item, mean_ms), fault.reason)
-                for name, item in itertools.islice(weighed, ALTERNATIVES_KEPT)
-            ),
-        )
-        self.refusals.append(decision)
+        queue = self.services.get((body.team, body.service), ServiceQueue())
+        weighed = [
+            Alternative(name, self._expected_ms(item, queue.mean_ms), fault.reason)
+            for name, item in itertools.islice(
+                queue.endpoints.items(), ALTERNATIVES_KEPT
+            )
+        ]
+        version = self.context.view.version
+        self.refusals.note(body.request_id, fault, weighed, now_ms, self.epoch, version)
         return [ports.ApiAnswer(call_id, fault)]
 
     def _queue_limit(self, body: api.AdmitRequest) -> int:
         template = self.context.view.service(body.team, body.service)
         return template.queue_limit if template else DEFAULT_QUEUE_LIMIT
 
-    def _wait_ms(self, queue: ServiceQueue, position: int) -> float:
-        """Return how long a request waits behind ``position`` others."""
-        healthy = queue.healthy() or list(queue.endpoints.values())
-        slots = sum(item.limit for item in healthy)
-        return (position + 1) * queue.mean_ms / max(1, slots)
-
     def _drain(self, worker_id: str, now_ms: int) -> list[ports.Command]:
         """Give a worker's free slots to the most pressing requests for it."""
         commands: list[ports.Command] = []
@@ -343,19 +326,10 @@
 
     def _shed(self, queue: ServiceQueue, now_ms: int) -> list[ports.Command]:
         """Refuse queued requests that can't make their deadline any more."""
-        if not queue.waiting:
+        late = queue.take_late(now_ms)
+        if not late:
             return []
-        mean_ms = queue.mean_ms
-        late = [
-            item
-            for item in queue.waiting
-            if now_ms + mean_ms > item.body.deadline_ms
-            or all(name in item.body.avoid for name in queue.endpoints)
-        ]
-        if late:
-            gone = set(map(id, late))
-            queue.waiting = [item for item in queue.waiting if id(item) not in gone]
-        retry_ms = self._wait_ms(queue, len(queue.waiting))
+        retry_ms = queue.wait_ms(len(queue.waiting))
         fault = _refuse(Reason.DEADLINE, "not served in time", retry_ms)
         return [
             command
--- /dev/null
+++ b/poplarlb/coordination/refusals.py
@@ -0,0 +1,46 @@
+"""The last refusals of requests, to be explained for a while."""
+
+import collections
+
+from attrs import Factory, define
+
+from poplarlb.protocol import api
+from poplarlb.state.models import Alternative, Decision
+
+REFUSALS_KEPT = 1_000
+
+
+@define
+class RefusalLog:
+    """Keeps the last refusals of one shard, in memory only."""
+
+    decisions: collections.deque[Decision] = Factory(
+        lambda: collections.deque(maxlen=REFUSALS_KEPT)
+    )
+
+    def note(
+        self,
+        request_id: str,
+        fault: api.Fault,
+        weighed: list[Alternative],
+        now_ms: int,
+        epoch: int,
+        view_version: int,
+    ) -> None:
+        """Keep why a request was refused and what was weighed."""
+        self.decisions.append(
+            Decision(
+                f"request/{request_id}",
+                "refuse",
+                fault.reason,
+                now_ms,
+                epoch,
+                view_version,
+                detail=fault.detail,
+                alternatives=tuple(weighed),
+            )
+        )
+
+    def find(self, subject: str) -> tuple[Decision, ...]:
+        """Return what is kept on a subject, oldest first."""
+        return tuple(item for item in self.decisions if item.subject == subject)
--- a/poplarlb/coordination/service_queue.py
+++ b/poplarlb/coordination/service_queue.py
@@ -99,6 +99,24 @@
             soonest = after_ms if soonest is None else min(soonest, after_ms)
         return soonest
 
+    def wait_ms(self, position: int) -> float:
+        """Return how long a request waits behind ``position`` others."""
+        slots = sum(item.limit for item in self.healthy() or self.listed)
+        return (position + 1) * self.mean_ms / max(1, slots)
+
+    def take_late(self, now_ms: int) -> list[QueuedRequest]:
+        """Remove and return the requests that can't make their deadline any more."""
+        late = [
+            item
+            for item in self.waiting
+            if now_ms + self.mean_ms > item.body.deadline_ms
+            or all(name in item.body.avoid for name in self.endpoints)
+        ]
+        if late:
+            gone = {item.number for item in late}
+            self.waiting = [item for item in self.waiting if item.number not in gone]
+        return late
+
     def health(self) -> list[EndpointHealth]:
         """Return the health of every endpoint."""
         return [item.health for item in self.endpoints.values()]
