--- a/poplarlb/metrics.py
+++ b/poplarlb/metrics.py
@@ -76,7 +76,7 @@
         )
         self.eviction_loss = self._histogram(
             "task_eviction_loss_seconds",
-            "Work lost by an eviction.",
+            "Run time that an eviction lost for want of a checkpoint.",
             ("team", "work_class"),
             LOSS_BUCKETS_S,
         )
--- a/poplarlb/transport/meter.py
+++ b/poplarlb/transport/meter.py
@@ -76,6 +76,8 @@
                 self.metrics.count_decision(decision)
             case changes.PlaceRunning(key=key, number=number):
                 self._note_start(PlaceKey(key, number))
+            case changes.AttemptClosed(evicted=True):
+                self._note_eviction(change)
 
     def _note_start(self, key: PlaceKey) -> None:
         for host in self.node.hosts.values():
@@ -86,6 +88,20 @@
                 self.metrics.observe_start(key.key.team, work_class, wait_ms)
                 return
 
+    def _note_eviction(self, change: changes.AttemptClosed) -> None:
+        """Count the run time that no checkpoint kept."""
+        for host in self.node.hosts.values():
+            tasks = host.machine.core.state.tasks if host.open else {}
+            record = tasks.get(change.key)
+            if record is None:
+                continue
+            attempts = [a for a in record.attempts if a.number == change.number]
+            placed_ms = attempts[-1].placed_ms if attempts else change.at_ms
+            loss_ms = 0 if change.checkpoint else change.at_ms - placed_ms
+            work_class = record.spec.work_class
+            self.metrics.observe_eviction(change.key.team, work_class, loss_ms)
+            return
+
     def _note_command(self, command: ports.Command) -> None:
         match command:
             case ports.StoreCall(call_id=call_id, operation=operation):
