Command line: a key's first sending is claimed only when asked for

Cause: every run of the command claimed Poplarlb-Attempt: 1, also when an operator repeated a key after an unknown outcome; an owner that has lost track of the key may then dispatch it twice.

--- a/examples/demo.py
+++ b/examples/demo.py
@@ -178,7 +178,8 @@
                     "request", team, service, f"orders/{order}", "--method=POST",
                     f"--key={team}-{order}", "--body=order",
                 )  # fmt: skip
-                first, second = self.persist(*command), self.persist(*command)
+                first = self.persist(*command, "--first")
+                second = self.persist(*command)
                 if first != second:
                     self.check(f"{team} {order}: the repeated answer is equal", False)
                 self.orders.append(f"{team}/{service}/orders/{order}")
--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -19,7 +19,7 @@
 from attrs import define
 
 from poplarlb import rendering
-from poplarlb.client import Client, quote, to_error
+from poplarlb.client import ATTEMPT_HEADER, Client, quote, to_error
 from poplarlb.exceptions import BadRequestError, NotFoundError, PoplarlbError
 from poplarlb.protocol import codec
 from poplarlb.state.templates import ConfigView, TeamTemplate
@@ -395,6 +395,7 @@
         method: str = "GET",
         body: str = "",
         key: str = "",
+        first: bool = False,
         timeout_ms: int = 0,
     ) -> str:
         """Send one request to a service and print the whole answer.
@@ -409,11 +410,15 @@
             method: the HTTP method.
             body: the body.
             key: an idempotency key; repeating it returns the first outcome.
+            first: the key was never sent before, by this or any other command; it is
+                then dispatched even if daemons have lost track of earlier keys.
             timeout_ms: how long the answer may take.
         """
         headers = {"Content-Type": "application/json"} if body else {}
         if key:
             headers["Idempotency-Key"] = str(key)
+        if key and first:
+            headers[ATTEMPT_HEADER] = "1"
         if timeout_ms:
             headers["Poplarlb-Timeout-Ms"] = str(int(timeout_ms))
         method = method.upper()
--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -115,8 +115,8 @@
         """Return the whole answer, of whatever status.
 
         A call that was certainly not run is tried at the next address. One whose
-        outcome is unknown is tried again only if it is repeatable; a header then
-        tells how many times it may have been dispatched before.
+        outcome is unknown is tried again only if it is repeatable. An attempt
+        header, if given, counts up with each sending that may have been dispatched.
 
         :raises BadRequestError: if no daemon is named.
         :raises NotRunError: if no daemon could be reached.
@@ -133,7 +133,9 @@
             daemon = self.daemons[attempt % len(self.daemons)]
             if attempt and attempt % len(self.daemons) == 0:
                 time.sleep(ROUND_PAUSE_S * (1 + random.random()))
-            numbered = {**headers, ATTEMPT_HEADER: str(unsettled + 1)}
+            numbered = dict(headers)
+            if ATTEMPT_HEADER in headers:
+                numbered[ATTEMPT_HEADER] = str(unsettled + 1)
             try:
                 last = self.send_once(daemon, method, path, body, numbered)
             except NotRunError:
