Split the node; a failing shard harms no other; urgent commits don't wait for a tick

Cause: an exception in one shard dropped the commands and store answers of all others; callers of a shard that moved waited 30 s; an urgent change waited for the next 100 ms tick; the policy never saw request latencies. Change: shard_set.py drives shards apart and keeps faults for the log; a broken shard is retaken; owner_calls.py pairs calls between daemons; a closed shard answers those who wait; an urgent change is appended at once; the policy learns from finished requests and its slowdown reaches the choice of endpoints.

--- /dev/null
+++ b/poplarlb/coordination/owner_calls.py
@@ -0,0 +1,119 @@
+"""Calls that another daemon answers for us, and those that we answer for others."""
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import Ownership
+from poplarlb.coordination.requests import (
+    RequestParts,
+    no_owner_fault,
+    silent_owner_fault,
+)
+from poplarlb.protocol import api, messages, ports
+
+FORWARD_TIMEOUT_MS = 5_000
+
+
+@frozen
+class SentCall:
+    """A call that another daemon answers for us."""
+
+    call_id: int
+    body: api.ApiBody
+    sent_ms: int
+    expires_ms: int
+    member_id: str
+
+
+@frozen
+class TakenCall:
+    """A call that we answer for another daemon."""
+
+    member_id: str
+    their_call_id: int
+
+
+@define
+class OwnerCalls:
+    """Sends calls to the owners of shards and pairs the answers with them."""
+
+    context: NodeContext
+    membership: Membership
+    ownership: Ownership
+    requests: RequestParts
+    sent: dict[int, SentCall] = Factory(dict)
+    taken: dict[int, TakenCall] = Factory(dict)
+
+    def send(self, event: ports.ApiRequested, shard: str, now_ms: int) -> list:
+        """Send a call to the shard's owner, or answer it if there is none."""
+        record = self.ownership.owner_of(shard)
+        address = self.membership.address_of(record.owner) if record else ""
+        if not address or self._is_silent(record.owner, now_ms):
+            result = self.requests.answer_alone(event.body, now_ms)
+            if result is not None:
+                return [ports.ApiAnswer(event.call_id, result)]
+        if not address:
+            return [ports.ApiAnswer(event.call_id, no_owner_fault(event.body))]
+        call_id = self.context.next_call()
+        expires_ms = now_ms + FORWARD_TIMEOUT_MS
+        if isinstance(event.body, api.AdmitRequest):
+            expires_ms = event.body.deadline_ms
+        self.sent[call_id] = SentCall(
+            event.call_id, event.body, now_ms, expires_ms, record.owner
+        )
+        message = messages.Forward(call_id, shard, event.body)
+        return [ports.SendPeer(record.owner, address, message)]
+
+    def send_message(self, message: messages.ShardMessage) -> list:
+        """Send a shard's message to the owner of its recipient, if there is one."""
+        record = self.ownership.owner_of(message.recipient)
+        address = self.membership.address_of(record.owner) if record else ""
+        return [ports.SendPeer(record.owner, address, message)] if address else []
+
+    def take(self, sender: str, message: messages.Forward) -> ports.ApiRequested:
+        """Return another daemon's call under a call id of our own."""
+        call_id = self.context.next_call()
+        self.taken[call_id] = TakenCall(sender, message.call_id)
+        return ports.ApiRequested(call_id, message.body)
+
+    def pair(self, message: messages.Forwarded) -> ports.ApiAnswer | None:
+        """Return the answer to a call of ours, or ``None`` if it is not awaited."""
+        item = self.sent.pop(message.call_id, None)
+        return ports.ApiAnswer(item.call_id, message.result) if item else None
+
+    def return_answer(self, answer: ports.ApiAnswer) -> ports.Command:
+        """Return an answer to whoever asked: our own caller or another daemon."""
+        origin = self.taken.pop(answer.call_id, None)
+        if origin is None:
+            return self.requests.finish_routing(answer)
+        address = self.membership.address_of(origin.member_id)
+        message = messages.Forwarded(origin.their_call_id, answer.result)
+        return ports.SendPeer(origin.member_id, address, message)
+
+    def expire(self, now_ms: int) -> list[ports.ApiAnswer]:
+        """Answer the calls whose owner did not answer in time."""
+        expired = [
+            call_id
+            for call_id, item in self.sent.items()
+            if now_ms >= item.expires_ms or self._is_lost(item, now_ms)
+        ]
+        items = [self.sent.pop(call_id) for call_id in expired]
+        return [
+            ports.ApiAnswer(item.call_id, silent_owner_fault(item.body))
+            for item in items
+        ]
+
+    def _is_silent(self, member_id: str, now_ms: int) -> bool:
+        peer = self.membership.peers.get(member_id)
+        heard = peer is not None and peer.heartbeat is not None
+        return heard and not self.membership.answers(member_id, now_ms)
+
+    def _is_lost(self, item: SentCall, now_ms: int) -> bool:
+        """Tell whether a gateway's call went to a member that has fallen silent."""
+        waited_ms = now_ms - item.sent_ms
+        return (
+            isinstance(item.body, api.AdmitRequest | api.BeginKey)
+            and waited_ms >= self.context.settings.members.suspect_after_ms
+            and self._is_silent(item.member_id, now_ms)
+        )
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shard.py
@@ -31,6 +31,7 @@
 UPKEEP_PERIOD_MS = 1_000
 WATCH_PERIOD_MS = 200
 SUMMARY_PERIOD_MS = 200
+SLOWDOWN_PERIOD_MS = 1_000
 TO_HOME = (
     messages.AttemptPlaced
     | messages.AttemptRefused
@@ -46,6 +47,14 @@
     """The last repeated messages were sent."""
 
 
+@frozen
+class SlowdownKey:
+    """A service at a worker."""
+
+    service: str
+    worker_id: str
+
+
 @define
 class ShardMachine:
     """Decides for one shard under one epoch.
@@ -70,6 +79,8 @@
     sender_epochs: dict[str, int] = Factory(dict)
     last_summary: messages.ShardSummary | None = None
     summary_until_ms: int = 0
+    slowdowns: dict[SlowdownKey, float] = Factory(dict)
+    next_slowdown_ms: int = 0
 
     def __attrs_post_init__(self) -> None:
         """Build the parts and resume what an earlier owner committed."""
@@ -265,13 +276,30 @@
         state = self.core.state
         places = (state.places[key] for key in state.endpoints)
         return [
-            Endpoint(place.spec.key.team, place.spec.service, worker)
+            Endpoint(
+                place.spec.key.team,
+                place.spec.service,
+                worker,
+                self._slowdown(place.spec.service, worker),
+            )
             for place in places
             if place.attempt.running
             and place.stopping is None
             and (worker := self._serving(place.attempt.worker_id)) is not None
         ]
 
+    def _slowdown(self, service: str, worker: Worker) -> float:
+        """Return how much a worker's other tasks slow a service, as of lately."""
+        if self.core.now_ms >= self.next_slowdown_ms:
+            self.next_slowdown_ms = self.core.now_ms + SLOWDOWN_PERIOD_MS
+            self.slowdowns.clear()
+        key = SlowdownKey(service, worker.worker_id)
+        if key not in self.slowdowns:
+            room = self.places.room_of(worker, None)
+            factor = self.core.policy.expected_slowdown(service, room)
+            self.slowdowns[key] = factor
+        return self.slowdowns[key]
+
     def _serving(self, worker_id: str) -> Worker | None:
         worker = self.core.workers().get(worker_id)
         if worker is None or worker.state is not HostState.LIVE:
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -13,6 +13,7 @@
     Committed,
     Deposed,
     Journal,
+    JournalOutput,
     JournalPhase,
     Recovered,
     SnapshotWanted,
@@ -102,7 +103,8 @@
         commands: list[ShardCommand] = []
         if isinstance(event, ports.ApiRequested):
             match event.body:
-                case api.FinishRequest():
+                case api.FinishRequest() as body:
+                    self._observe_request(body, now_ms)
                     return self.admission.handle(event, now_ms)
                 case api.Explain(subject=subject) if subject.startswith("request/"):
                     return self.admission.handle(event, now_ms)
@@ -114,6 +116,21 @@
             commands.append(ports.ApiAnswer(event.call_id, self._refusal(event.body)))
         return commands
 
+    def step_down(self) -> list[ShardCommand]:
+        """Answer everybody who waits; another owner may hold the shard by now."""
+        return self._drop_waiting(self.journal.step_down())
+
+    def _observe_request(self, body: api.FinishRequest, now_ms: int) -> None:
+        """Let the policy learn from a request that an endpoint has answered."""
+        slot = self.admission.slots.find(body.request_id, body.worker_id)
+        if slot is None or self.machine is None or body.result != "ok":
+            return
+        team, service = slot.service
+        if service:
+            self.machine.core.policy.observe_request(
+                team, service, body.worker_id, body.latency_ms, now_ms
+            )
+
     def _refusal(self, body: api.ApiBody) -> api.Fault:
         """Return a fault; a submission that may be a repetition is never "not run"."""
         detail = self.broken or "the shard is changing its owner"
@@ -143,6 +160,8 @@
         self.machine.core.proof_ms = self.proof_ms
         effects = self._run(self.machine.handle, event, now_ms)
         commands = self._stage(effects, now_ms)
+        if effects.urgent:
+            commands.extend(self._take_outputs(self.journal.advance(now_ms), now_ms))
         if isinstance(event, ports.Tick):
             self.admission.set_endpoints(self.machine.endpoints(), now_ms)
             commands.extend(self.admission.handle(event, now_ms))
@@ -198,9 +217,14 @@
 
     def _drive_journal(
         self, event: ports.Tick | ports.StoreReplied, now_ms: int
+    ) -> list[ShardCommand]:
+        return self._take_outputs(self.journal.handle(event, now_ms), now_ms)
+
+    def _take_outputs(
+        self, outputs: list[JournalOutput], now_ms: int
     ) -> list[ShardCommand]:
         commands: list[ShardCommand] = []
-        for output in self.journal.handle(event, now_ms):
+        for output in outputs:
             match output:
                 case ports.StoreCall():
                     commands.append(output)
--- /dev/null
+++ b/poplarlb/coordination/shard_set.py
@@ -0,0 +1,105 @@
+"""The shards that this daemon owns, each kept apart from the others' faults."""
+
+import collections
+import itertools
+import traceback
+from collections.abc import Iterable
+
+from attrs import Factory, define, frozen
+
+from poplarlb.coordination.admission import Admission
+from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.journal import Journal
+from poplarlb.coordination.membership import Membership
+from poplarlb.coordination.ownership import OwnerRecord, Ownership
+from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.protocol import messages, ports
+
+SUMMARY_PERIOD_MS = 250
+FAULTS_KEPT = 100
+
+
+@frozen
+class ShardFault:
+    """An exception out of a shard's machine, with its traceback."""
+
+    shard: str
+    detail: str
+
+
+@define
+class ShardSet:
+    """Opens, drives and closes the shards that this daemon owns.
+
+    A shard that raises is marked broken, and is retaken later from its journal;
+    the commands and events of the other shards are not lost. ``faults`` holds the
+    latest exceptions until somebody reads them.
+    """
+
+    context: NodeContext
+    own: Member
+    shard_map: ShardMap
+    membership: Membership
+    ownership: Ownership
+    hosts: dict[str, ShardHost] = Factory(dict)
+    faults: collections.deque[ShardFault] = Factory(
+        lambda: collections.deque(maxlen=FAULTS_KEPT)
+    )
+    summarized_ms: int = 0
+    own_summaries: tuple[messages.ShardSummary, ...] = ()
+
+    def open(self, record: OwnerRecord, admission: Admission) -> None:
+        """Begin to recover a shard that was just acquired."""
+        writer = f"{self.own.member_id}/{self.own.incarnation}"
+        journal = Journal(self.context, record.shard, writer, record.epoch)
+        self.hosts[record.shard] = ShardHost(
+            self.context,
+            self.shard_map,
+            record.shard,
+            record.epoch,
+            journal,
+            admission,
+            self.summaries,
+            self.ownership.proof_ms(record.shard),
+        )
+
+    def close(self, shard: str) -> list:
+        """Drop a shard; callers who wait for its commits get their answers."""
+        host = self.hosts.pop(shard, None)
+        return host.step_down() if host is not None else []
+
+    def handle(self, shard: str, event: ports.Event, now_ms: int) -> list:
+        """Hand an event to one shard."""
+        host = self.hosts[shard]
+        try:
+            return host.handle(event, now_ms)
+        except Exception as error:
+            host.broken = host.broken or f"{type(error).__name__}: {error}"
+            self.faults.append(ShardFault(shard, traceback.format_exc()))
+            return []
+
+    def handle_all(self, event: ports.Event, now_ms: int) -> list:
+        """Hand an event to every shard."""
+        outputs = []
+        for shard, host in self.hosts.items():
+            host.proof_ms = self.ownership.proof_ms(shard)
+            outputs.extend(self.handle(shard, event, now_ms))
+        return outputs
+
+    def summarize(self, now_ms: int) -> tuple[messages.ShardSummary, ...]:
+        """Return the summaries of our shards, renewed a few times a second."""
+        if now_ms - self.summarized_ms >= SUMMARY_PERIOD_MS:
+            self.summarized_ms = now_ms
+            found = (host.summary() for host in self.hosts.values())
+            self.own_summaries = tuple(item for item in found if item is not None)
+        return self.own_summaries
+
+    def summaries(self) -> list[messages.ShardSummary]:
+        """Return the newest summary of each shard, our own included."""
+        heard: Iterable[tuple[messages.ShardSummary, ...]] = (
+            peer.heartbeat.summaries
+            for peer in self.membership.peers.values()
+            if peer.heartbeat is not None
+        )
+        return [*self.own_summaries, *itertools.chain.from_iterable(heard)]
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -130,10 +130,17 @@
             logger.exception("an event of type {} failed", type(event).__name__)
             self.metrics.count_failed_event(type(event).__name__)
             return
+        self._report_faults()
         self.meter.note(event, commands)
         for command in commands:
             self._carry_out(command)
 
+    def _report_faults(self) -> None:
+        while self.node.owned.faults:
+            fault = self.node.owned.faults.popleft()
+            logger.error("shard {} has failed:\n{}", fault.shard, fault.detail)
+            self.metrics.count_failed_event("shard")
+
     def _begin(self, body: api.ApiBody, future: concurrent.futures.Future) -> None:
         call_id = self.node.context.next_call()
         self.answers[call_id] = future
--- a/tests/coordination/shard_world.py
+++ b/tests/coordination/shard_world.py
@@ -94,6 +94,10 @@
         self.last_ticket += 1
         return self.last_ticket
 
+    def advance(self, now_ms: int) -> list:
+        """Do nothing; this journal writes on ticks only."""
+        return []
+
     def offer_snapshot(self, data: bytes) -> None:
         """Keep a snapshot until all that it holds is committed."""
         self.offered = (self.last_ticket, data)
--- /dev/null
+++ b/tests/coordination/test_node.py
@@ -0,0 +1,73 @@
+"""A node keeps its shards apart from one another's faults, and gives them away."""
+
+import unittest
+
+from poplarlb.protocol import api, ports
+from tests.harness import deployment
+from tests.harness.world import World
+
+ZONES = ("a", "b", "c")
+
+
+class _FailingMachine:
+    """Raises whatever it is asked."""
+
+    def __getattr__(self, name: str):
+        """Raise."""
+        raise RuntimeError("planted")
+
+
+class NodeTest(unittest.TestCase):
+    """Faults and hand-overs of whole nodes."""
+
+    def setUp(self) -> None:
+        """Start three daemons, and run a job's record into every shard."""
+        self.world: World = deployment.make_world(ZONES, 3, 2)
+        self.world.run(10_000)
+        team = deployment.make_team("dairy", ZONES)
+        result = deployment.apply_team(self.world, "d1", team)
+        self.assertIsInstance(result, api.ConfigChanged)
+        self.specs = [
+            deployment.make_job(self.world, f"dairy/j{number}") for number in range(9)
+        ]
+        for spec in self.specs:
+            self.world.ask("d1", api.SubmitTask(spec))
+        self.world.run(10_000)
+
+    def show_all(self) -> list[str]:
+        """Return the phase of every job, asked at d2."""
+        answers = [
+            self.world.ask_and_wait("d2", api.ShowTask(spec.key)) for spec in self.specs
+        ]
+        return [str(answer.phase) for answer in answers]
+
+    def test_failed_shard_is_read_anew(self) -> None:
+        """A shard whose machine raises is retaken; nothing accepted is lost."""
+        daemon = next(d for d in self.world.daemons.values() if d.node.hosts)
+        node = daemon.node
+        shard, host = next(iter(node.hosts.items()))
+        host.machine = _FailingMachine()
+        node.owned.handle(shard, ports.Tick(), self.world.now_ms)
+        self.assertEqual([fault.shard for fault in node.owned.faults], [shard])
+        node.owned.faults.clear()
+        self.world.run(5_000)
+        self.assertFalse(node.hosts[shard] is host)
+        self.assertTrue(node.hosts[shard].open)
+        self.assertGreater(node.hosts[shard].epoch, host.epoch)
+        self.assertEqual(self.show_all(), ["ended"] * 9)
+
+    def test_last_daemon_leaves_its_journal_flushed(self) -> None:
+        """Daemons that stop one after another lose nothing; a new one has it all."""
+        for name in ("d1", "d3"):
+            node = self.world.daemons[name].node
+            for command in node.handle(ports.ShutdownRequested(), self.world.now_ms):
+                self.assertNotIsInstance(command, ports.Stopped)
+            self.world.run(15_000)
+            self.assertFalse(self.world.daemons[name].alive)
+        self.world.deliver(self.world.daemons["d2"], ports.ShutdownRequested())
+        self.world.run(15_000)
+        self.assertFalse(self.world.daemons["d2"].alive)
+        self.assertFalse([k for k in self.world.store.items if "/members/" in k])
+        self.world.start("d2")
+        self.world.run(15_000)
+        self.assertEqual(self.show_all(), ["ended"] * 9)
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -215,6 +215,8 @@
         node = daemon.node
         version = node.context.view.version
         commands = node.handle(event, self.now_ms + daemon.clock_offset_ms)
+        if node.owned.faults:
+            raise AssertionError(node.owned.faults[0].detail)
         if node.context.view.version != version:
             self.views.append(
                 ViewSeen(
