--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -8,10 +8,14 @@
 import unittest
 from unittest import mock
 
-from poplarlb import cli, client
+from loguru import logger
+
+from poplarlb import cli, client, commands
 from poplarlb.client import Client
 from poplarlb.exceptions import OutcomeUnknownError
+from poplarlb.logs import configure_logs
 from poplarlb.protocol import api
+from poplarlb.settings import LogSettings
 from poplarlb.state.models import Reason
 from tests.standins.http import Answer
 from tests.standins.http import serve as serve_http
@@ -32,6 +36,8 @@
 
     def setUp(self) -> None:
         """Start a door, and name a dead daemon before it."""
+        configure_logs(LogSettings(), "d1", io.StringIO())
+        self.addCleanup(logger.remove)
         self.runtime = FakeRuntime()
         self.server = serve(self.runtime)
         self.addCleanup(self.server.stop)
@@ -42,7 +48,7 @@
         }
         for patch in (
             mock.patch.dict(os.environ, environment),
-            mock.patch.object(cli, "IN_FORCE_LIMIT_S", 0.5),
+            mock.patch.object(commands, "IN_FORCE_LIMIT_S", 0.5),
             mock.patch.object(client, "ROUND_PAUSE_S", 0.01),
         ):
             patch.start()
--- a/tests/test_templates.py
+++ b/tests/test_templates.py
@@ -6,7 +6,8 @@
 
 from poplarlb.exceptions import BadRequestError
 from poplarlb.state.models import WorkClass
-from poplarlb.templates import build_team, check_team, diff_teams, load_team, to_table
+from poplarlb.template_files import load_team
+from poplarlb.templates import build_team, check_team, diff_teams, to_table
 
 EXAMPLES = pathlib.Path("examples/templates")
 KERALA = ("kochi", "thrissur", "kozhikode", "kollam")
