Test that a late head keeps its parts

The fuzz needs minutes to meet a head that lands after a takeover; the scripted case is caught at once when parts are removed before the new owner's own head (planted by hand: fails; as it is: passes).

--- a/tests/coordination/test_journal.py
+++ b/tests/coordination/test_journal.py
@@ -313,6 +313,26 @@
                 self.assertIs(new.journal.phase, JournalPhase.OPEN)
                 world.finish()
 
+    def test_late_head_keeps_its_parts(self) -> None:
+        """Parts that an earlier owner's late head may still name are not removed."""
+        world = JournalWorld()
+        old = world.add(obedient=False)
+        world.run(old, 1)
+        world.stage(old, 8, True)
+        world.run(old, 1)
+        world.offer(old)
+        world.tick(old, 100)
+        world.deliver(old, 0, "answered")
+        (head,) = old.pending
+        self.assertEqual(head.operation.key, old.journal.keys.head)
+        world.kill(old)
+        new = world.add(obedient=False)
+        world.run(new, 10)
+        self.assertIs(new.journal.phase, JournalPhase.OPEN)
+        world.table.execute(world.late.pop())
+        world.kill(new)
+        world.finish()
+
     def test_group_commit(self) -> None:
         """Items share an entry for a commit period; urgent ones don't wait."""
         world = JournalWorld()
