--- a/bench/transport.py
+++ b/bench/transport.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import time
+import tracemalloc
 
 from bench.rows import Row, save_rows
 from poplarlb.protocol import codec, messages, ports
@@ -16,15 +17,19 @@
     TaskReport,
     TaskSpec,
     WorkClass,
+    Worker,
     WorkerReport,
 )
 from poplarlb.transport.peers import PeerTransport
 from poplarlb.transport.platform import PlatformAdapter
 from poplarlb.transport.store import StoreAdapter
 from tests.standins.http import Answer, Server, serve
+from tests.standins.platform import PlatformStandIn, WorkerStandIn
+from tests.standins.worker import WorkerModel
 
 CALLS = 1_000
 TASKS_PER_REPORT = 12
+HOSTS = 1_600
 
 
 def make_report(tasks: int) -> ports.WorkerAnswer:
@@ -108,6 +113,47 @@
     return rows
 
 
+def measure_host_list() -> list[Row]:
+    """Return the cost of the host list at the target, changed and unchanged."""
+    stand_in = PlatformStandIn()
+    size = Resources(64_000, 250_000, 0)
+    for number in range(HOSTS):
+        worker = Worker(
+            f"zone-1-w{number}",
+            "zone-1",
+            f"zone-1-r{number // 10}",
+            "10.0.0.1:80",
+            size,
+        )
+        stand_in.workers[worker.worker_id] = WorkerStandIn(WorkerModel(worker))
+    server = serve(stand_in.answer)
+    platform = PlatformAdapter(PlatformSettings(server.address))
+    tracemalloc.start()
+    listed = platform.read_hosts()
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    body = server.sent_bytes
+    before_s = time.thread_time()
+    platform.list_tag = ""
+    platform.read_hosts()
+    parse_s = time.thread_time() - before_s
+    before_bytes = server.received_bytes + server.sent_bytes
+    before_s = time.thread_time()
+    for _ in range(100):
+        platform.read_hosts()
+    used_s = time.thread_time() - before_s
+    moved = server.received_bytes + server.sent_bytes - before_bytes
+    server.stop()
+    return [
+        Row("host list: hosts", "hosts", len(listed.workers)),
+        Row("host list, changed: bytes", "B", body),
+        Row("host list, changed: processor time", "ms", parse_s * 1e3),
+        Row("host list, held", "KB", held / 1e3),
+        Row("host list, unchanged: bytes both ways", "B a call", moved / 100),
+        Row("host list, unchanged: processor time", "us a call", used_s * 1e4),
+    ]
+
+
 async def measure_peers() -> list[Row]:
     """Return the cost of one message for sender and receiver together."""
     received = 0
@@ -143,7 +189,12 @@
 
 def main() -> list[Row]:
     """Measure everything and print the rows."""
-    rows = [*measure_store(), *measure_workers(), *asyncio.run(measure_peers())]
+    rows = [
+        *measure_store(),
+        *measure_workers(),
+        *measure_host_list(),
+        *asyncio.run(measure_peers()),
+    ]
     save_rows("transport", rows)
     return rows
 
--- a/poplarlb/transport/platform.py
+++ b/poplarlb/transport/platform.py
@@ -20,17 +20,28 @@
         """Open a connection pool that keeps one connection to each worker."""
         self.settings = settings
         self.pool = urllib3.PoolManager(num_pools=2_000, maxsize=4, retries=False)
+        self.list_tag = ""
+        self.listed = ports.HostsListed(())
 
     def read_hosts(self) -> ports.HostsListed | None:
-        """Return the host list, or ``None`` if it can't be read."""
+        """Return the host list, or ``None`` if it can't be read.
+
+        The list is asked for with its entity tag, so that an unchanged one costs
+        its headers only (RFC 9110, conditional requests).
+        """
         url = f"http://{self.settings.hosts_address}/v1/hosts"
         timeout_s = self.settings.worker_timeout_ms / 1000
+        headers = {"If-None-Match": self.list_tag} if self.list_tag else {}
         try:
-            response = self.pool.request("GET", url, timeout=timeout_s)
+            response = self.pool.request("GET", url, headers=headers, timeout=timeout_s)
+            if response.status == 304:
+                return self.listed
             if response.status != 200:
                 return None
             items = json.loads(response.data)["hosts"]
-            return ports.HostsListed(tuple(_parse_host(item) for item in items))
+            self.listed = ports.HostsListed(tuple(_parse_host(item) for item in items))
+            self.list_tag = response.headers.get("ETag", "")
+            return self.listed
         except (urllib3.exceptions.HTTPError, KeyError, ValueError, TypeError):
             return None
 
--- a/tests/standins/http.py
+++ b/tests/standins/http.py
@@ -16,6 +16,7 @@
     body: bytes = b""
     content_type: str = "application/json"
     drop: bool = False
+    tag: str = ""
 
     @classmethod
     def of(cls, value: object, status: int = 200) -> "Answer":
@@ -56,6 +57,8 @@
                     return
                 self.send_response(result.status)
                 self.send_header("Content-Type", result.content_type)
+                if result.tag:
+                    self.send_header("ETag", result.tag)
                 self.send_header("Content-Length", str(len(result.body)))
                 counter.sent_bytes += sum(map(len, self._headers_buffer))
                 counter.sent_bytes += len(result.body)
--- a/tests/standins/platform.py
+++ b/tests/standins/platform.py
@@ -9,6 +9,7 @@
 import json
 import threading
 import time
+import zlib
 
 from attrs import Factory, asdict, define, evolve
 
@@ -104,17 +105,26 @@
         self.servers.append(server)
         self.workers[name] = stand_in
 
-    def answer(self, method: str, path: str, body: bytes, _: dict) -> Answer:
+    def answer(
+        self, method: str, path: str, body: bytes, headers: dict[str, str]
+    ) -> Answer:
         """Answer a call for the host list, the history, or a fault."""
         if path == "/v1/hosts":
-            hosts = [_host(item.model.worker) for item in self.workers.values()]
-            return Answer.of({"hosts": hosts})
+            return self._list_hosts(headers.get("if-none-match", ""))
         if path == "/control/history":
             return Answer.of([asdict(row) for row in self.history()])
         if path == "/control/faults":
             return self._set_faults(json.loads(body))
         return Answer.of({"error": "unknown"}, 404)
 
+    def _list_hosts(self, known_tag: str) -> Answer:
+        hosts = [_host(item.model.worker) for item in self.workers.values()]
+        answer = Answer.of({"hosts": hosts})
+        tag = f'"{zlib.crc32(answer.body):08x}"'
+        if tag == known_tag:
+            return Answer(304, tag=tag)
+        return evolve(answer, tag=tag)
+
     def _set_faults(self, wanted: dict) -> Answer:
         model = self.workers[wanted.pop("worker")].model
         if "state" in wanted:
