--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -263,7 +263,7 @@
     peers: PeerSettings = PeerSettings()
     logs: LogSettings = LogSettings()
     stop: StopSettings = StopSettings()
-    tick_ms: int = field(default=100, validator=_between(5, 5_000))
+    tick_ms: int = field(default=200, validator=_between(5, 5_000))
 
 
 def load_settings(path: str) -> Settings:
