Tests: one module holds the fuzz settings and counts broken walks

Cause: the settings of stateful fuzzing stood five times, the counting of broken walks twice. Change: tests/harness/fuzzing.py; same examples, steps and seeds.

--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/test_admission.py
@@ -14,6 +14,7 @@
 from poplarlb.state.models import Reason, Resources, WorkClass, Worker
 from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
 from tests.coordination.key_world import without
+from tests.harness.fuzzing import count_broken
 
 SHARD = "kochi/0"
 GATEWAYS = ("d0", "d1", "d2")
@@ -172,17 +173,6 @@
     return world
 
 
-def count_broken(walks: int) -> int:
-    """Return how many walks over-admit."""
-    broken = 0
-    for seed in range(walks):
-        try:
-            walk(seed)
-        except AssertionError:
-            broken += 1
-    return broken
-
-
 def one_slot_more(original):
     """Take workers for larger than they are."""
 
@@ -243,14 +233,14 @@
 
     def test_never_over_admits(self) -> None:
         """No worker ever has more than its slots in use."""
-        self.assertEqual(count_broken(150), 0)
+        self.assertEqual(count_broken(walk, 150), 0)
 
     def test_planted_faults(self) -> None:
         """Each planted fault over-admits on some walk."""
         for name, (target, method, fault) in PLANTED.items():
             with self.subTest(name):
                 planted = without(target, method, fault)(count_broken)
-                self.assertGreater(planted(60), 0)
+                self.assertGreater(planted(walk, 60), 0)
 
     def test_old_grants_are_refused(self) -> None:
         """A gateway that has reported takes no grant of the owner before."""
--- a/tests/coordination/test_idempotency.py
+++ b/tests/coordination/test_idempotency.py
@@ -4,7 +4,6 @@
 import unittest
 
 from attrs import evolve
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
@@ -19,16 +18,10 @@
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 from tests.coordination.key_world import HORIZON_MS, NAMES, WINDOW_MS, KeyWorld, without
+from tests.harness.fuzzing import count_broken, make_settings
 
 DAEMONS = st.sampled_from(NAMES)
-WALK = settings(
-    derandomize=True,
-    deadline=None,
-    database=None,
-    max_examples=150,
-    stateful_step_count=40,
-    suppress_health_check=list(HealthCheck),
-)
+WALK = make_settings(150, 40)
 
 
 class KeyMachine(RuleBasedStateMachine):
@@ -170,17 +163,6 @@
     return world
 
 
-def count_broken(walks: int) -> int:
-    """Return how many walks break a promise."""
-    broken = 0
-    for seed in range(walks):
-        try:
-            walk(seed)
-        except AssertionError:
-            broken += 1
-    return broken
-
-
 def claim_unmarked(self, call_id, body, now_ms):
     """Claim without a mark on the second daemon."""
     name = f"{body.team}/{body.service}/{body.key}"
@@ -367,14 +349,14 @@
 
     def test_walks(self) -> None:
         """No promise is broken on 400 seeded walks."""
-        self.assertEqual(count_broken(400), 0)
+        self.assertEqual(count_broken(walk, 400), 0)
 
     def test_planted_faults(self) -> None:
         """Each planted fault breaks some walk."""
         for name, (target, method, fault) in PLANTED.items():
             with self.subTest(name):
                 planted = without(target, method, fault)(count_broken)
-                self.assertGreater(planted(150), 0)
+                self.assertGreater(planted(walk, 150), 0)
 
     def test_scripted_faults(self) -> None:
         """Rare faults: each breaks its script, which holds without the fault."""
--- a/tests/coordination/test_journal.py
+++ b/tests/coordination/test_journal.py
@@ -5,14 +5,12 @@
 
 import cbor2
 from attrs import Factory, define
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from poplarlb.coordination.budget import UrgentStoreCall
@@ -27,6 +25,7 @@
 )
 from poplarlb.protocol import ports
 from poplarlb.settings import JournalSettings, Settings
+from tests.harness.fuzzing import run_machine
 from tests.standins.store import KeyTable
 
 RING = JournalSettings(
@@ -263,25 +262,12 @@
         self.world.finish()
 
 
-def run_fuzz(examples: int, steps: int) -> None:
-    """Run the machine; raises on the first failure."""
-    chosen = settings(
-        max_examples=examples,
-        stateful_step_count=steps,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(JournalMachine, settings=chosen)
-
-
 class JournalTest(unittest.TestCase):
     """The journal under faults, and its group commit without any."""
 
     def test_fuzz(self) -> None:
         """Delays, lost answers, deaths, overlaps and wraps lose nothing."""
-        run_fuzz(120, 50)
+        run_machine(JournalMachine, 120, 50)
 
     def test_divided_item_survives_fold(self) -> None:
         """A ring that fills in the middle of a divided item loses no piece."""
@@ -372,4 +358,4 @@
 
 
 if __name__ == "__main__":
-    run_fuzz(int(sys.argv[1]), int(sys.argv[2]))
+    run_machine(JournalMachine, int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/test_ownership.py
@@ -5,13 +5,11 @@
 import unittest
 
 from attrs import Factory, define, evolve
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
 from poplarlb.coordination.context import NodeContext
@@ -26,6 +24,7 @@
 from poplarlb.coordination.sharding import Member, ShardMap, owner_order
 from poplarlb.protocol import codec, ports
 from poplarlb.settings import Settings, ShardSettings
+from tests.harness.fuzzing import run_machine
 from tests.standins.store import KeyTable
 
 ZONES = ("kochi", "thrissur", "kollam")
@@ -285,25 +284,12 @@
         self.world.check_settled()
 
 
-def run_fuzz(examples: int, steps: int) -> None:
-    """Run the machine; raises on the first failure."""
-    chosen = settings(
-        max_examples=examples,
-        stateful_step_count=steps,
-        derandomize=True,
-        deadline=None,
-        database=None,
-        suppress_health_check=list(HealthCheck),
-    )
-    run_state_machine_as_test(OwnershipMachine, settings=chosen)
-
-
 class OwnershipTest(unittest.TestCase):
     """Ownership under faults."""
 
     def test_fuzz(self) -> None:
         """No shard is held twice, taken from the living, or left alone."""
-        run_fuzz(8, 15)
+        run_machine(OwnershipMachine, 8, 15)
 
     def started(self, settings: Settings = SETTINGS) -> World:
         """Return a world of three daemons that has settled."""
@@ -367,4 +353,4 @@
 
 
 if __name__ == "__main__":
-    run_fuzz(int(sys.argv[1]), int(sys.argv[2]))
+    run_machine(OwnershipMachine, int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/coordination/test_shard_fuzz.py
+++ b/tests/coordination/test_shard_fuzz.py
@@ -4,7 +4,7 @@
 import unittest
 
 from attrs import define, field
-from hypothesis import HealthCheck, Phase, settings
+from hypothesis import Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
@@ -27,7 +27,7 @@
 )
 from poplarlb.state.templates import ConfigView
 from tests.coordination.shard_world import ShardWorld
-from tests.harness import oracle
+from tests.harness import fuzzing, oracle
 
 QUIET_MS = 120_000
 ZONES = st.sampled_from(("a", "b"))
@@ -320,15 +320,8 @@
 def make_settings(examples: int) -> settings:
     """Return fixed settings; a longer run is asked for by the environment."""
     factor = int(os.environ.get("SHARD_FUZZ_FACTOR", "1"))
-    return settings(
-        max_examples=examples * factor,
-        stateful_step_count=40,
-        deadline=None,
-        database=None,
-        derandomize=True,
-        suppress_health_check=list(HealthCheck),
-        phases=(Phase.generate, Phase.shrink),
-    )
+    phases = (Phase.generate, Phase.shrink)
+    return fuzzing.make_settings(examples * factor, 40, phases=phases)
 
 
 ShardFuzzTest = ShardFuzz.TestCase
--- /dev/null
+++ b/tests/harness/fuzzing.py
@@ -0,0 +1,35 @@
+"""Fixed settings for stateful fuzzing, and counting of broken walks."""
+
+from collections.abc import Callable
+
+from hypothesis import HealthCheck, settings
+from hypothesis.stateful import run_state_machine_as_test
+
+
+def make_settings(examples: int, steps: int, **others: object) -> settings:
+    """Return settings that give the same runs everywhere."""
+    return settings(
+        max_examples=examples,
+        stateful_step_count=steps,
+        derandomize=True,
+        deadline=None,
+        database=None,
+        suppress_health_check=list(HealthCheck),
+        **others,
+    )
+
+
+def run_machine(machine: type, examples: int, steps: int) -> None:
+    """Run a state machine; raises on its first failure."""
+    run_state_machine_as_test(machine, settings=make_settings(examples, steps))
+
+
+def count_broken(walk: Callable[[int], object], walks: int) -> int:
+    """Return how many of the walks from seed 0 on fail an assertion."""
+    broken = 0
+    for seed in range(walks):
+        try:
+            walk(seed)
+        except AssertionError:
+            broken += 1
+    return broken
--- a/tests/test_system_fuzz.py
+++ b/tests/test_system_fuzz.py
@@ -2,10 +2,10 @@
 
 import unittest
 
-from hypothesis import HealthCheck, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
 
+from tests.harness.fuzzing import make_settings
 from tests.harness.walk import Walk, walk_randomly
 
 DAEMONS = st.integers(0, 2)
@@ -104,14 +104,7 @@
 
 
 SystemFuzzTest = SystemMachine.TestCase
-SystemFuzzTest.settings = settings(
-    max_examples=6,
-    stateful_step_count=30,
-    deadline=None,
-    derandomize=True,
-    database=None,
-    suppress_health_check=list(HealthCheck),
-)
+SystemFuzzTest.settings = make_settings(6, 30)
 
 
 class RegressionTest(unittest.TestCase):
