--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -1,114 +1,55 @@
 """The daemon's settings: read from TOML and checked whole."""
 
 import ipaddress
-import re
 import tomllib
 
 import attrs
 from attrs import field, frozen
 
 from poplarlb.exceptions import SettingsError
-
-
-@frozen
-class Between:
-    """Checks that a number is within its bounds."""
-
-    low: float
-    high: float
-
-    def __call__(
-        self, instance: object, attribute: attrs.Attribute, value: float
-    ) -> None:
-        """Raise ``ValueError`` naming the bounds if the value is outside."""
-        if not self.low <= value <= self.high:
-            raise ValueError(f"must be between {self.low} and {self.high}")
-
-
-def _between(low: float, high: float) -> Between:
-    return Between(low, high)
-
-
-NAME_PATTERN = re.compile(r"[a-z0-9][a-z0-9-]{0,62}")
-NAME_RULE = "must be lower-case letters, digits and hyphens, at most 63"
-LOG_LEVELS = ("TRACE", "DEBUG", "INFO", "WARNING", "ERROR")
-PORT_LIMIT = 65_535
-
-
-def _check_name(instance: object, attribute: attrs.Attribute, value: str) -> None:
-    if not NAME_PATTERN.fullmatch(value):
-        raise ValueError(NAME_RULE)
-
-
-def _check_names(instance: object, attribute: attrs.Attribute, value: tuple) -> None:
-    if not all(NAME_PATTERN.fullmatch(item) for item in value):
-        raise ValueError(f"each {NAME_RULE}")
-    if len(set(value)) != len(value):
-        raise ValueError("must not name anything twice")
-
-
-def _check_address(instance: object, attribute: attrs.Attribute, value: str) -> None:
-    host, _, port = value.rpartition(":")
-    try:
-        ipaddress.ip_address(host.strip("[]"))
-        good = port.isascii() and port.isdigit() and int(port) <= PORT_LIMIT
-    except ValueError:
-        good = False
-    if not good:
-        raise ValueError("must be an IP address and a port, such as 10.0.0.5:8080")
-
-
-def _check_optional_address(
-    instance: object, attribute: attrs.Attribute, value: str
-) -> None:
-    if value:
-        _check_address(instance, attribute, value)
-
-
-def _check_addresses(
-    instance: object, attribute: attrs.Attribute, value: tuple
-) -> None:
-    for item in value:
-        _check_address(instance, attribute, item)
-
-
-def _check_level(instance: object, attribute: attrs.Attribute, value: str) -> None:
-    if value not in LOG_LEVELS:
-        raise ValueError(f"must be one of {', '.join(LOG_LEVELS)}")
+from poplarlb.settings_checks import (
+    Between,
+    check_address,
+    check_addresses,
+    check_level,
+    check_name,
+    check_names,
+    check_optional_address,
+)
 
 
 @frozen
 class StoreSettings:
     """How to reach the platform's store, and this daemon's share of its rates."""
 
-    address: str = field(default="127.0.0.1:2379", validator=_check_address)
+    address: str = field(default="127.0.0.1:2379", validator=check_address)
     prefix: str = "poplarlb/"
-    timeout_ms: int = field(default=2_000, validator=_between(50, 60_000))
-    calls_per_s: float = field(default=25.0, validator=_between(1, 2_000))
-    burst_calls: int = field(default=50, validator=_between(1, 4_000))
+    timeout_ms: int = field(default=2_000, validator=Between(50, 60_000))
+    calls_per_s: float = field(default=25.0, validator=Between(1, 2_000))
+    burst_calls: int = field(default=50, validator=Between(1, 4_000))
 
 
 @frozen
 class PlatformSettings:
     """How to read the platform's list of hosts."""
 
-    hosts_address: str = field(default="127.0.0.1:2380", validator=_check_address)
-    hosts_period_ms: int = field(default=1_000, validator=_between(100, 60_000))
-    worker_timeout_ms: int = field(default=3_000, validator=_between(50, 60_000))
+    hosts_address: str = field(default="127.0.0.1:2380", validator=check_address)
+    hosts_period_ms: int = field(default=1_000, validator=Between(100, 60_000))
+    worker_timeout_ms: int = field(default=3_000, validator=Between(50, 60_000))
 
 
 @frozen
 class MemberSettings:
     """Membership and shard ownership."""
 
-    lease_s: int = field(default=6, validator=_between(2, 60))
-    heartbeat_ms: int = field(default=500, validator=_between(50, 10_000))
-    suspect_after_ms: int = field(default=2_500, validator=_between(100, 60_000))
-    registration_grace_ms: int = field(default=4_000, validator=_between(0, 60_000))
+    lease_s: int = field(default=6, validator=Between(2, 60))
+    heartbeat_ms: int = field(default=500, validator=Between(50, 10_000))
+    suspect_after_ms: int = field(default=2_500, validator=Between(100, 60_000))
+    registration_grace_ms: int = field(default=4_000, validator=Between(0, 60_000))
     orphan_horizon_ms: int = field(
-        default=1_800_000, validator=_between(10_000, 7_200_000)
+        default=1_800_000, validator=Between(10_000, 7_200_000)
     )
-    gossip_bytes_per_s: int = field(default=4_000, validator=_between(100, 10_000_000))
+    gossip_bytes_per_s: int = field(default=4_000, validator=Between(100, 10_000_000))
 
 
 @frozen
@@ -118,97 +59,95 @@
     ``extra_zones`` hold daemons, but no workers.
     """
 
-    zones: tuple[str, ...] = field(default=(), validator=_check_names)
-    shards_per_zone: int = field(default=1, validator=_between(1, 64))
-    extra_zones: tuple[str, ...] = field(default=(), validator=_check_names)
+    zones: tuple[str, ...] = field(default=(), validator=check_names)
+    shards_per_zone: int = field(default=1, validator=Between(1, 64))
+    extra_zones: tuple[str, ...] = field(default=(), validator=check_names)
 
 
 @frozen
 class JournalSettings:
     """Group commit, ring and snapshots of a shard's journal."""
 
-    commit_period_ms: int = field(default=100, validator=_between(1, 5_000))
-    ring_slots: int = field(default=1_024, validator=_between(4, 4_096))
-    snapshot_every: int = field(default=512, validator=_between(1, 4_096))
-    snapshot_part_bytes: int = field(
-        default=400_000, validator=_between(1_000, 512_000)
-    )
-    entry_limit_bytes: int = field(default=400_000, validator=_between(1_000, 512_000))
+    commit_period_ms: int = field(default=100, validator=Between(1, 5_000))
+    ring_slots: int = field(default=1_024, validator=Between(4, 4_096))
+    snapshot_every: int = field(default=512, validator=Between(1, 4_096))
+    snapshot_part_bytes: int = field(default=400_000, validator=Between(1_000, 512_000))
+    entry_limit_bytes: int = field(default=400_000, validator=Between(1_000, 512_000))
 
 
 @frozen
 class TaskSettings:
     """Leases, starts, and what is kept of ended tasks."""
 
-    lease_ms: int = field(default=30_000, validator=_between(500, 600_000))
-    renew_period_ms: int = field(default=10_000, validator=_between(100, 300_000))
-    clock_margin_ms: int = field(default=500, validator=_between(0, 10_000))
-    start_window_ms: int = field(default=2_000, validator=_between(100, 60_000))
-    retention_ms: int = field(default=86_400_000, validator=_between(0, 2_592_000_000))
-    ended_limit: int = field(default=2_000, validator=_between(0, 1_000_000))
-    queue_limit: int = field(default=20_000, validator=_between(1, 1_000_000))
-    decisions_kept: int = field(default=2_000, validator=_between(10, 100_000))
-    failures_allowed: int = field(default=3, validator=_between(1, 100))
+    lease_ms: int = field(default=30_000, validator=Between(500, 600_000))
+    renew_period_ms: int = field(default=10_000, validator=Between(100, 300_000))
+    clock_margin_ms: int = field(default=500, validator=Between(0, 10_000))
+    start_window_ms: int = field(default=2_000, validator=Between(100, 60_000))
+    retention_ms: int = field(default=86_400_000, validator=Between(0, 2_592_000_000))
+    ended_limit: int = field(default=2_000, validator=Between(0, 1_000_000))
+    queue_limit: int = field(default=20_000, validator=Between(1, 1_000_000))
+    decisions_kept: int = field(default=2_000, validator=Between(10, 100_000))
+    failures_allowed: int = field(default=3, validator=Between(1, 100))
 
 
 @frozen
 class ConfigSettings:
     """How fresh the configuration must be."""
 
-    poll_period_ms: int = field(default=500, validator=_between(50, 10_000))
-    staleness_ms: int = field(default=2_000, validator=_between(200, 60_000))
+    poll_period_ms: int = field(default=500, validator=Between(50, 10_000))
+    staleness_ms: int = field(default=2_000, validator=Between(200, 60_000))
 
 
 @frozen
 class PolicySettings:
     """Placement, relief of breached services, and bad workers."""
 
-    eviction_budget_per_min: int = field(default=6, validator=_between(0, 1_000))
-    worker_cooldown_ms: int = field(default=30_000, validator=_between(0, 600_000))
-    quarantine_failures: int = field(default=3, validator=_between(1, 100))
-    quarantine_ms: int = field(default=60_000, validator=_between(100, 3_600_000))
+    eviction_budget_per_min: int = field(default=6, validator=Between(0, 1_000))
+    worker_cooldown_ms: int = field(default=30_000, validator=Between(0, 600_000))
+    quarantine_failures: int = field(default=3, validator=Between(1, 100))
+    quarantine_ms: int = field(default=60_000, validator=Between(100, 3_600_000))
     harm_half_life_ms: int = field(
-        default=600_000, validator=_between(1_000, 86_400_000)
+        default=600_000, validator=Between(1_000, 86_400_000)
     )
-    ageing_ms: int = field(default=600_000, validator=_between(1_000, 86_400_000))
-    overdue_ms: int = field(default=3_600_000, validator=_between(1_000, 86_400_000))
-    held_ms: int = field(default=30_000, validator=_between(0, 600_000))
-    harm_weight: float = field(default=1.0, validator=_between(0, 1_000))
-    harm_prior: float = field(default=0.3, validator=_between(0, 100))
-    spread_weight: float = field(default=0.5, validator=_between(0, 1_000))
-    fragmentation_weight: float = field(default=0.2, validator=_between(0, 1_000))
-    accelerator_weight: float = field(default=2.0, validator=_between(0, 1_000))
-    learned_quantile: float = field(default=0.9, validator=_between(0.5, 1))
-    relief_period_ms: int = field(default=1_000, validator=_between(50, 60_000))
-    breach_share: float = field(default=0.08, validator=_between(0, 1))
-    breach_window_ms: int = field(default=5_000, validator=_between(500, 600_000))
-    eviction_factor: float = field(default=3.0, validator=_between(1, 100))
-    clear_ms: int = field(default=20_000, validator=_between(500, 3_600_000))
-    throttle_wait_ms: int = field(default=5_000, validator=_between(100, 600_000))
-    throttle_percent: int = field(default=25, validator=_between(1, 100))
-    quarantine_share: float = field(default=0.25, validator=_between(0, 1))
+    ageing_ms: int = field(default=600_000, validator=Between(1_000, 86_400_000))
+    overdue_ms: int = field(default=3_600_000, validator=Between(1_000, 86_400_000))
+    held_ms: int = field(default=30_000, validator=Between(0, 600_000))
+    harm_weight: float = field(default=1.0, validator=Between(0, 1_000))
+    harm_prior: float = field(default=0.3, validator=Between(0, 100))
+    spread_weight: float = field(default=0.5, validator=Between(0, 1_000))
+    fragmentation_weight: float = field(default=0.2, validator=Between(0, 1_000))
+    accelerator_weight: float = field(default=2.0, validator=Between(0, 1_000))
+    learned_quantile: float = field(default=0.9, validator=Between(0.5, 1))
+    relief_period_ms: int = field(default=1_000, validator=Between(50, 60_000))
+    breach_share: float = field(default=0.08, validator=Between(0, 1))
+    breach_window_ms: int = field(default=5_000, validator=Between(500, 600_000))
+    eviction_factor: float = field(default=3.0, validator=Between(1, 100))
+    clear_ms: int = field(default=20_000, validator=Between(500, 3_600_000))
+    throttle_wait_ms: int = field(default=5_000, validator=Between(100, 600_000))
+    throttle_percent: int = field(default=25, validator=Between(1, 100))
+    quarantine_share: float = field(default=0.25, validator=Between(0, 1))
 
 
 @frozen
 class RequestSettings:
     """Requests to services: limits, timeouts and retries."""
 
-    default_timeout_ms: int = field(default=10_000, validator=_between(10, 600_000))
-    body_limit_bytes: int = field(default=8 << 20, validator=_between(1_024, 1 << 30))
-    retry_share: float = field(default=0.1, validator=_between(0, 1))
-    key_body_limit_bytes: int = field(default=65_536, validator=_between(0, 1_000_000))
+    default_timeout_ms: int = field(default=10_000, validator=Between(10, 600_000))
+    body_limit_bytes: int = field(default=8 << 20, validator=Between(1_024, 1 << 30))
+    retry_share: float = field(default=0.1, validator=Between(0, 1))
+    key_body_limit_bytes: int = field(default=65_536, validator=Between(0, 1_000_000))
 
 
 @frozen
 class ApiSettings:
     """The HTTP doors for callers and for operators."""
 
-    listen: str = field(default="127.0.0.1:0", validator=_check_address)
-    operator_listen: str = field(default="", validator=_check_optional_address)
+    listen: str = field(default="127.0.0.1:0", validator=check_address)
+    operator_listen: str = field(default="", validator=check_optional_address)
     operator_secret: str = field(default="", repr=False)
-    threads: int = field(default=32, validator=_between(1, 512))
-    header_limit_bytes: int = field(default=65_536, validator=_between(1_024, 1 << 20))
-    requests_per_s: float = field(default=2_000, validator=_between(1, 1_000_000))
+    threads: int = field(default=32, validator=Between(1, 512))
+    header_limit_bytes: int = field(default=65_536, validator=Between(1_024, 1 << 20))
+    requests_per_s: float = field(default=2_000, validator=Between(1, 1_000_000))
     tls_certificate: str = ""
     tls_key: str = ""
 
@@ -217,9 +156,9 @@
 class PeerSettings:
     """The door for other daemons."""
 
-    listen: str = field(default="127.0.0.1:0", validator=_check_address)
+    listen: str = field(default="127.0.0.1:0", validator=check_address)
     secret: str = field(default="", repr=False)
-    seeds: tuple[str, ...] = field(default=(), validator=_check_addresses)
+    seeds: tuple[str, ...] = field(default=(), validator=check_addresses)
     tls_certificate: str = ""
     tls_key: str = ""
     tls_authority: str = ""
@@ -229,7 +168,7 @@
 class LogSettings:
     """Structured logs."""
 
-    level: str = field(default="INFO", validator=_check_level)
+    level: str = field(default="INFO", validator=check_level)
     json: bool = False
 
 
@@ -237,19 +176,17 @@
 class StopSettings:
     """A graceful shutdown: first leave the balancer, then finish what is in flight."""
 
-    drain_ms: int = field(default=2_000, validator=_between(0, 600_000))
-    request_timeout_ms: int = field(default=60_000, validator=_between(100, 3_600_000))
-    hand_over_timeout_ms: int = field(
-        default=15_000, validator=_between(100, 3_600_000)
-    )
+    drain_ms: int = field(default=2_000, validator=Between(0, 600_000))
+    request_timeout_ms: int = field(default=60_000, validator=Between(100, 3_600_000))
+    hand_over_timeout_ms: int = field(default=15_000, validator=Between(100, 3_600_000))
 
 
 @frozen
 class Settings:
     """Everything that a daemon is told by its operators."""
 
-    member_id: str = field(validator=_check_name)
-    zone: str = field(validator=_check_name)
+    member_id: str = field(validator=check_name)
+    zone: str = field(validator=check_name)
     store: StoreSettings = StoreSettings()
     platform: PlatformSettings = PlatformSettings()
     members: MemberSettings = MemberSettings()
@@ -263,7 +200,7 @@
     peers: PeerSettings = PeerSettings()
     logs: LogSettings = LogSettings()
     stop: StopSettings = StopSettings()
-    tick_ms: int = field(default=200, validator=_between(5, 5_000))
+    tick_ms: int = field(default=200, validator=Between(5, 5_000))
 
 
 def load_settings(path: str) -> Settings:
--- a/poplarlb/transport/gateway.py
+++ b/poplarlb/transport/gateway.py
@@ -36,13 +36,13 @@
     OutgoingRequest,
     UnsentError,
 )
+from poplarlb.transport.key_calls import KeyCalls, UnclaimedError
 from poplarlb.transport.limits import REQUEST_KEY
 from poplarlb.transport.operators import RateLimit
 from poplarlb.transport.replies import Exchange, Reply, Tries, busy, refuse
 from poplarlb.transport.runtime import Runtime, now_ms
 from poplarlb.transport.service_calls import (
     ServiceCall,
-    digest_of,
     parse_call,
     parse_target,
 )
@@ -50,17 +50,12 @@
 BUFFER_BYTES = 64 << 20
 RESERVED_THREADS = 2
 RETRIED_STATUS = frozenset({429, 502, 503, 504})
-KEY_CALL_TIMEOUT_S = 8.0
 MOVE_PATIENCE_MS = 3_000
 MOVE_STEP_MS = 200
 MOVE_WAITERS = 8
 MOVING = frozenset({Reason.NO_OWNER, Reason.NO_SECOND, Reason.KEY_UNCERTAIN})
 
 
-class UnclaimedError(RefusedError):
-    """A key could not be claimed; this call has dispatched nothing."""
-
-
 @define
 class ServiceGateway:
     """The WSGI application under ``/v1/services``.
@@ -77,10 +72,12 @@
     places: int = field(init=False)
     started_ms: int = Factory(now_ms)
     lock: threading.Lock = Factory(threading.Lock)
+    keys: KeyCalls = field(init=False)
     waiters: threading.Semaphore = Factory(lambda: threading.Semaphore(MOVE_WAITERS))
 
     def __attrs_post_init__(self) -> None:
         """Take the limits from the settings."""
+        self.keys = KeyCalls(self.runtime)
         settings = self.runtime.settings.api
         per_s = settings.requests_per_s
         self.rate = RateLimit(per_s, per_s, per_s)
@@ -192,7 +189,7 @@
         return True
 
     def _serve_keyed(self, call: ServiceCall, stack: contextlib.ExitStack) -> Reply:
-        claim = self._claim(call)
+        claim = self.keys.claim(call)
         if isinstance(claim, api.KeyAnswered):
             headers = [*claim.headers, ("Poplarlb-Replayed", "true")]
             return Reply(claim.status, "Replayed", headers, iter([claim.body]))
@@ -206,51 +203,9 @@
             used = error.fault.code != "not_run"
             raise
         finally:
-            self._finish_key(call, used, outcome)
+            self.keys.finish(call, used, outcome)
         return self._reply(call, exchange, stack)
 
-    def _claim(self, call: ServiceCall) -> api.KeyClaimed | api.KeyAnswered:
-        body = api.BeginKey(
-            call.team,
-            call.service,
-            call.key,
-            call.request_id,
-            digest_of(call),
-            call.first_sending,
-            call.deadline_ms,
-        )
-        result = None
-        try:
-            result = self.runtime.ask(body, KEY_CALL_TIMEOUT_S)
-        finally:
-            if not isinstance(result, api.KeyClaimed | api.KeyAnswered):
-                self._finish_key(call, False, None)
-        if isinstance(result, api.Fault):
-            raise UnclaimedError(result)
-        return result
-
-    def _finish_key(
-        self, call: ServiceCall, used: bool, outcome: EndpointAnswer | None
-    ) -> None:
-        """Record a key's outcome before the caller hears it."""
-        limit = self.runtime.settings.requests.key_body_limit_bytes
-        kept = outcome if outcome and len(outcome.first) <= limit else None
-        body = api.FinishKey(
-            call.team,
-            call.service,
-            call.key,
-            call.request_id,
-            used,
-            kept.status if kept else 0,
-            kept.headers if kept else (),
-            kept.first if kept else b"",
-        )
-        if kept is None:
-            self.runtime.tell(body)
-            return
-        with contextlib.suppress(PoplarlbError):
-            self.runtime.ask(body, KEY_CALL_TIMEOUT_S)
-
     def _exchange(self, call: ServiceCall) -> Exchange:
         """Return an endpoint's answer, after retries where nothing can run twice.
 
--- a/tests/settings_page.py
+++ b/tests/settings_page.py
@@ -8,7 +8,8 @@
 
 import attrs
 
-from poplarlb.settings import Between, Settings
+from poplarlb.settings import Settings
+from poplarlb.settings_checks import Between
 
 PAGE = pathlib.Path("docs/settings.md")
 START = """# Settings
