The oracle adds up capacity by itself

Cause: a planted fault, processors ignored in Resources.fits_in, passed 60 walks: the oracle compared sizes with the same method. Change: the oracle sums and compares the amounts itself.

--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -7,7 +7,7 @@
 from poplarlb.protocol import api
 from poplarlb.state.models import Resources, ZoneState
 from tests.harness.world import Answered, ReportedSuccess, World
-from tests.standins.worker import HistoryRow
+from tests.standins.worker import HistoryRow, WorkerModel
 
 ZONE_BOUND_MS = 3_000
 VIEW_BOUND_MS = 6_000
@@ -87,25 +87,34 @@
 
 
 def check_capacity(world: World) -> list[Violation]:
-    """No host is given more than it can hold."""
+    """No host is given more than it can hold; sums are the oracle's own."""
+    return [
+        violation
+        for model in world.workers.values()
+        for violation in _check_worker(model)
+    ]
+
+
+def _check_worker(model: WorkerModel) -> list[Violation]:
     found = []
-    for model in world.workers.values():
-        held: dict[str, Resources] = {}
-        rows = sorted(model.history, key=lambda row: (row.at_ms, row.what == "start"))
-        for row in rows:
-            if row.what == "start":
-                held[row.subject] = row.reserved
-            elif row.what in OVER:
-                held.pop(row.subject, None)
-            total = Resources()
-            for reserved in held.values():
-                total = total.plus(reserved)
-            if not total.fits_in(model.worker.capacity):
-                detail = f"{row.worker_id} holds {total} at {row.at_ms}"
-                found.append(Violation("no host over its capacity", detail))
+    held: dict[str, tuple[int, int, int]] = {}
+    limit = _amounts(model.worker.capacity)
+    for row in sorted(model.history, key=lambda row: (row.at_ms, row.what == "start")):
+        if row.what == "start":
+            held[row.subject] = _amounts(row.reserved)
+        elif row.what in OVER:
+            held.pop(row.subject, None)
+        total = [sum(amounts) for amounts in zip(*held.values(), strict=True)]
+        if any(have > most for have, most in zip(total, limit, strict=False)):
+            detail = f"{row.worker_id} holds {total} of {limit} at {row.at_ms}"
+            found.append(Violation("no host over its capacity", detail))
     return found
 
 
+def _amounts(size: Resources) -> tuple[int, int, int]:
+    return size.cpu_millis, size.memory_mb, size.accelerators
+
+
 def check_resumes(world: World) -> list[Violation]:
     """No attempt starts twice, and attempts only grow."""
     found = []
