--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -5,11 +5,12 @@
 from attrs import frozen
 
 from poplarlb.protocol import api
-from poplarlb.state.models import Resources, ZoneState
+from poplarlb.state.models import HostState, Resources, ZoneState
 from tests.harness.world import Answered, ReportedSuccess, World
 from tests.standins.worker import HistoryRow, WorkerModel
 
 ZONE_BOUND_MS = 3_000
+LEAVING_BOUND_MS = 3_000
 VIEW_BOUND_MS = 6_000
 OVER = ("succeeded", "failed", "stopped", "lapsed", "crashed")
 
@@ -31,6 +32,7 @@
         *check_zones(world),
         *check_not_run(world),
         *check_views(world),
+        *check_leaving(world),
     ]
 
 
@@ -170,6 +172,31 @@
     return change.at_ms > out.asked_ms
 
 
+def check_leaving(world: World) -> list[Violation]:
+    """Give no start and no request to a host a few seconds after it leaves."""
+    bound_ms = LEAVING_BOUND_MS + world.faults.list_lag_ms
+    return [
+        Violation("a leaving host gets no new work", f"{row.what} {row.worker_id}")
+        for row in world.history()
+        if row.what in ("start", "served")
+        and _left_for(world, row.worker_id, row.at_ms) > bound_ms
+    ]
+
+
+def _left_for(world: World, worker_id: str, at_ms: int) -> int:
+    """Return for how long the platform had called a host leaving by then."""
+    since_ms = 0
+    for listed_ms, workers in world.lists:
+        if listed_ms > at_ms:
+            break
+        states = (w.state for w in workers if w.worker_id == worker_id)
+        if next(states, None) is not HostState.LEAVING:
+            since_ms = 0
+        elif not since_ms:
+            since_ms = listed_ms
+    return at_ms - since_ms if since_ms else 0
+
+
 def check_not_run(world: World) -> list[Violation]:
     """Work that was refused as not run has not run, unless asked for again."""
     submits = [a for a in world.answers if isinstance(a.call, api.SubmitTask)]
