A shard is offered for requests only once its owner knows its endpoints

Change: no summary before the endpoints are set; they are set before the first request; while a shard has no known owner the reason is no_owner, which the gateway waits on.

--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/node.py
@@ -191,13 +191,21 @@
         body = routing.body
         shard = choose_shard(body, self.summaries(), self.own.zone, routing.tried)
         if not shard:
-            detail = "no endpoint of the service runs"
-            fault = api.Fault("not_run", Reason.NO_ENDPOINT, detail, 1_000)
+            fault = self._no_endpoint_fault()
             routing.closed = True
             return [ports.ApiAnswer(call_id, fault)]
         routing.tried.append(shard)
         return self._to_owner(ports.ApiRequested(call_id, body), shard, now_ms)
 
+    def _no_endpoint_fault(self) -> api.Fault:
+        """Refuse a request; a shard without an owner may have endpoints yet."""
+        known = {summary.shard for summary in self.summaries()}
+        if set(self.shards.shards) - known:
+            detail = "a shard that may have endpoints is changing its owner"
+            return api.Fault("not_run", Reason.NO_OWNER, detail, 1_000)
+        detail = "no endpoint of the service runs"
+        return api.Fault("not_run", Reason.NO_ENDPOINT, detail, 1_000)
+
     def _try_next_shard(self, answer: ports.ApiAnswer, now_ms: int) -> list:
         """Ask another shard's owner where one refused a request of our own."""
         routing = self.requests.may_try_again(answer.call_id, answer.result, now_ms)
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shard_host.py
@@ -71,6 +71,7 @@
     committed_ticket: int = 0
     leaving: bool = False
     broken: str = ""
+    endpoints_set: bool = False
 
     @property
     def open(self) -> bool:
@@ -143,7 +144,7 @@
 
     def summary(self) -> ShardSummary | None:
         """Return what other members should know, once the shard is open."""
-        if not self.open or self.leaving:
+        if not self.open or self.leaving or not self.endpoints_set:
             return None
         return self.machine.summary(self.admission.summaries())
 
@@ -152,7 +153,10 @@
     def _drive_machine(self, event: ports.Event, now_ms: int) -> list[ShardCommand]:
         match event:
             case ports.ApiRequested(body=api.AdmitRequest()):
-                return self.admission.handle(event, now_ms)
+                return [
+                    *self._set_first_endpoints(now_ms),
+                    *self.admission.handle(event, now_ms),
+                ]
             case ports.ApiRequested(body=api.SubmitTask(spec=spec)):
                 known = spec.key in self.machine.core.state.tasks
                 if not known and self._uncommitted() >= UNCOMMITTED_LIMIT:
@@ -163,10 +167,20 @@
         if effects.urgent:
             commands.extend(self._take_outputs(self.journal.advance(now_ms), now_ms))
         if isinstance(event, ports.Tick):
-            self.admission.set_endpoints(self.machine.endpoints(), now_ms)
+            self._set_endpoints(now_ms)
             commands.extend(self.admission.handle(event, now_ms))
         return commands
 
+    def _set_first_endpoints(self, now_ms: int) -> list[ShardCommand]:
+        """Let the machine look around before the first request after recovery."""
+        if self.endpoints_set:
+            return []
+        return self._drive_machine(ports.Tick(), now_ms)
+
+    def _set_endpoints(self, now_ms: int) -> None:
+        self.admission.set_endpoints(self.machine.endpoints(), now_ms)
+        self.endpoints_set = True
+
     def _run(self, step: Callable, argument: object, now_ms: int) -> Effects:
         """Run the machine; a fault leaves it ahead of the journal, so it stops."""
         try:
