bench: routed requests are measured once shards have settled

Cause: the series began while shards moved, and one was given up on a refusal. Change: 15 s between the template and the first series; bench.restart measures the moves.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -28,6 +28,7 @@
 ZONES = ("a", "b", "c")
 CLIENTS = 4
 REQUESTS = 1_500
+SETTLE_S = 15
 WARM_UP = 200
 DECISIONS = 20_000
 HELD_ITEMS = 5_000
@@ -96,6 +97,8 @@
         for service in ("stock", "orders", "notes"):
             path = f"/v1/services/dairy/{service}/x"
             wait_for(lambda n=number, p=path: deployment.call(n, "GET", p)[0] == 200)
+    # Shards move while daemons join; bench.restart measures that.
+    time.sleep(SETTLE_S)
 
 
 def wait_for(good: Callable[[], bool]) -> None:
