Refuse bytes after a message; test the daemons' door with hostile input

Cause: the door between daemons had no test; a message with bytes behind it was taken, since cbor2.loads lets them pass. Change: decode refuses what follows the item; five tests over real sockets: bad frames counted, wrong secret, oversized message, other protocol version.

--- a/poplarlb/protocol/codec.py
+++ b/poplarlb/protocol/codec.py
@@ -4,6 +4,7 @@
 """
 
 import enum
+import io
 import typing
 
 import cattrs
@@ -63,6 +64,18 @@
     return cbor2.dumps(converter.unstructure(value, kind))
 
 
+def _load(data: bytes) -> object:
+    """Return the one CBOR item that the bytes hold.
+
+    :raises ValueError: if anything follows it, which ``cbor2.loads`` lets pass.
+    """
+    stream = io.BytesIO(data)
+    item = cbor2.load(stream)
+    if stream.tell() != len(data):
+        raise ValueError(f"{len(data) - stream.tell()} bytes follow the item")
+    return item
+
+
 def decode(data: bytes, kind: object, converter: cattrs.Converter = _CONVERTER):
     """Return the instance of ``kind`` that the CBOR bytes describe.
 
@@ -72,6 +85,6 @@
     if len(data) > MAX_MESSAGE_BYTES:
         raise ProtocolError(f"{len(data)} bytes, at most {MAX_MESSAGE_BYTES} allowed")
     try:
-        return converter.structure(cbor2.loads(data), kind)
+        return converter.structure(_load(data), kind)
     except Exception as error:
         raise ProtocolError(f"not a {kind}: {error}") from error
--- /dev/null
+++ b/tests/transport/test_peers.py
@@ -0,0 +1,84 @@
+"""The door for other daemons takes good messages and refuses the rest."""
+
+import unittest
+
+import websockets
+from websockets.asyncio.client import connect
+
+from poplarlb.protocol import codec, messages
+from poplarlb.settings import PeerSettings
+from poplarlb.transport import peers
+
+SECRET = "correct horse"
+BEAT = messages.Heartbeat(1, 2, 3)
+
+
+class PeerTransportTest(unittest.IsolatedAsyncioTestCase):
+    """Hostile input over real sockets."""
+
+    async def asyncSetUp(self) -> None:
+        """Listen with a secret."""
+        self.received: list = []
+        self.door = peers.PeerTransport(
+            PeerSettings(secret=SECRET), "d1", lambda *args: self.received.append(args)
+        )
+        self.address = await self.door.start()
+        self.addAsyncCleanup(self.door.stop)
+
+    async def send(self, *frames: bytes | str, secret: str = SECRET) -> int | None:
+        """Send frames, then a good one; returns the code of an early close."""
+        headers = {peers.SECRET_HEADER: secret, peers.MEMBER_HEADER: "d2"}
+        async with connect(
+            f"ws://{self.address}",
+            subprotocols=[peers.PROTOCOL_VERSION],
+            additional_headers=headers,
+            max_size=None,
+            proxy=None,
+        ) as socket:
+            try:
+                for frame in (*frames, codec.encode(BEAT, messages.PeerMessage)):
+                    await socket.send(frame)
+                await socket.ping()
+                await socket.close()
+            except websockets.ConnectionClosed:
+                pass
+            return socket.close_code
+
+    async def test_good_message(self) -> None:
+        """A message arrives with its sender."""
+        await self.send()
+        self.assertEqual(self.received, [("d2", BEAT)])
+
+    async def test_bad_messages_are_counted(self) -> None:
+        """Bad frames are counted and dropped; the connection goes on."""
+        good = codec.encode(BEAT, messages.PeerMessage)
+        unknown = good.replace(b"Heartbeat", b"Heartbeet")
+        bad = ("text", b"", b"\xff\xff", good[:-3], good + b"\x00", unknown)
+        await self.send(*bad)
+        self.assertEqual(self.door.rejected["bad_message"], len(bad))
+        self.assertEqual(self.received, [("d2", BEAT)])
+
+    async def test_wrong_secret(self) -> None:
+        """A connection without the secret is closed, and nothing is taken."""
+        for secret in ("", "correct hors", "correct horses"):
+            self.assertEqual(await self.send(secret=secret), 1008)
+        self.assertEqual(self.door.rejected["unauthorized"], 3)
+        self.assertEqual(self.received, [])
+
+    async def test_oversized_message(self) -> None:
+        """A message over the limit ends its connection only."""
+        code = await self.send(b"x" * (codec.MAX_MESSAGE_BYTES + 1))
+        self.assertEqual(code, 1009)
+        await self.send()
+        self.assertEqual(self.received, [("d2", BEAT)])
+
+    async def test_other_protocol_version(self) -> None:
+        """A daemon of another protocol version is not let in."""
+        headers = {peers.SECRET_HEADER: SECRET, peers.MEMBER_HEADER: "d2"}
+        with self.assertRaises(websockets.InvalidStatus):
+            await connect(
+                f"ws://{self.address}",
+                subprotocols=["poplarlb.0"],
+                additional_headers=headers,
+                proxy=None,
+            )
