--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,17 @@
 import importlib
 import importlib.util
 
-MODULES = ("store", "shard", "requests", "decisions", "daemon", "policy", "config")
+MODULES = (
+    "store",
+    "shard",
+    "transport",
+    "requests",
+    "restart",
+    "decisions",
+    "daemon",
+    "policy",
+    "config",
+)
 
 
 def main() -> None:
