--- a/tests/harness/oracle.py
+++ b/tests/harness/oracle.py
@@ -262,7 +262,7 @@
     }
     over = {r.subject for r in world.history() if r.what in ("succeeded", "failed")}
     return [
-        Violation("accepted work never vanishes", f"{key.team}/{key.task_id}")
+        Violation("accepted work is never lost", f"{key.team}/{key.task_id}")
         for key in sorted(accepted - cancelled)
         if f"{key.team}/{key.task_id}" not in over
     ]
