The platform's whole path, thin: jobs accepted, placed, run and shown as done

Cause: nothing of poplarlb spoke the users' platform. Change: an adapter in poplarlb/platform, job steps with a dispatcher without I/O, acceptance by any daemon through the store, one owner of all jobs under an epoch.

--- /dev/null
+++ b/poplarlb/coordination/jobs/placement.py
@@ -0,0 +1,101 @@
+"""Chooses the worker for a task, without input or output."""
+
+from collections import Counter
+
+from attrs import Factory, define
+
+from poplarlb.coordination.jobs.fleet import WorkerState
+from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.state.jobs import StepSpec, Task
+from poplarlb.state.models import Resources
+
+# Costs are shares of a worker's processors; a serving task beside filling ones is worse
+# than any difference of load, which is at most 1.
+DISTURBED_COST = 1.5
+SLOW_COST = 1.0  # for each time that a worker's tasks take longer than usual
+STEP_COST = 0.05  # for each run of the same step, so that a worker's loss hits few
+
+
+@define
+class Placement:
+    """One round of choices over the workers that may get new runs.
+
+    :param workers: usable workers by service.
+    """
+
+    policy: JobPolicy
+    workers: dict[str, list[WorkerState]]
+    misfits: dict[tuple, list[Resources]] = Factory(dict)
+
+    def choose(
+        self, task: Task, service: str, exclude_rack: str = "", rack: str = ""
+    ) -> WorkerState | None:
+        """Return the cheapest worker with room for a task; None if there is none."""
+        spec = task.spec
+        constraint = (service, spec.required_label, rack, spec.fills)
+        known = self.misfits.get(constraint, ())
+        if any(item.fits_in(spec.size) for item in known):
+            return None
+        same_step = self.count_step(task, service)
+        best, best_cost, fits = None, 0.0, False
+        for worker in self.workers.get(service, ()):
+            if not allows(worker, spec, rack):
+                continue
+            if not has_room(worker, spec):
+                continue
+            fits = True
+            there = same_step[worker.worker_id]
+            if spec.max_per_worker and there >= spec.max_per_worker:
+                continue
+            cost = cost_of(worker, spec, self.policy) + there * STEP_COST
+            if best is None or cost < best_cost:
+                best, best_cost = worker, cost
+        if not fits:
+            self.misfits.setdefault(constraint, []).append(spec.size)
+        return best
+
+    def count_step(self, task: Task, service: str) -> Counter:
+        """Return how many runs of the task's step each worker holds."""
+        counts = Counter()
+        for worker in self.workers.get(service, ()):
+            for run in worker.runs.values():
+                other = run.task
+                if (
+                    other.job is task.job
+                    and other.step == task.step
+                    and other.occurrence == task.occurrence
+                ):
+                    counts[worker.worker_id] += 1
+        return counts
+
+
+def allows(worker: WorkerState, spec: StepSpec, rack: str) -> bool:
+    """Tell whether a worker's labels suit a step."""
+    labels = worker.listing.labels
+    if spec.required_label and spec.required_label not in labels:
+        return False
+    return not rack or rack in labels
+
+
+def has_room(worker: WorkerState, spec: StepSpec) -> bool:
+    """Tell whether a worker has room for one more task of a step."""
+    free = worker.free()
+    if not spec.reserved.fits_in(free):
+        return False
+    if not spec.fills:
+        return True
+    return free.cpu_millis - worker.filling_cpu >= spec.size.cpu_millis
+
+
+def cost_of(worker: WorkerState, spec: StepSpec, policy: JobPolicy) -> float:
+    """Return how bad a worker is for one more task of a step."""
+    capacity = max(worker.listing.capacity.cpu_millis, 1)
+    taken = worker.reserved.cpu_millis + worker.filling_cpu
+    cost = taken / capacity + SLOW_COST * (worker.slowness - 1.0)
+    if spec.fills and worker.serving:
+        cost += DISTURBED_COST
+    if spec.target_ms and worker.filling_cpu:
+        cost += DISTURBED_COST * worker.filling_cpu / capacity
+    if spec.preferred_rack and spec.preferred_rack not in worker.listing.labels:
+        cost += policy.far_factor - 1.0
+    return cost
--- /dev/null
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -0,0 +1,154 @@
+"""Chooses which waiting tasks start next and places them."""
+
+from attrs import define
+
+from poplarlb.coordination.jobs.book import Book
+from poplarlb.coordination.jobs.fleet import Run, RunPhase
+from poplarlb.coordination.jobs.placement import Placement
+from poplarlb.state.jobs import Job, JobState, Task, TaskStatus
+
+LATE_FACTOR = 3  # a job that takes three times its objective earns nothing more
+
+
+@define(eq=False)
+class Scheduler:
+    """Places tasks of the jobs in the book, most pressing first."""
+
+    book: Book
+
+    def place_waiting(self) -> None:
+        """Place every ready task that fits."""
+        book = self.book
+        book.room_changed = False
+        placement = Placement(book.policy, self._usable_workers())
+        for job in sorted(book.unplaced, key=self.urgency):
+            self._place_job(job, placement)
+
+    def _usable_workers(self) -> dict:
+        book = self.book
+        usable: dict[str, list] = {}
+        for worker in book.workers.values():
+            if not worker.is_usable(book.now_ms):
+                continue
+            if worker.listing.zone in book.zones_out:
+                continue
+            usable.setdefault(worker.listing.service, []).append(worker)
+        return usable
+
+    def urgency(self, job: Job) -> tuple:
+        """Return the sort key of a job: what can still be in time comes first."""
+        queue = self.book.queue_of(job)
+        objective_ms = objective_of(job, queue.stretch, queue.objective_ms)
+        begun_ms = job.due_utc_ms(min(job.occurrences, default=0))
+        left_ms = begun_ms + objective_ms - self.book.utc_ms
+        rest_ms = remaining_chain_ms(job)
+        if left_ms >= rest_ms:
+            group = 0
+        elif left_ms + (LATE_FACTOR - 1) * objective_ms >= rest_ms:
+            group = 1
+        else:
+            group = 2
+        return queue.priority, group, left_ms - rest_ms, job.spec.job_id
+
+    def _place_job(self, job: Job, placement: Placement) -> None:
+        queue = self.book.queue_of(job)
+        waiting = False
+        for occurrence in job.occurrences.values():
+            for step, spec in enumerate(job.spec.steps):
+                if not occurrence.is_ready(step, spec):
+                    continue
+                tasks = [
+                    task
+                    for task in occurrence.steps[step]
+                    if task.status is TaskStatus.WAITING
+                ]
+                if spec.gang:
+                    placed = self._place_gang(tasks, spec, queue.service, placement)
+                    waiting |= bool(tasks) and not placed
+                    continue
+                for task in tasks:
+                    waiting |= not self._place(task, queue.service, placement)
+        if not waiting:
+            self.book.unplaced.discard(job)
+
+    def _place(
+        self, task: Task, service: str, placement: Placement, rack: str = ""
+    ) -> bool:
+        worker = placement.choose(task, service, rack=rack)
+        if worker is None:
+            return False
+        book = self.book
+        task.run += 1
+        task.status = TaskStatus.PLACED
+        task.worker_id, task.life = worker.worker_id, worker.life
+        run = Run(task, task.run, worker.worker_id, RunPhase.COMMITTING, book.now_ms)
+        worker.add(run)
+        book.to_start.append(run)
+        if task.job.state is JobState.PENDING:
+            task.job.state = JobState.ACTIVE
+        book.touch(task.job)
+        return True
+
+    def _place_gang(self, tasks, spec, service: str, placement: Placement) -> bool:
+        """Place all members under one run number, or none."""
+        if len(tasks) < spec.count or self._has_runs(tasks):
+            return False
+        number = max(task.run for task in tasks)
+        racks = [""]
+        if spec.same_rack:
+            racks = sorted(
+                {
+                    label
+                    for worker in placement.workers.get(service, ())
+                    for label in worker.listing.labels[1:]
+                }
+            )
+        for rack in racks:
+            begun = len(self.book.to_start)
+            for task in tasks:
+                task.run = number
+            if all(self._place(task, service, placement, rack) for task in tasks):
+                return True
+            self._undo(begun)
+        return False
+
+    def _undo(self, begun: int) -> None:
+        book = self.book
+        for run in book.to_start[begun:]:
+            book.workers[run.worker_id].remove(run)
+            run.task.status = TaskStatus.WAITING
+            run.task.worker_id, run.task.life = "", 0
+        del book.to_start[begun:]
+
+    def _has_runs(self, tasks: list[Task]) -> bool:
+        members = set(tasks)
+        return any(
+            run.task in members
+            for worker in self.book.workers.values()
+            for run in worker.runs.values()
+        )
+
+
+def objective_of(job: Job, stretch: float, allowance_ms: int) -> float:
+    """Return within how many ms of its due time a job should be done."""
+    return stretch * chain_ms(job) + allowance_ms
+
+
+def chain_ms(job: Job) -> int:
+    """Return the longest chain of the steps' estimated times."""
+    ends: list[int] = []
+    for step in job.spec.steps:
+        begin = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
+
+
+def remaining_chain_ms(job: Job) -> int:
+    """Return the longest chain of the steps that aren't done in the oldest pass."""
+    occurrence = job.occurrences.get(min(job.occurrences, default=0))
+    ends: list[int] = []
+    for number, step in enumerate(job.spec.steps):
+        begin = max((ends[earlier] for earlier in step.after), default=0)
+        undone = occurrence is None or occurrence.undone[number] > 0
+        ends.append(begin + (step.estimate_ms if undone else 0))
+    return max(ends, default=0)
--- a/poplarlb/exceptions.py
+++ b/poplarlb/exceptions.py
@@ -123,3 +123,52 @@
 
     code = "worker_unreachable"
     http_status = 503
+
+
+class CallNotSentError(PoplarlbError):
+    """No connection could be made, so the call was certainly not executed."""
+
+    code = "call_not_sent"
+    http_status = 503
+
+
+class CallUnansweredError(PoplarlbError):
+    """No answer came; the call may have been executed or may be later."""
+
+    code = "call_unanswered"
+    http_status = 504
+
+
+class StoreRefusedError(PoplarlbError):
+    """The store refused a call before doing anything."""
+
+    code = "store_refused"
+    http_status = 503
+
+
+class HistoryGoneError(PoplarlbError):
+    """The store no longer has the history that a watch asked for."""
+
+    code = "history_gone"
+    http_status = 503
+
+
+class OldEpochError(PoplarlbError):
+    """A worker has seen a higher epoch than the caller's."""
+
+    code = "old_epoch"
+    http_status = 409
+
+
+class BadAnswerError(PoplarlbError):
+    """An answer of the platform could not be decoded."""
+
+    code = "bad_answer"
+    http_status = 502
+
+
+class DeposedError(PoplarlbError):
+    """Another daemon has become the owner of the jobs."""
+
+    code = "deposed"
+    http_status = 503
--- /dev/null
+++ b/poplarlb/platform/operator.py
@@ -0,0 +1,74 @@
+"""What operators and workers write in the store, as the product's events."""
+
+from collections.abc import Callable
+
+from attrs import Factory, define
+
+from poplarlb.coordination.jobs import events
+from poplarlb.event_log import EventLog
+from poplarlb.exceptions import BadAnswerError
+from poplarlb.platform.wire import decode_config, decode_listing
+from poplarlb.protocol.store import StoredChange
+from poplarlb.state.jobs import OperatorConfig
+
+OPERATOR = "op/"
+CONFIG_KEY = "op/config"
+EVACUATIONS = "op/evacuate/"
+WORKERS = "servers/"
+
+
+@define
+class Directory:
+    """The workers' listings."""
+
+    prefix: str = WORKERS
+
+    def decode(self, change: StoredChange) -> events.Event | None:
+        """Return what a change of a listing means; None if it can't be used."""
+        worker_id = change.key.removeprefix(WORKERS)
+        if change.value is None:
+            return events.WorkerUnlisted(worker_id)
+        listing = decode_listing(worker_id, change.value)
+        if listing is None:
+            return events.WorkerUnlisted(worker_id)
+        return events.WorkerListed(listing)
+
+
+@define(eq=False)
+class OperatorView:
+    """The operator's newest configuration and the zones taken out of service.
+
+    :param on_event: called with each change.
+    """
+
+    log: EventLog
+    on_event: Callable[[events.Event], None]
+    config: OperatorConfig | None = None
+    zones_out: set[str] = Factory(set)
+
+    def take(self, change: StoredChange) -> None:
+        """Take one change in; a version never goes back."""
+        if change.key == CONFIG_KEY and change.value is not None:
+            self._take_config(change.value)
+        elif change.key.startswith(EVACUATIONS):
+            zone = change.key.removeprefix(EVACUATIONS)
+            if change.value is None:
+                self.zones_out.discard(zone)
+            else:
+                self.zones_out.add(zone)
+            self.log.write("zones_out", zones=sorted(self.zones_out))
+            self.on_event(events.ZonesOut(frozenset(self.zones_out)))
+
+    def _take_config(self, value: bytes) -> None:
+        try:
+            config = decode_config(value)
+        except BadAnswerError as error:
+            self.log.write("config_unreadable", error=error.detail)
+            return
+        if self.config is not None and config.version <= self.config.version:
+            return
+        self.config = config
+        self.log.write(
+            "config_changed", version=config.version, queues=len(config.queues)
+        )
+        self.on_event(events.ConfigChanged(config))
--- /dev/null
+++ b/poplarlb/state/job_records.py
@@ -0,0 +1,148 @@
+"""How jobs are kept in the store: what was accepted, and what has become of it.
+
+Two records a job. The accepted job never changes; the progress record is rewritten by
+the owner with every change. Fields with their default value are left out.
+"""
+
+import attrs
+import orjson
+
+from poplarlb.exceptions import BadAnswerError
+from poplarlb.state.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    Occurrence,
+    StepSpec,
+    Task,
+    TaskStatus,
+)
+from poplarlb.state.models import Resources
+
+UNTOUCHED = 0  # a task that waits and has never run
+DONE = 2  # a task that has ended done
+
+
+def encode_job(spec: JobSpec) -> bytes:
+    """Return the record of an accepted job."""
+    row = attrs.asdict(spec, recurse=False)
+    row["steps"] = [encode_step(step) for step in spec.steps]
+    return orjson.dumps(row)
+
+
+def encode_step(step: StepSpec) -> dict:
+    """Return a step's fields that differ from their defaults."""
+    row = {
+        field.name: getattr(step, field.name)
+        for field in attrs.fields(StepSpec)
+        if getattr(step, field.name) != field.default
+    }
+    row["size"] = attrs.astuple(step.size)
+    return row
+
+
+def decode_job(value: bytes) -> JobSpec:
+    """Return an accepted job from its record.
+
+    :raises BadAnswerError: the record is not one of ours.
+    """
+    try:
+        row = orjson.loads(value)
+        steps = tuple(decode_step(step) for step in row.pop("steps"))
+        return JobSpec(steps=steps, **row)
+    except (ValueError, TypeError, KeyError) as error:
+        raise BadAnswerError(f"a job's record: {error}") from error
+
+
+def decode_step(row: dict) -> StepSpec:
+    """Return a step from its fields."""
+    size = Resources(*row.pop("size"))
+    after = tuple(row.pop("after", ()))
+    return StepSpec(size=size, after=after, **row)
+
+
+def encode_progress(job: Job) -> bytes:
+    """Return the record of what has become of a job."""
+    row = {"state": job.state, "reason": job.reason, "next": job.next_occurrence}
+    if job.final:
+        row["final_utc_ms"] = job.final_utc_ms
+    if job.state is not JobState.DONE:
+        row["occurrences"] = {
+            str(number): encode_occurrence(occurrence)
+            for number, occurrence in job.occurrences.items()
+        }
+    return orjson.dumps(row)
+
+
+def encode_occurrence(occurrence: Occurrence) -> list | None:
+    """Return rows of tasks for each step; nothing if all is done."""
+    if occurrence.done:
+        return None
+    return [[encode_task(task) for task in tasks] for tasks in occurrence.steps]
+
+
+def encode_task(task: Task) -> int | list:
+    """Return one task's row."""
+    if task.status is TaskStatus.DONE:
+        return DONE
+    if task.status is TaskStatus.WAITING and not task.run:
+        return UNTOUCHED
+    return [
+        int(task.status),
+        task.run,
+        task.failed_runs,
+        task.saved,
+        task.worker_id,
+        task.life,
+    ]
+
+
+def decode_state(value: bytes) -> JobState:
+    """Return only the state out of a progress record.
+
+    :raises BadAnswerError: the record is not one of ours.
+    """
+    try:
+        return JobState(orjson.loads(value)["state"])
+    except (ValueError, TypeError, KeyError) as error:
+        raise BadAnswerError(f"a progress record: {error}") from error
+
+
+def restore_progress(job: Job, value: bytes) -> None:
+    """Bring a job to the state of its progress record.
+
+    :raises BadAnswerError: the record is not one of ours.
+    """
+    try:
+        row = orjson.loads(value)
+        job.state = JobState(row["state"])
+        job.reason = row["reason"]
+        job.final_utc_ms = row.get("final_utc_ms", 0)
+        for number, steps in row.get("occurrences", {}).items():
+            occurrence = job.open_occurrence(int(number))
+            restore_occurrence(occurrence, steps)
+        job.next_occurrence = row["next"]
+    except (ValueError, TypeError, KeyError, IndexError) as error:
+        raise BadAnswerError(f"a progress record: {error}") from error
+    job.stored = True
+
+
+def restore_occurrence(occurrence: Occurrence, steps: list | None) -> None:
+    """Set the tasks of one occurrence from their rows."""
+    for number, tasks in enumerate(occurrence.steps):
+        for task in tasks:
+            row = DONE if steps is None else steps[number][task.index]
+            restore_task(task, row)
+        occurrence.undone[number] = sum(
+            task.status is not TaskStatus.DONE for task in tasks
+        )
+
+
+def restore_task(task: Task, row: int | list) -> None:
+    """Set one task from its row."""
+    if row == DONE:
+        task.status = TaskStatus.DONE
+    elif isinstance(row, list):
+        status, task.run, failed_runs, task.saved, task.worker_id, task.life = row
+        task.status = TaskStatus(status)
+        task.failed_runs = tuple(failed_runs)
--- /dev/null
+++ b/poplarlb/transport/http_server.py
@@ -0,0 +1,262 @@
+"""An HTTP/1.1 server on the event loop, with limits on what a client may send.
+
+CherryPy stays for the product's own API; its threads cost more processor time and
+memory than the users' hosts have (``docs/design/platform.md``).
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import httptools
+from attrs import Factory, define, frozen
+
+PHRASES = {
+    200: "OK",
+    202: "Accepted",
+    400: "Bad Request",
+    404: "Not Found",
+    405: "Method Not Allowed",
+    408: "Request Timeout",
+    410: "Gone",
+    413: "Content Too Large",
+    429: "Too Many Requests",
+    431: "Request Header Fields Too Large",
+    500: "Internal Server Error",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+@frozen
+class HttpRequest:
+    """A whole request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes = b""
+
+
+@frozen
+class HttpReply:
+    """What is sent back; ``retry_after_s`` of 0 sends no ``Retry-After``."""
+
+    status: int
+    body: bytes = b""
+    retry_after_s: int = 0
+    content_type: str = "application/json"
+
+
+@define
+class HttpLimits:
+    """What a client may send, in bytes and seconds; replaced when settings change."""
+
+    header_bytes: int = 16_384
+    body_bytes: int = 262_144
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpReply]]
+
+
+@define
+class HttpServer:
+    """Serves one address; ``drain`` asks clients to close their connections."""
+
+    handler: Handler
+    limits: HttpLimits = Factory(HttpLimits)
+    draining: bool = False
+    connections: set = Factory(set)
+    listener: asyncio.Server | None = None
+
+    async def start(self, address: str) -> None:
+        """Listen on ``HOST:PORT``."""
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        self.listener = await loop.create_server(
+            lambda: ServerConnection(self), host, int(port), backlog=512
+        )
+
+    @property
+    def busy(self) -> int:
+        """Return the number of requests that have no answer yet."""
+        return sum(1 for item in self.connections if item.task is not None)
+
+    def drain(self) -> None:
+        """Close connections after their next answer."""
+        self.draining = True
+
+    def close(self) -> None:
+        """Stop listening and close idle connections."""
+        if self.listener is not None:
+            self.listener.close()
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+
+class ServerConnection(asyncio.Protocol):
+    """One client's connection; requests are answered in order, one at a time."""
+
+    def __init__(self, server: HttpServer) -> None:
+        """Start without a transport."""
+        self.server = server
+        self.transport = None
+        self.task: asyncio.Task | None = None
+        self.timer: asyncio.TimerHandle | None = None
+        self.backlog: list[HttpRequest] = []
+        self._begin_message()
+        self.parser = httptools.HttpRequestParser(self)
+
+    def _begin_message(self) -> None:
+        self.url = b""
+        self.headers: dict[str, str] = {}
+        self.header_size = 0
+        self.chunks: list[bytes] = []
+        self.body_size = 0
+
+    # --- asyncio ----------------------------------------------------------------------
+
+    def connection_made(self, transport) -> None:
+        """Wait for the first request."""
+        self.transport = transport
+        self.server.connections.add(self)
+        self._arm(self.server.limits.idle_s, self._close_idle)
+
+    def connection_lost(self, error) -> None:
+        """Forget the connection; a handler in progress runs to its end."""
+        self.transport = None
+        self._disarm()
+        self.server.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Feed the parser; answer 400 to what it can't read."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+        except httptools.HttpParserError:
+            self._reject(400)
+
+    # --- httptools --------------------------------------------------------------------
+
+    def on_message_begin(self) -> None:
+        """Start the time limit of the headers and body."""
+        self._begin_message()
+        self._arm(self.server.limits.header_s, lambda: self._reject(408))
+
+    def on_url(self, url: bytes) -> None:
+        """Collect the target."""
+        self.url += url
+        self._count_header(len(url))
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect one header."""
+        self._count_header(len(name) + len(value))
+        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+
+    def on_headers_complete(self) -> None:
+        """Refuse a body that is declared too large before it arrives."""
+        declared = self.headers.get("content-length", "0")
+        if declared.isdigit() and int(declared) > self.server.limits.body_bytes:
+            self._reject(413)
+        elif self.headers.get("expect", "").lower() == "100-continue":
+            self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self.body_size += len(body)
+        if self.body_size > self.server.limits.body_bytes:
+            self._reject(413)
+            return
+        self.chunks.append(body)
+
+    def on_message_complete(self) -> None:
+        """Answer the request, or queue it behind the one in progress."""
+        if self.transport is None or self.transport.is_closing():
+            return
+        self._disarm()
+        request = HttpRequest(
+            self.parser.get_method().decode("latin-1"),
+            self.url.decode("latin-1"),
+            self.headers,
+            b"".join(self.chunks),
+        )
+        keep_alive = self.parser.should_keep_alive()
+        if self.task is not None:
+            self.backlog.append(request)
+            return
+        self._answer(request, keep_alive)
+
+    # --- answers ----------------------------------------------------------------------
+
+    def _answer(self, request: HttpRequest, keep_alive: bool) -> None:
+        self.task = asyncio.ensure_future(self.server.handler(request))
+        self.task.add_done_callback(lambda task: self._send_answer(task, keep_alive))
+
+    def _send_answer(self, task: asyncio.Task, keep_alive: bool) -> None:
+        self.task = None
+        if task.cancelled() or self.transport is None:
+            return
+        error = task.exception()
+        reply = task.result() if error is None else HttpReply(500)
+        if error is not None:
+            asyncio.get_running_loop().call_exception_handler(
+                {"message": "a request handler failed", "exception": error}
+            )
+        keep_alive = keep_alive and not self.server.draining
+        self.transport.write(format_reply(reply, keep_alive))
+        if not keep_alive:
+            self.transport.close()
+        elif self.backlog:
+            self._answer(self.backlog.pop(0), keep_alive)
+        else:
+            self._arm(self.server.limits.idle_s, self._close_idle)
+
+    def close_if_idle(self) -> None:
+        """Close a connection that carries no request."""
+        if self.task is None and self.transport is not None:
+            self.transport.close()
+
+    def _close_idle(self) -> None:
+        if self.task is None and self.transport is not None:
+            self.transport.close()
+
+    def _reject(self, status: int) -> None:
+        self._disarm()
+        if self.transport is None or self.transport.is_closing():
+            return
+        if self.task is None:
+            self.transport.write(format_reply(HttpReply(status), keep_alive=False))
+        self.transport.close()
+
+    def _count_header(self, size: int) -> None:
+        self.header_size += size
+        if self.header_size > self.server.limits.header_bytes:
+            self._reject(431)
+
+    def _arm(self, delay_s: float, action: Callable[[], None]) -> None:
+        self._disarm()
+        self.timer = asyncio.get_running_loop().call_later(delay_s, action)
+
+    def _disarm(self) -> None:
+        if self.timer is not None:
+            self.timer.cancel()
+            self.timer = None
+
+
+def format_reply(reply: HttpReply, keep_alive: bool) -> bytes:
+    """Return the bytes of an answer."""
+    lines = [
+        f"HTTP/1.1 {reply.status} {PHRASES.get(reply.status, 'Unknown')}",
+        f"Content-Length: {len(reply.body)}",
+    ]
+    if reply.body:
+        lines.append(f"Content-Type: {reply.content_type}")
+    if reply.retry_after_s:
+        lines.append(f"Retry-After: {reply.retry_after_s}")
+    if not keep_alive:
+        lines.append("Connection: close")
+    return "\r\n".join([*lines, "", ""]).encode() + reply.body
--- /dev/null
+++ b/poplarlb/transport/job_gateway.py
@@ -0,0 +1,121 @@
+"""What any daemon does for the submitters of jobs: accept, tell, cancel, count.
+
+A daemon accepts a job by creating its key in the store; it needs no owner for that.
+"""
+
+import asyncio
+import enum
+
+import orjson
+from attrs import define
+
+from poplarlb.event_log import EventLog
+from poplarlb.exceptions import (
+    BadAnswerError,
+    CallUnansweredError,
+    StoreRefusedError,
+)
+from poplarlb.protocol.store import (
+    Expectation,
+    Put,
+    Store,
+    Transaction,
+)
+from poplarlb.state import job_records
+from poplarlb.state.jobs import JobSpec, JobState
+from poplarlb.transport.job_keys import CANCELS, JOBS, PROGRESS, WAITING
+
+WRITE_TIMEOUT_S = 0.8  # for one attempt; sixty times the usual answer is 240 ms
+WRITE_BUDGET_S = 2.4  # below the 3 s that callers wait
+DEADLINE_MARGIN_S = 0.2  # for the answer's way back
+RETRY_S = 0.1
+COUNTS_AGE_S = 0.5  # counts may be 2 s old; the owner's own are up to 0.5 s old
+
+
+class WriteResult(enum.Enum):
+    """What is known of a write for a caller."""
+
+    STORED = "stored"
+    REFUSED = "refused"  # certainly not stored, now or later
+    UNKNOWN = "unknown"  # may be stored yet
+
+
+@define(eq=False)
+class JobGateway:
+    """Serves submitters out of the store."""
+
+    store: Store
+    log: EventLog
+    counts: dict[str, int] | None = None
+    counts_at_s: float = 0.0
+    reading_counts: asyncio.Task | None = None
+
+    async def submit(self, spec: JobSpec, budget_s: float) -> WriteResult:
+        """Store an accepted job; the same id is stored once."""
+        key = JOBS + spec.job_id
+        put = Put(key, job_records.encode_job(spec))
+        result = await self._create(put, budget_s)
+        self.log.write(
+            "job_accepted" if result is WriteResult.STORED else "job_not_accepted",
+            job=spec.job_id,
+            queue=spec.queue,
+            result=result.value,
+        )
+        return result
+
+    async def cancel(self, job_id: str, budget_s: float) -> WriteResult | None:
+        """Store that a job is cancelled; None if there is no such job."""
+        if await self.store.get(JOBS + job_id) is None:
+            return None
+        result = await self._create(Put(CANCELS + job_id, b"{}"), budget_s)
+        self.log.write("cancel_stored", job=job_id, result=result.value)
+        return result
+
+    async def read_state(self, job_id: str, queue: str) -> JobState | None:
+        """Return a job's state; None if there is no such job in the queue."""
+        progress = await self.store.get(PROGRESS + job_id)
+        if progress is not None:
+            return job_records.decode_state(progress.value)
+        accepted = await self.store.get(JOBS + job_id)
+        if accepted is None:
+            return None
+        if job_records.decode_job(accepted.value).queue != queue:
+            return None
+        return JobState.PENDING
+
+    async def count_waiting(self, queue: str) -> int:
+        """Return how many jobs of a queue haven't begun, up to 1 s old."""
+        now_s = asyncio.get_running_loop().time()
+        if self.counts is None or now_s - self.counts_at_s > COUNTS_AGE_S:
+            item = await self.store.get(WAITING)
+            self.counts = orjson.loads(item.value) if item else {}
+            self.counts_at_s = now_s
+        return self.counts.get(queue, 0)
+
+    async def _create(self, put: Put, budget_s: float) -> WriteResult:
+        """Create a key if it is absent.
+
+        A write without an answer may still be carried out, so it is repeated until it
+        or its repetition is answered; a refusal counts only if nothing was unanswered.
+        """
+        transaction = Transaction((Expectation(put.key, 0),), (put,))
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + min(budget_s - DEADLINE_MARGIN_S, WRITE_BUDGET_S)
+        uncertain = False
+        while True:
+            left_s = until_s - loop.time()
+            if left_s <= 0:
+                return WriteResult.UNKNOWN
+            try:
+                # A conflict: the key is there already, by this write or by another.
+                await self.store.transact(transaction, min(WRITE_TIMEOUT_S, left_s))
+                return WriteResult.STORED
+            except StoreRefusedError:
+                if not uncertain:
+                    return WriteResult.REFUSED
+            except CallUnansweredError:
+                uncertain = True
+            except BadAnswerError as error:
+                self.log.write("answer_unreadable", error=error.detail)
+                uncertain = True
+            await asyncio.sleep(RETRY_S)
--- /dev/null
+++ b/poplarlb/transport/job_owner.py
@@ -0,0 +1,295 @@
+"""Runs the dispatcher of the daemon that owns the jobs."""
+
+import asyncio
+import time
+from collections import Counter
+from collections.abc import Callable
+from typing import Protocol
+
+import orjson
+from attrs import Factory, define, field
+
+from poplarlb.coordination.jobs import events
+from poplarlb.coordination.jobs.dispatcher import Dispatcher
+from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.event_log import EventLog
+from poplarlb.exceptions import (
+    BadAnswerError,
+    DeposedError,
+    OldEpochError,
+    PoplarlbError,
+)
+from poplarlb.protocol.store import Put, Store, StoredChange, StoredList
+from poplarlb.state import job_records
+from poplarlb.state.jobs import Job
+from poplarlb.transport.committer import Committer
+from poplarlb.transport.job_keys import CANCELS, INBOX, JOBS, PROGRESS, WAITING
+from poplarlb.transport.prefix_watcher import PrefixWatcher
+
+TICK_S = 0.02  # the longest that a due decision waits
+WATCH_WAIT_MS = 1_000  # the view of the workers must be confirmed within 1.5 s
+
+
+class Workers(Protocol):
+    """Carries orders to workers."""
+
+    async def start(self, command: events.StartRun, sent_ms: int) -> events.Event:
+        """Send a start."""
+
+    async def stop(self, command: events.StopRun, sent_ms: int) -> events.Event:
+        """Send a stop."""
+
+    async def pace(self, command: events.PaceRun) -> events.Event:
+        """Send a pace."""
+
+    async def look(self, command: events.Look, sent_ms: int) -> events.Event:
+        """Ask for a worker's lists."""
+
+
+class WorkerDirectory(Protocol):
+    """Knows where workers register in the store, and how."""
+
+    prefix: str
+
+    def decode(self, change: StoredChange) -> events.Event | None:
+        """Return what a change means; None for an entry that can't be used."""
+
+
+def steady_ms() -> int:
+    """Return a steady time that also counts while the machine is suspended."""
+    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
+
+
+def utc_ms() -> int:
+    """Return the time of day."""
+    return int(time.time() * 1000)
+
+
+@define(eq=False)
+class JobOwner:
+    """Carries out the dispatcher's commands until it is deposed or stopped."""
+
+    store: Store
+    workers: Workers
+    directory: WorkerDirectory
+    committer: Committer
+    dispatcher: Dispatcher
+    log: EventLog
+    tasks: set[asyncio.Task] = Factory(set)
+    deposed: asyncio.Event = field(factory=asyncio.Event)
+    inbox: PrefixWatcher = None
+    listings: PrefixWatcher = None
+    confirmed: dict[str, int] = Factory(dict)
+    calls: Counter = field(factory=Counter)
+    committing: bool = False
+
+    @classmethod
+    async def load(
+        cls,
+        store: Store,
+        workers: Workers,
+        directory: WorkerDirectory,
+        committer: Committer,
+        policy: JobPolicy,
+        log: EventLog,
+    ) -> "JobOwner":
+        """Return an owner that resumes what the store holds."""
+        inbox, progress = await asyncio.gather(store.list(INBOX), store.list(PROGRESS))
+        jobs, cancelled = read_jobs(inbox, progress, log)
+        dispatcher = Dispatcher.take_over(policy, committer.epoch, jobs, steady_ms())
+        dispatcher.book.utc_ms = utc_ms()
+        owner = cls(store, workers, directory, committer, dispatcher, log)
+        owner.inbox = PrefixWatcher(
+            store,
+            INBOX,
+            WATCH_WAIT_MS,
+            owner.take_inbox,
+            lambda: owner.confirm("inbox"),
+            lambda error: owner.trouble("inbox", error),
+        )
+        owner.inbox.begin_with(inbox)
+        owner.listings = PrefixWatcher(
+            store,
+            directory.prefix,
+            WATCH_WAIT_MS,
+            owner.take_listing,
+            lambda: owner.confirm("workers"),
+            lambda error: owner.trouble("workers", error),
+        )
+        for job_id in cancelled:
+            owner.feed(events.CancelStored(job_id))
+        log.write(
+            "ownership_loaded",
+            epoch=committer.epoch,
+            jobs=len(jobs),
+            open_jobs=sum(not job.final for job in jobs),
+        )
+        return owner
+
+    def run(self) -> None:
+        """Begin to decide."""
+        for work in (self.inbox.run(), self.listings.run(), self._tick()):
+            self._spawn(work)
+
+    def close(self) -> None:
+        """Drop everything at once; the next owner resumes from the store."""
+        for task in self.tasks:
+            task.cancel()
+
+    async def hand_over(self, limit_s: float) -> None:
+        """Start nothing more and let what is on its way be answered."""
+        self.dispatcher.stopping = True
+        until = time.monotonic() + limit_s
+        while time.monotonic() < until:
+            if not (self.committing or self.calls["starts"]):
+                return
+            await asyncio.sleep(TICK_S)
+
+    # --- events -----------------------------------------------------------------------
+
+    def feed(self, event: events.Event) -> None:
+        """Hand an event to the dispatcher and carry out its commands."""
+        for command in self.dispatcher.handle(event, steady_ms()):
+            self._carry_out(command)
+
+    def take_inbox(self, change: StoredChange) -> None:
+        """Take a change of accepted or cancelled jobs."""
+        if change.value is None:
+            return
+        if change.key.startswith(CANCELS):
+            self.feed(events.CancelStored(change.key.removeprefix(CANCELS)))
+            return
+        try:
+            spec = job_records.decode_job(change.value)
+        except BadAnswerError as error:
+            self.log.write("record_unreadable", key=change.key, error=error.detail)
+            return
+        self.feed(events.JobStored(spec))
+
+    def take_listing(self, change: StoredChange) -> None:
+        """Take a change of a worker's listing."""
+        event = self.directory.decode(change)
+        if event is not None:
+            self.feed(event)
+
+    def confirm(self, source: str) -> None:
+        """Note that one of the watches has told everything up to now."""
+        self.confirmed[source] = steady_ms()
+        if len(self.confirmed) == 2:
+            self.feed(events.ViewConfirmed(min(self.confirmed.values())))
+
+    def trouble(self, source: str, error: PoplarlbError) -> None:
+        """Log that a watch failed."""
+        self.log.write("watch_failed", source=source, error=error.detail)
+
+    async def _tick(self) -> None:
+        while True:
+            self.feed(events.Tick(utc_ms()))
+            self.log.flush()
+            await asyncio.sleep(TICK_S)
+
+    # --- commands ---------------------------------------------------------------------
+
+    def _carry_out(self, command: events.Command) -> None:
+        match command:
+            case events.Note(event=event, fields=fields):
+                self.log.write(event, epoch=self.committer.epoch, **fields)
+            case events.StepDown(reason=reason):
+                self.log.write("ownership_lost", reason=reason)
+                self.deposed.set()
+            case events.Commit():
+                self._spawn(self._commit(command))
+            case events.StartRun():
+                self._spawn(self._call("starts", self.workers.start, command))
+            case events.StopRun():
+                self._spawn(self._call("stops", self.workers.stop, command))
+            case events.Look():
+                self._spawn(self._look(command))
+            case events.PaceRun():
+                self._spawn(self._pace(command))
+
+    async def _call(self, kind: str, send: Callable, command) -> None:
+        self.calls[kind] += 1
+        try:
+            self.feed(await send(command, steady_ms()))
+        finally:
+            self.calls[kind] -= 1
+
+    async def _pace(self, command: events.PaceRun) -> None:
+        self.feed(await self.workers.pace(command))
+
+    async def _look(self, command: events.Look) -> None:
+        sent_ms = steady_ms()
+        try:
+            self.feed(await self.workers.look(command, sent_ms))
+        except OldEpochError:
+            self._carry_out(events.StepDown(f"{command.worker_id}: a higher epoch"))
+        except BadAnswerError as error:
+            self.log.write("answer_unreadable", error=error.detail)
+            self.feed(events.LookFailed(command.worker_id, sent_ms))
+
+    async def _commit(self, command: events.Commit) -> None:
+        sent_ms = steady_ms()
+        puts = [
+            Put(PROGRESS + record.job_id, record.value) for record in command.records
+        ]
+        if command.waiting is not None:
+            puts.append(Put(WAITING, orjson.dumps(command.waiting)))
+        deletes = [
+            prefix + job_id
+            for job_id in command.forgotten
+            for prefix in (PROGRESS, JOBS, CANCELS)
+        ]
+        self.committing = True
+        try:
+            await self.committer.commit(puts, deletes)
+        except DeposedError as error:
+            self._carry_out(events.StepDown(error.detail))
+            return
+        finally:
+            self.committing = False
+        self.feed(events.Committed(sent_ms))
+
+    def _spawn(self, work) -> None:
+        task = asyncio.ensure_future(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._finished)
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self.tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        self.log.write("ownership_failed", error=f"{type(error).__name__}: {error}")
+        asyncio.get_running_loop().call_exception_handler(
+            {"message": "a part of the owner failed", "exception": error}
+        )
+        self.deposed.set()
+
+
+def read_jobs(
+    inbox: StoredList, progress: StoredList, log: EventLog
+) -> tuple[list[Job], list[str]]:
+    """Return the jobs that the store holds, and the ids of cancelled ones."""
+    jobs: dict[str, Job] = {}
+    cancelled = []
+    for item in inbox.items:
+        if item.key.startswith(CANCELS):
+            cancelled.append(item.key.removeprefix(CANCELS))
+            continue
+        try:
+            jobs[item.key] = Job(job_records.decode_job(item.value))
+        except BadAnswerError as error:
+            log.write("record_unreadable", key=item.key, error=error.detail)
+    for item in progress.items:
+        job = jobs.get(JOBS + item.key.removeprefix(PROGRESS))
+        if job is None:
+            continue
+        try:
+            job_records.restore_progress(job, item.value)
+        except BadAnswerError as error:
+            log.write("record_unreadable", key=item.key, error=error.detail)
+    for job in jobs.values():
+        if not job.stored and not job.spec.times:
+            job.open_occurrence(0)
+    return list(jobs.values()), cancelled
