--- a/poplarlb/coordination/jobs/book.py
+++ b/poplarlb/coordination/jobs/book.py
@@ -4,6 +4,7 @@
 
 from poplarlb.coordination.jobs.events import Command, Note, ProgressRecord
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.harm import HarmModel
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state import job_records
 from poplarlb.state.jobs import (
@@ -30,6 +31,7 @@
     zones_out: frozenset[str] = frozenset()
     jobs: dict[str, Job] = Factory(dict)
     workers: dict[str, WorkerState] = Factory(dict)
+    harm: HarmModel = Factory(HarmModel)
     cancelled_early: set[str] = Factory(set)  # cancels that came before their job
     dirty: dict[str, Job] = Factory(dict)
     forgotten: list[str] = Factory(list)
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -36,6 +36,7 @@
 from poplarlb.state.jobs import Job, JobSpec, JobState
 
 FORGET_PER_COMMIT = 8
+LOAD_NOTE_PERIOD_MS = 2_000
 
 
 @define(eq=False)
@@ -57,6 +58,7 @@
     view_ms: int = 0
     next_schedule_ms: int = 0
     next_status_ms: int = 0
+    next_load_note_ms: int = 0
     told_waiting: dict[str, int] | None = None
     stopping: bool = False
 
@@ -286,6 +288,27 @@
         self.calls.stop_due()
         self._drop_workers()
         self._forget_old()
+        self._note_load()
+
+    def _note_load(self) -> None:
+        """Log how full the workers are and what waits."""
+        book = self.book
+        if book.now_ms < self.next_load_note_ms:
+            return
+        self.next_load_note_ms = book.now_ms + LOAD_NOTE_PERIOD_MS
+        usable = [worker for worker in book.workers.values() if worker.listed]
+        waiting = Counter(job.spec.queue for job in book.unplaced)
+        book.note(
+            "load",
+            workers=len(usable),
+            paused=sum(not worker.is_usable(book.now_ms) for worker in usable),
+            serving_workers=sum(worker.serving > 0 for worker in usable),
+            capacity_cpu=sum(item.listing.capacity.cpu_millis for item in usable),
+            reserved_cpu=sum(item.reserved.cpu_millis for item in usable),
+            filling_cpu=sum(item.filling_cpu for item in usable),
+            runs=sum(len(item.runs) for item in usable),
+            jobs_waiting=dict(waiting),
+        )
 
     def _open_occurrences(self) -> None:
         book = self.book
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -5,6 +5,7 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.events import WorkerListing
+from poplarlb.coordination.jobs.harm import USUAL_LOAD
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.jobs import Task
 from poplarlb.state.models import Resources
@@ -37,9 +38,13 @@
     stop_confirmed_ms: int = 0
     percent: int = 0
     figure: float = 0.0
+    paced_ms: int = 0  # since when it has been paced to a crawl
+    load: float = USUAL_LOAD  # of a serving task: its own pressure on its tail
+    learned_ms: int = 0
     progress_ms: int = 0  # when the percent last changed
     pace: int = 100
     pace_sent: int = 100
+    wanted_pace: int = 100
 
     @property
     def key(self) -> tuple[str, int]:
@@ -76,6 +81,7 @@
     reserved: Resources = Resources()
     filling_cpu: int = 0  # what filling tasks would use at full speed
     serving: int = 0  # runs that have a target
+    serving_cpu: int = 0  # what they have reserved
     paused_until_ms: int = 0
     failures: int = 0  # failed ends in a row
     slowness: float = 1.0  # how long its tasks take against the usual
@@ -90,6 +96,7 @@
         self.reserved = self.reserved.plus(spec.reserved)
         self.filling_cpu += spec.size.cpu_millis if spec.fills else 0
         self.serving += bool(spec.target_ms)
+        self.serving_cpu += spec.size.cpu_millis if spec.target_ms else 0
 
     def remove(self, run: Run) -> None:
         """Free a run's room."""
@@ -99,11 +106,43 @@
         self.reserved = self.reserved.minus(spec.reserved)
         self.filling_cpu -= spec.size.cpu_millis if spec.fills else 0
         self.serving -= bool(spec.target_ms)
+        self.serving_cpu -= spec.size.cpu_millis if spec.target_ms else 0
 
     def free(self) -> Resources:
         """Return the room that nothing holds."""
         return self.listing.capacity.minus(self.reserved)
 
+    def serving_images(self) -> set[str]:
+        """Return the images of the serving tasks that are here."""
+        if not self.serving:
+            return set()
+        specs = (run.task.spec for run in self.runs.values())
+        return {spec.image for spec in specs if spec.target_ms}
+
+    def serving_loads(self) -> dict[str, float]:
+        """Return the highest own load of the serving tasks here, by image."""
+        loads: dict[str, float] = {}
+        if not self.serving:
+            return loads
+        for run in self.runs.values():
+            spec = run.task.spec
+            if spec.target_ms:
+                loads[spec.image] = max(loads.get(spec.image, 0.0), run.load)
+        return loads
+
+    def filling_mix(self) -> dict[str, float]:
+        """Return the share of the processors of each filling image at full pace."""
+        mix: dict[str, float] = {}
+        if not self.filling_cpu:
+            return mix
+        capacity = max(self.listing.capacity.cpu_millis, 1)
+        for run in self.runs.values():
+            spec = run.task.spec
+            if spec.fills:
+                share = spec.size.cpu_millis / capacity
+                mix[spec.image] = mix.get(spec.image, 0.0) + share
+        return mix
+
     # --- clock and lease --------------------------------------------------------------
 
     def hear_clock(self, clock_ms: int, now_ms: int) -> None:
--- /dev/null
+++ b/poplarlb/coordination/jobs/harm.py
@@ -0,0 +1,59 @@
+"""Learns how much filling tasks lengthen the tails of serving tasks beside them.
+
+A tail behaves as that of a queue: with the pressure ``p`` on a serving task, from 0 to
+1, its tail is ``idle tail / (1 - p)``. The pressure is the task's own load, which
+swings within seconds, and a share for each filling image beside it. Tasks of one image
+behave alike, so the share is learned for each pair of images.
+"""
+
+from collections.abc import Mapping
+
+from attrs import Factory, define
+
+IDLE_RATIO = 0.22  # of a tail without pressure to its target, measured on both sites
+USUAL_LOAD = 0.45  # pressure of a serving task's own load, measured on both sites
+UNKNOWN_PRESS = 0.9  # between what harmless and harmful pairs were measured to press
+LARGEST_PRESS = 3.0
+LARGEST_PRESSURE = 0.95  # beyond it a queue has built up and tells no more
+PRESS_RATE = 0.12  # a pair is known after some ten figures
+LOAD_RATE = 0.25  # follows a swing of ten seconds by figures twice a second
+LEAST_POWER = 0.004  # keeps the step finite while little is used
+
+Mix = Mapping[str, float]  # share of a worker's processors used, by filling image
+
+
+def pressure_of(ratio: float) -> float:
+    """Return the pressure that a tail tells of, given as a share of its target."""
+    if ratio <= IDLE_RATIO:
+        return 0.0
+    return min(1.0 - IDLE_RATIO / ratio, LARGEST_PRESSURE)
+
+
+@define(eq=False)
+class HarmModel:
+    """What has been learned of every pair of images."""
+
+    presses: dict[str, dict[str, float]] = Factory(dict)  # by serving image
+
+    def press(self, serving: str, filling: str) -> float:
+        """Return the pressure of a whole worker of one image on another."""
+        return self.presses.get(serving, {}).get(filling, UNKNOWN_PRESS)
+
+    def pressure(self, serving: str, mix: Mix) -> float:
+        """Return the pressure of a mix on a serving image."""
+        return sum(self.press(serving, image) * share for image, share in mix.items())
+
+    def learn(self, serving: str, load: float, pressure: float, mix: Mix) -> float:
+        """Learn from a figure and return the task's own load as it is now.
+
+        :param load: the task's own load as it was known.
+        """
+        error = pressure - load - self.pressure(serving, mix)
+        if mix and pressure < LARGEST_PRESSURE:
+            power = LEAST_POWER + sum(share * share for share in mix.values())
+            known = self.presses.setdefault(serving, {})
+            for image, share in mix.items():
+                step = PRESS_RATE * error * share / power
+                press = known.get(image, UNKNOWN_PRESS) + step
+                known[image] = min(max(press, 0.0), LARGEST_PRESS)
+        return min(max(load + LOAD_RATE * error, 0.0), LARGEST_PRESSURE)
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -5,52 +5,122 @@
 from poplarlb.coordination.jobs.book import Book
 from poplarlb.coordination.jobs.events import PaceRun
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
-from poplarlb.state.jobs import TaskStatus
+from poplarlb.coordination.jobs.harm import pressure_of
 
-SLOW_DOWN_AT = 0.9  # of the target; figures lag half a second
-SPEED_UP_AT = 0.6  # of the target
+PRESSURE_GOAL = 0.70  # a tail meets its target at 0.78; figures lag half a second
 FULL_PACE = 100
-PACE_STEPS = (0, 25, 50, 100)  # percent
+PACE_STEP = 10  # percent; smaller changes aren't worth a call
+CRAWL = 30  # percent
+CRAWL_MS = 800  # a run that crawls for longer is better placed elsewhere
+HARMLESS = 0.02  # pressure that isn't worth a pace
+SETTLED_MS = 600  # figures cover half a second
+LEARN_PERIOD_MS = 400
 
 
 @define(eq=False)
 class Pacer:
-    """Decides the pace of each filling run after each answer of its worker."""
+    """Learns from each answer of a worker, and paces its filling runs by it."""
 
     book: Book
 
     def pace(self, worker: WorkerState) -> None:
-        """Slow filling runs down while a serving one is near its target."""
+        """Slow down what harms a serving task that is near its target."""
+        if not worker.serving:
+            self._release(worker)
+            return
+        serving = [
+            run
+            for run in worker.runs.values()
+            if run.task.spec.target_ms and self._settled(run) and run.figure > 0
+        ]
         filling = [
             run
             for run in worker.runs.values()
             if run.task.spec.fills and run.phase is RunPhase.RUNNING
         ]
-        if not filling:
+        self._learn(worker, serving, filling)
+        if filling:
+            self._set_paces(worker, serving, filling)
+
+    def _settled(self, run: Run) -> bool:
+        age_ms = self.book.now_ms - run.confirmed_ms
+        return run.phase is RunPhase.RUNNING and age_ms >= SETTLED_MS
+
+    def _learn(
+        self, worker: WorkerState, serving: list[Run], filling: list[Run]
+    ) -> None:
+        if not all(self._settled(run) for run in filling):
             return
-        worst = max(
-            (
-                run.figure / run.task.spec.target_ms
-                for run in worker.runs.values()
-                if run.task.spec.target_ms
-                and run.task.status is TaskStatus.PLACED
-                and not run.stopping
-            ),
-            default=0.0,
-        )
+        capacity = max(worker.listing.capacity.cpu_millis, 1)
+        mix: dict[str, float] = {}
         for run in filling:
-            run.pace = next_pace(run.pace, worst)
-            if run.pace != run.pace_sent and not run.stopping:
-                self._send(worker, run, worst)
+            image = run.task.spec.image
+            mix[image] = mix.get(image, 0.0) + run.figure / capacity
+        harm = self.book.harm
+        for run in serving:
+            if self.book.now_ms - run.learned_ms < LEARN_PERIOD_MS:
+                continue
+            run.learned_ms = self.book.now_ms
+            spec = run.task.spec
+            pressure = pressure_of(run.figure / spec.target_ms)
+            run.load = harm.learn(spec.image, run.load, pressure, mix)
 
-    def _send(self, worker: WorkerState, run: Run, worst: float) -> None:
+    def _set_paces(
+        self, worker: WorkerState, serving: list[Run], filling: list[Run]
+    ) -> None:
+        """Scale what the filling runs may do so that every tail meets its target."""
+        harm = self.book.harm
+        capacity = max(worker.listing.capacity.cpu_millis, 1)
+        shares = {run: run.task.spec.size.cpu_millis / capacity for run in filling}
+        for run in filling:
+            run.wanted_pace = FULL_PACE
+        for other in serving:
+            spec = other.task.spec
+            presses = {
+                run: harm.press(spec.image, run.task.spec.image) * share
+                for run, share in shares.items()
+            }
+            full = sum(presses.values())
+            now = sum(press * run.pace / 100 for run, press in presses.items())
+            pressure = pressure_of(other.figure / spec.target_ms)
+            if pressure - now + full <= PRESSURE_GOAL:
+                continue
+            scale = (PRESSURE_GOAL - (pressure - now)) / full if full else 1.0
+            pace = int(min(max(scale, 0.0), 1.0) * FULL_PACE) // PACE_STEP * PACE_STEP
+            for run, press in presses.items():
+                if press > HARMLESS:
+                    run.wanted_pace = min(run.wanted_pace, pace)
+        for run in filling:
+            self._set_pace(worker, run)
+
+    def _set_pace(self, worker: WorkerState, run: Run) -> None:
+        now_ms = self.book.now_ms
+        if run.wanted_pace >= CRAWL:
+            run.paced_ms = 0
+        elif not run.paced_ms:
+            run.paced_ms = now_ms
+        run.pace = run.wanted_pace
+        if run.stopping:
+            return
+        if run.paced_ms and now_ms - run.paced_ms > CRAWL_MS:
+            run.stopping = "harms a serving task"
+        elif run.pace != run.pace_sent:
+            self._send(worker, run)
+
+    def _release(self, worker: WorkerState) -> None:
+        """Let filling runs work at full pace where nothing serves any more."""
+        for run in worker.runs.values():
+            if run.pace_sent != FULL_PACE and not run.stopping:
+                run.pace = FULL_PACE
+                self._send(worker, run)
+
+    def _send(self, worker: WorkerState, run: Run) -> None:
         self.book.note(
             "run_paced",
             task=run.task.name,
             run=run.number,
             worker=worker.worker_id,
             percent=run.pace,
-            worst_tail_of_target=round(worst, 2),
         )
         run.pace_sent = run.pace
         self.book.commands.append(
@@ -63,14 +133,3 @@
                 self.book.epoch,
             )
         )
-
-
-def next_pace(pace: int, worst: float) -> int:
-    """Return the pace after a worst tail, given as a share of its target."""
-    if worst >= 1.0:
-        return 0
-    if worst >= SLOW_DOWN_AT:
-        return max((step for step in PACE_STEPS if step < pace), default=0)
-    if worst <= SPEED_UP_AT:
-        return min((step for step in PACE_STEPS if step > pace), default=FULL_PACE)
-    return pace
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -5,15 +5,18 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.fleet import WorkerState
+from poplarlb.coordination.jobs.harm import HarmModel
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.jobs import StepSpec, Task
 from poplarlb.state.models import Resources
 
-# Costs are shares of a worker's processors; a serving task beside filling ones is worse
-# than any difference of load, which is at most 1.
-DISTURBED_COST = 1.5
+# Costs are shares of a worker's processors; being nearly full costs 1.
+PRESSURE_LIMIT = 0.70  # a tail meets its target at 0.78; loads swing meanwhile
+PRESSURE_COST = 1.0  # for each unit of pressure on the serving task worst off
+IMAGE_COST = 0.5  # of a further serving image, which more filling images harm
 SLOW_COST = 1.0  # for each time that a worker's tasks take longer than usual
 STEP_COST = 0.05  # for each run of the same step, so that a worker's loss hits few
+SERVING_USE = 0.5  # of their reservation that serving tasks use, measured
 
 
 @define
@@ -24,6 +27,7 @@
     """
 
     policy: JobPolicy
+    harm: HarmModel
     workers: dict[str, list[WorkerState]]
     misfits: dict[tuple, list[Resources]] = Factory(dict)
 
@@ -32,7 +36,7 @@
     ) -> WorkerState | None:
         """Return the cheapest worker with room for a task; None if there is none."""
         spec = task.spec
-        constraint = (service, spec.required_label, rack, spec.fills)
+        constraint = (service, spec.required_label, rack, spec.fills and spec.image)
         known = self.misfits.get(constraint, ())
         if any(item.fits_in(spec.size) for item in known):
             return None
@@ -43,11 +47,15 @@
                 continue
             if not has_room(worker, spec):
                 continue
+            pressure = pressure_with(worker, spec, self.harm)
+            if spec.fills and pressure > PRESSURE_LIMIT:
+                continue
             fits = True
             there = same_step[worker.worker_id]
             if spec.max_per_worker and there >= spec.max_per_worker:
                 continue
             cost = cost_of(worker, spec, self.policy) + there * STEP_COST
+            cost += PRESSURE_COST * pressure
             if best is None or cost < best_cost:
                 best, best_cost = worker, cost
         if not fits:
@@ -84,7 +92,24 @@
         return False
     if not spec.fills:
         return True
-    return free.cpu_millis - worker.filling_cpu >= spec.size.cpu_millis
+    used = worker.reserved.cpu_millis - int(worker.serving_cpu * (1 - SERVING_USE))
+    unused = worker.listing.capacity.cpu_millis - used - worker.filling_cpu
+    return unused >= spec.size.cpu_millis
+
+
+def pressure_with(worker: WorkerState, spec: StepSpec, harm: HarmModel) -> float:
+    """Return the pressure on the serving task worst off, with one more task."""
+    if spec.target_ms:
+        return harm.pressure(spec.image, worker.filling_mix())
+    if not spec.fills or not worker.serving:
+        return 0.0
+    mix = worker.filling_mix()
+    share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
+    mix[spec.image] = mix.get(spec.image, 0.0) + share
+    return max(
+        load + harm.pressure(image, mix)
+        for image, load in worker.serving_loads().items()
+    )
 
 
 def cost_of(worker: WorkerState, spec: StepSpec, policy: JobPolicy) -> float:
@@ -92,10 +117,8 @@
     capacity = max(worker.listing.capacity.cpu_millis, 1)
     taken = worker.reserved.cpu_millis + worker.filling_cpu
     cost = taken / capacity + SLOW_COST * (worker.slowness - 1.0)
-    if spec.fills and worker.serving:
-        cost += DISTURBED_COST
-    if spec.target_ms and worker.filling_cpu:
-        cost += DISTURBED_COST * worker.filling_cpu / capacity
+    if spec.target_ms:
+        cost += IMAGE_COST * len(worker.serving_images() - {spec.image})
     if spec.preferred_rack and spec.preferred_rack not in worker.listing.labels:
         cost += policy.far_factor - 1.0
     return cost
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -20,7 +20,7 @@
         """Place every ready task that fits."""
         book = self.book
         book.room_changed = False
-        placement = Placement(book.policy, self._usable_workers())
+        placement = Placement(book.policy, book.harm, self._usable_workers())
         for job in sorted(book.unplaced, key=self.urgency):
             self._place_job(job, placement)
 
