Loads of serving tasks are learned by step

Cause: figures of disturbed tasks were taken for their own load. A trial with serving tasks alone shows that the tasks of one job share one load that swings with a period of ten seconds. Ruled out: noise (figures repeat within 15 %).

--- a/poplarlb/coordination/jobs/book.py
+++ b/poplarlb/coordination/jobs/book.py
@@ -69,6 +69,7 @@
         job.reason = reason
         job.final_utc_ms = self.utc_ms
         self.unplaced.discard(job)
+        self.harm.forget(job.spec.job_id)
         self.touch(job)
         self.note("job_final", job=job.spec.job_id, state=str(state), reason=reason)
         if state is JobState.DONE:
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -5,7 +5,6 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.events import WorkerListing
-from poplarlb.coordination.jobs.harm import USUAL_LOAD
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.jobs import Task
 from poplarlb.state.models import Resources
@@ -39,7 +38,6 @@
     percent: int = 0
     figure: float = 0.0
     paced_ms: int = 0  # since when it has been paced to a crawl
-    load: float = USUAL_LOAD  # of a serving task: its own pressure on its tail
     learned_ms: int = 0
     progress_ms: int = 0  # when the percent last changed
     pace: int = 100
@@ -119,16 +117,12 @@
         specs = (run.task.spec for run in self.runs.values())
         return {spec.image for spec in specs if spec.target_ms}
 
-    def serving_loads(self) -> dict[str, float]:
-        """Return the highest own load of the serving tasks here, by image."""
-        loads: dict[str, float] = {}
+    def serving_steps(self) -> dict[tuple[str, int, int], str]:
+        """Return the image of each step that has serving tasks here."""
         if not self.serving:
-            return loads
-        for run in self.runs.values():
-            spec = run.task.spec
-            if spec.target_ms:
-                loads[spec.image] = max(loads.get(spec.image, 0.0), run.load)
-        return loads
+            return {}
+        tasks = (run.task for run in self.runs.values())
+        return {task.step_key: task.spec.image for task in tasks if task.spec.target_ms}
 
     def filling_mix(self) -> dict[str, float]:
         """Return the share of the processors of each filling image at full pace."""
--- a/poplarlb/coordination/jobs/harm.py
+++ b/poplarlb/coordination/jobs/harm.py
@@ -15,10 +15,12 @@
 UNKNOWN_PRESS = 0.9  # between what harmless and harmful pairs were measured to press
 LARGEST_PRESS = 3.0
 LARGEST_PRESSURE = 0.95  # beyond it a queue has built up and tells no more
-PRESS_RATE = 0.12  # a pair is known after some ten figures
-LOAD_RATE = 0.25  # follows a swing of ten seconds by figures twice a second
+PRESS_RATE = 0.2  # a pair is known after some ten figures
+LOAD_RATE = 0.4  # of a figure that no filling task disturbs; follows swings of 10 s
+DISTURBED = 0.1  # pressure of others at which a figure tells half as much of the load
 LEAST_POWER = 0.004  # keeps the step finite while little is used
 
+StepKey = tuple[str, int, int]  # job, occurrence, step
 Mix = Mapping[str, float]  # share of a worker's processors used, by filling image
 
 
@@ -34,6 +36,7 @@
     """What has been learned of every pair of images."""
 
     presses: dict[str, dict[str, float]] = Factory(dict)  # by serving image
+    loads: dict[StepKey, float] = Factory(dict)  # tasks of a step share their load
 
     def press(self, serving: str, filling: str) -> float:
         """Return the pressure of a whole worker of one image on another."""
@@ -43,17 +46,27 @@
         """Return the pressure of a mix on a serving image."""
         return sum(self.press(serving, image) * share for image, share in mix.items())
 
-    def learn(self, serving: str, load: float, pressure: float, mix: Mix) -> float:
-        """Learn from a figure and return the task's own load as it is now.
-
-        :param load: the task's own load as it was known.
-        """
-        error = pressure - load - self.pressure(serving, mix)
-        if mix and pressure < LARGEST_PRESSURE:
-            power = LEAST_POWER + sum(share * share for share in mix.values())
-            known = self.presses.setdefault(serving, {})
-            for image, share in mix.items():
-                step = PRESS_RATE * error * share / power
-                press = known.get(image, UNKNOWN_PRESS) + step
-                known[image] = min(max(press, 0.0), LARGEST_PRESS)
-        return min(max(load + LOAD_RATE * error, 0.0), LARGEST_PRESSURE)
+    def load(self, step: StepKey) -> float:
+        """Return the pressure of a serving step's own load."""
+        return self.loads.get(step, USUAL_LOAD)
+
+    def learn(self, step: StepKey, serving: str, pressure: float, mix: Mix) -> None:
+        """Learn from the figure of one task of a step."""
+        load = self.load(step)
+        others = self.pressure(serving, mix)
+        error = pressure - load - others
+        rate = LOAD_RATE / (1.0 + others / DISTURBED)
+        self.loads[step] = min(max(load + rate * error, 0.0), LARGEST_PRESSURE)
+        if not mix or pressure >= LARGEST_PRESSURE:
+            return
+        power = LEAST_POWER + sum(share * share for share in mix.values())
+        known = self.presses.setdefault(serving, {})
+        for image, share in mix.items():
+            step_size = PRESS_RATE * error * share / power
+            press = known.get(image, UNKNOWN_PRESS) + step_size
+            known[image] = min(max(press, 0.0), LARGEST_PRESS)
+
+    def forget(self, job_id: str) -> None:
+        """Drop the loads of a job that is over."""
+        for step in [step for step in self.loads if step[0] == job_id]:
+            del self.loads[step]
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -9,6 +9,7 @@
 
 PRESSURE_GOAL = 0.70  # a tail meets its target at 0.78; figures lag half a second
 FULL_PACE = 100
+HOPELESS_LOAD = 0.82  # over its target by its own load alone, whatever fills beside it
 PACE_STEP = 10  # percent; smaller changes aren't worth a call
 CRAWL = 30  # percent
 CRAWL_MS = 800  # a run that crawls for longer is better placed elsewhere
@@ -63,7 +64,7 @@
             run.learned_ms = self.book.now_ms
             spec = run.task.spec
             pressure = pressure_of(run.figure / spec.target_ms)
-            run.load = harm.learn(spec.image, run.load, pressure, mix)
+            harm.learn(run.task.step_key, spec.image, pressure, mix)
 
     def _set_paces(
         self, worker: WorkerState, serving: list[Run], filling: list[Run]
@@ -81,11 +82,10 @@
                 for run, share in shares.items()
             }
             full = sum(presses.values())
-            now = sum(press * run.pace / 100 for run, press in presses.items())
-            pressure = pressure_of(other.figure / spec.target_ms)
-            if pressure - now + full <= PRESSURE_GOAL:
+            load = harm.load(other.task.step_key)
+            if not full or load + full <= PRESSURE_GOAL or load >= HOPELESS_LOAD:
                 continue
-            scale = (PRESSURE_GOAL - (pressure - now)) / full if full else 1.0
+            scale = (PRESSURE_GOAL - load) / full
             pace = int(min(max(scale, 0.0), 1.0) * FULL_PACE) // PACE_STEP * PACE_STEP
             for run, press in presses.items():
                 if press > HARMLESS:
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -13,7 +13,8 @@
 # Costs are shares of a worker's processors; being nearly full costs 1.
 PRESSURE_LIMIT = 0.70  # a tail meets its target at 0.78; loads swing meanwhile
 PRESSURE_COST = 1.0  # for each unit of pressure on the serving task worst off
-IMAGE_COST = 0.5  # of a further serving image, which more filling images harm
+IMAGE_COST = 1.0  # of a further serving image, which more filling images harm
+PACK_COST = 0.3  # of an empty worker for a serving task; they don't harm each other
 SLOW_COST = 1.0  # for each time that a worker's tasks take longer than usual
 STEP_COST = 0.05  # for each run of the same step, so that a worker's loss hits few
 SERVING_USE = 0.5  # of their reservation that serving tasks use, measured
@@ -107,8 +108,8 @@
     share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
     mix[spec.image] = mix.get(spec.image, 0.0) + share
     return max(
-        load + harm.pressure(image, mix)
-        for image, load in worker.serving_loads().items()
+        harm.load(step) + harm.pressure(image, mix)
+        for step, image in worker.serving_steps().items()
     )
 
 
@@ -118,7 +119,8 @@
     taken = worker.reserved.cpu_millis + worker.filling_cpu
     cost = taken / capacity + SLOW_COST * (worker.slowness - 1.0)
     if spec.target_ms:
-        cost += IMAGE_COST * len(worker.serving_images() - {spec.image})
+        cost = PACK_COST * (1.0 - taken / capacity) + worker.filling_cpu / capacity
+        cost += IMAGE_COST * len(set(worker.serving_steps().values()) - {spec.image})
     if spec.preferred_rack and spec.preferred_rack not in worker.listing.labels:
         cost += policy.far_factor - 1.0
     return cost
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -177,6 +177,11 @@
         job_id = self.job.spec.job_id
         return f"{job_id}.{self.occurrence}.{self.step}.{self.index}"
 
+    @property
+    def step_key(self) -> tuple[str, int, int]:
+        """Return what names the task's step: job, occurrence and step."""
+        return self.job.spec.job_id, self.occurrence, self.step
+
     @property
     def spec(self) -> StepSpec:
         """Return the step that the task belongs to."""
