A worker that a new owner never sees listed gives its tasks back

A worker crashed, then the owner; the next owner found its tasks in the records but never a listing, and only workers that missed looks counted as silent. Ruled out: the lease's length. Change: a worker that can't be asked is silent; tests drive the dispatcher against fake workers without a network.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -77,7 +77,7 @@
         book = Book(policy, epoch, now_ms=now_ms)
         for job in jobs:
             book.restore(job)
-        longest_ms = policy.lease_limit_ms / (1 - policy.clock_slack)
+        longest_ms = policy.lease_ms / (1 - policy.clock_slack)
         for worker in book.workers.values():
             worker.unknown_until_ms = int(
                 now_ms + policy.renew_unproven_ms + longest_ms + policy.lease_margin_ms
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -160,8 +160,10 @@
         return self.clock_ms + least_ms >= self.lease_end_ms + policy.lease_margin_ms
 
     def is_silent(self, policy: JobPolicy, now_ms: int) -> bool:
-        """Tell whether the worker has not answered for long."""
-        return self.missed > 0 and now_ms - self.answered_ms > policy.silent_ms
+        """Tell whether the worker has not answered for long, or can't be asked."""
+        return (
+            self.missed > 0 or self.listing is None
+        ) and now_ms - self.answered_ms > policy.silent_ms
 
     def begin_life(self, life: int) -> None:
         """Forget what only held in the worker's earlier life."""
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -22,7 +22,7 @@
     watched_look_wait_ms: int = 500  # a worker's figures cover half a second
     look_retry_ms: int = 300  # a silent worker is asked three times a second
     silent_ms: int = 2_000  # no renewals after this long without an answer
-    renew_unproven_ms: int = 10_000  # outlasts store outages of the users' sheets
+    renew_unproven_ms: int = 5_000  # with the lease, outlasts store outages of 10 s
     clock_slack: float = 0.02  # how much slower than ours a worker's clock may run
     lease_margin_ms: int = 200  # rounding, and the time that a kill takes
     late_start_ms: int = 13_000  # unanswered starts are carried out up to 12 s late
--- /dev/null
+++ b/tests/coordination/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the job decisions."""
--- /dev/null
+++ b/tests/coordination/jobs/fake_worker.py
@@ -0,0 +1,170 @@
+"""A worker that runs tasks under leases and fences, on a hand-held clock."""
+
+from attrs import Factory, define
+
+from poplarlb.coordination.jobs.events import (
+    CallOutcome,
+    EndedRow,
+    RunningRow,
+    WorkerListing,
+)
+from poplarlb.state.jobs import RunEnd
+from poplarlb.state.models import Resources
+
+LEASE_LIMIT_MS = 10_000
+STOP_MS = 100
+
+
+@define
+class LiveRun:
+    """A run that a worker has begun."""
+
+    task: str
+    number: int
+    started_ms: float
+    work_ms: float
+    done_ms: float = 0.0
+    pace: int = 100
+    stop_at_ms: float | None = None
+    fails: bool = False
+    stands: bool = False
+
+    @property
+    def percent(self) -> int:
+        """Return the share of the work that is done."""
+        return min(int(100 * self.done_ms / self.work_ms), 100)
+
+
+@define(eq=False)
+class FakeWorker:
+    """One worker; ``began`` and ``over`` record what happened for the checks."""
+
+    worker_id: str
+    life: int
+    zone: str = "z1"
+    rack: str = "r1"
+    capacity: Resources = Resources(16_000, 64_000, 0)
+    service: str = "desk"
+    clock_rate: float = 1.0
+    clock_ms: float = 1_000.0
+    fence: int = 0
+    lease_end_ms: float = 0.0
+    runs: dict[tuple[str, int], LiveRun] = Factory(dict)
+    ends: list[EndedRow] = Factory(list)
+    next_end: int = 1
+    highest: dict[str, int] = Factory(dict)
+    alive: bool = True
+    draining: bool = False
+    fails_all: bool = False
+    noted: set[tuple[str, int]] = Factory(set)  # ends as done that were acknowledged
+
+    def listing(self) -> WorkerListing:
+        """Return what the worker says of itself."""
+        return WorkerListing(
+            self.worker_id,
+            self.life,
+            f"{self.worker_id}:1",
+            self.service,
+            self.zone,
+            self.draining,
+            self.capacity,
+            ("a", self.rack),
+        )
+
+    def advance(self, elapsed_ms: float) -> None:
+        """Let time pass."""
+        if not self.alive:
+            return
+        self.clock_ms += elapsed_ms * self.clock_rate
+        for key, run in list(self.runs.items()):
+            if not run.stands:
+                run.done_ms += elapsed_ms * run.pace / 100
+            if run.stop_at_ms is not None and self.clock_ms >= run.stop_at_ms:
+                self.end(key, RunEnd.STOPPED)
+            elif run.done_ms >= run.work_ms:
+                self.end(key, RunEnd.FAILED if run.fails else RunEnd.DONE)
+        if self.runs and self.clock_ms >= self.lease_end_ms:
+            for key in list(self.runs):
+                self.end(key, RunEnd.LAPSED)
+
+    def end(self, key: tuple[str, int], how: RunEnd) -> None:
+        """End a run."""
+        run = self.runs.pop(key)
+        self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
+        saved = "" if how in (RunEnd.DONE, RunEnd.FAILED) else f"s{run.number}"
+        self.ends.append(EndedRow(self.next_end, run.task, run.number, how, saved))
+        self.next_end += 1
+
+    def restart(self, life: int) -> None:
+        """Crash and begin a new life that knows nothing."""
+        self.life = life
+        self.clock_ms = 1_000.0
+        self.fence = 0
+        self.lease_end_ms = 0.0
+        self.runs.clear()
+        self.ends.clear()
+        self.next_end = 1
+        self.highest.clear()
+        self.alive = True
+        self.draining = False
+
+    # --- orders -----------------------------------------------------------------------
+
+    def hold_until(self, until_ms: float | None) -> None:
+        """Extend every run's lease."""
+        if until_ms is not None:
+            limit_ms = self.clock_ms + LEASE_LIMIT_MS
+            self.lease_end_ms = max(self.lease_end_ms, min(until_ms, limit_ms))
+
+    def start(self, command, work_ms: float, fails: bool) -> CallOutcome:
+        """Carry a start out."""
+        if command.epoch < self.fence:
+            return CallOutcome.OLD_EPOCH
+        self.fence = command.epoch
+        key = (command.task, command.run)
+        if command.lease_end_ms <= self.clock_ms:
+            return CallOutcome.LEASE_OVER
+        self.hold_until(command.lease_end_ms)
+        if key in self.runs:
+            return CallOutcome.DONE
+        if command.run <= self.highest.get(command.task, 0):
+            return CallOutcome.OLD_RUN
+        self.runs[key] = LiveRun(
+            command.task,
+            command.run,
+            self.clock_ms,
+            work_ms,
+            fails=fails or self.fails_all,
+        )
+        return CallOutcome.DONE
+
+    def stop(self, command) -> CallOutcome:
+        """Carry a stop out."""
+        if command.epoch < self.fence:
+            return CallOutcome.OLD_EPOCH
+        self.fence = command.epoch
+        run = self.runs.get((command.task, command.run))
+        if run is not None:
+            if run.stop_at_ms is None:
+                run.stop_at_ms = self.clock_ms + STOP_MS
+        else:
+            known = self.highest.get(command.task, 0)
+            self.highest[command.task] = max(known, command.run)
+        return CallOutcome.DONE
+
+    def look(self, command):
+        """Return the lists, or None if the fence is old."""
+        if command.epoch < self.fence:
+            return None
+        self.fence = command.epoch
+        self.hold_until(command.lease_end_ms)
+        if command.seen is not None:
+            for row in self.ends:
+                if row.number <= command.seen and row.how is RunEnd.DONE:
+                    self.noted.add((row.task, row.run))
+            self.ends = [row for row in self.ends if row.number > command.seen]
+        running = tuple(
+            RunningRow(run.task, run.number, f"s{run.number}", run.percent)
+            for run in self.runs.values()
+        )
+        return running, tuple(self.ends)
--- /dev/null
+++ b/tests/coordination/jobs/job_world.py
@@ -0,0 +1,345 @@
+"""Drives the dispatcher against fake workers and a store, on a hand-held clock."""
+
+import random
+from collections import Counter, defaultdict
+
+from attrs import Factory, define
+
+from poplarlb.coordination.jobs import events
+from poplarlb.coordination.jobs.dispatcher import Dispatcher
+from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.state import job_records
+from poplarlb.state.jobs import (
+    Job,
+    JobSpec,
+    JobState,
+    OperatorConfig,
+    QueueConfig,
+    StepSpec,
+    parse_task_name,
+)
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.fake_worker import FakeWorker
+
+STEP_MS = 20
+CALL_MS = 2
+COMMIT_MS = 8
+QUEUE = QueueConfig(
+    "orders", "h", "/o/", "desk", max_attempts=3, stretch=1.5, objective_ms=500
+)
+START_UTC_MS = 1_800_000_000_000
+
+
+def make_job(job_id: str = "a" * 16, *steps: StepSpec, **fields) -> JobSpec:
+    """Return a job; one step of two small tasks if none is given."""
+    steps = steps or (StepSpec(2, Resources(1_000, 1_000), estimate_ms=500),)
+    return JobSpec(job_id, "orders", "desk", START_UTC_MS, "payload", steps, **fields)
+
+
+@define(eq=False)
+class JobWorld:
+    """A store, workers, and the owners that follow one another.
+
+    Calls take effect in order of their delivery; ``faults`` decides for each call
+    whether it is lost, delayed, or its answer is lost.
+    """
+
+    workers: dict[str, FakeWorker] = Factory(dict)
+    policy: JobPolicy = Factory(JobPolicy)
+    seed: int = 1
+    now_ms: float = 100_000.0
+    epoch: int = 0
+    owner: Dispatcher | None = None
+    jobs: dict[str, JobSpec] = Factory(dict)
+    cancels: set[str] = Factory(set)
+    records: dict[str, bytes] = Factory(dict)
+    listed: dict[str, events.WorkerListing] = Factory(dict)
+    calls: list = Factory(list)  # (due, order, owner, action)
+    order: int = 0
+    store_up: bool = True
+    cut: set[str] = Factory(set)  # workers that the owner can't reach
+    work_ms: float = 500.0
+    failing: set[str] = Factory(set)  # tasks that fail
+    lost_share: float = 0.0
+    late_share: float = 0.0
+    notes: list[events.Note] = Factory(list)
+    violations: list[str] = Factory(list)
+    starts: Counter = Factory(Counter)
+    stepped_down: bool = False
+    dice: random.Random = None
+    waiting_commit: list = Factory(list)
+
+    def __attrs_post_init__(self) -> None:
+        """Begin with the workers that were given."""
+        self.dice = random.Random(self.seed)
+
+    # --- set up -----------------------------------------------------------------------
+
+    def add_workers(self, count: int, **fields) -> None:
+        """Add workers and list them."""
+        for _ in range(count):
+            worker_id = f"w{len(self.workers)}"
+            worker = FakeWorker(worker_id, life=1_000 + len(self.workers), **fields)
+            self.workers[worker_id] = worker
+            self.listed[worker_id] = worker.listing()
+            self.feed(events.WorkerListed(worker.listing()))
+
+    def new_owner(self) -> None:
+        """Let another daemon take the ownership from what the store holds."""
+        self.epoch += 1
+        self.stepped_down = False
+        jobs = []
+        for job_id, spec in self.jobs.items():
+            job = Job(spec)
+            if job_id in self.records:
+                job_records.restore_progress(job, self.records[job_id])
+            elif not spec.times:
+                job.open_occurrence(0)
+            jobs.append(job)
+        now_ms = int(self.now_ms)
+        self.owner = Dispatcher.take_over(self.policy, self.epoch, jobs, now_ms)
+        self.waiting_commit = []
+        self.feed(events.ConfigChanged(OperatorConfig(1, (QUEUE,))))
+        for listing in self.listed.values():
+            self.feed(events.WorkerListed(listing))
+        for job_id in self.cancels:
+            self.feed(events.CancelStored(job_id))
+
+    def submit(self, spec: JobSpec) -> None:
+        """Store an accepted job."""
+        self.jobs[spec.job_id] = spec
+        self.feed(events.JobStored(spec))
+
+    def cancel(self, job_id: str) -> None:
+        """Store a cancel."""
+        self.cancels.add(job_id)
+        self.feed(events.CancelStored(job_id))
+
+    def unlist(self, worker_id: str) -> None:
+        """Remove a worker's listing."""
+        self.listed.pop(worker_id, None)
+        self.feed(events.WorkerUnlisted(worker_id))
+
+    def relist(self, worker_id: str) -> None:
+        """Write a worker's listing as it is now."""
+        listing = self.workers[worker_id].listing()
+        self.listed[worker_id] = listing
+        self.feed(events.WorkerListed(listing))
+
+    # --- time -------------------------------------------------------------------------
+
+    def run(self, duration_ms: float) -> None:
+        """Let time pass in small steps."""
+        until_ms = self.now_ms + duration_ms
+        while self.now_ms < until_ms:
+            self.now_ms += STEP_MS
+            for worker in self.workers.values():
+                worker.advance(STEP_MS)
+            self._deliver()
+            self.check()
+            if self.owner is None or self.stepped_down:
+                continue
+            if self.store_up:
+                self.feed(events.ViewConfirmed(int(self.now_ms)))
+            self.feed(events.Tick(self.utc_ms()))
+
+    def utc_ms(self) -> int:
+        """Return the time of day."""
+        return int(START_UTC_MS + self.now_ms - 100_000)
+
+    def feed(self, event: events.Event) -> None:
+        """Hand an event to the owner."""
+        if self.owner is None or self.stepped_down:
+            return
+        for command in self.owner.handle(event, int(self.now_ms)):
+            self._carry_out(command)
+
+    def later(self, delay_ms: float, action) -> None:
+        """Carry an action out later."""
+        self.order += 1
+        self.calls.append((self.now_ms + delay_ms, self.order, action))
+
+    def _deliver(self) -> None:
+        due = sorted(item for item in self.calls if item[0] <= self.now_ms)
+        self.calls = [item for item in self.calls if item[0] > self.now_ms]
+        for _, _, action in due:
+            action()
+
+    # --- commands ---------------------------------------------------------------------
+
+    def _carry_out(self, command: events.Command) -> None:
+        owner, now_ms = self.owner, int(self.now_ms)
+        match command:
+            case events.Note():
+                self.notes.append(command)
+            case events.StepDown():
+                self.stepped_down = True
+            case events.Commit():
+                self.later(COMMIT_MS, lambda: self._commit(command, owner, now_ms))
+            case events.Look():
+                self._call(command, owner, self._look, now_ms)
+            case _:
+                self._call(command, owner, self._order, now_ms)
+
+    def _commit(self, command: events.Commit, owner, sent_ms: int) -> None:
+        if owner is not self.owner:
+            return
+        if not self.store_up:
+            self.later(100, lambda: self._commit(command, owner, sent_ms))
+            return
+        for record in command.records:
+            self.records[record.job_id] = record.value
+        for job_id in command.forgotten:
+            self.records.pop(job_id, None)
+            self.jobs.pop(job_id, None)
+        self.feed(events.Committed(sent_ms))
+
+    def _call(self, command, owner, action, sent_ms: int) -> None:
+        worker = self.workers[command.worker_id]
+        reached = worker.alive and command.worker_id not in self.cut
+        if not reached or self.dice.random() < self.lost_share:
+            self.later(900, lambda: self._answer(owner, fail(command, sent_ms)))
+            return
+        if self.dice.random() < self.late_share and not isinstance(
+            command, events.Look
+        ):
+            delay_ms = self.dice.uniform(2_000, 12_000)
+            self.later(delay_ms, lambda: action(command, worker, sent_ms))
+            self.later(1_000, lambda: self._answer(owner, fail(command, sent_ms)))
+            return
+
+        def execute() -> None:
+            if not worker.alive:
+                self._answer(owner, fail(command, sent_ms))
+                return
+            answer = action(command, worker, sent_ms)
+            if self.dice.random() < self.lost_share:
+                answer = fail(command, sent_ms)
+            self.later(CALL_MS, lambda: self._answer(owner, answer))
+
+        wait_ms = getattr(command, "wait_ms", 0)
+        self.later(CALL_MS + (min(wait_ms, 60) if wait_ms else 0), execute)
+
+    def _answer(self, owner, event) -> None:
+        if owner is not self.owner or self.stepped_down:
+            return
+        if event is None:
+            self.stepped_down = True
+            return
+        self.feed(event)
+
+    def _look(self, command: events.Look, worker: FakeWorker, sent_ms: int):
+        lists = worker.look(command)
+        if lists is None:
+            return None
+        return events.LookAnswered(
+            worker.worker_id, sent_ms, worker.life, int(worker.clock_ms), *lists
+        )
+
+    def _order(self, command, worker: FakeWorker, sent_ms: int):
+        if not worker.alive:
+            return None
+        name = getattr(command, "task", "")
+        match command:
+            case events.StartRun():
+                known = (command.task, command.run) in worker.runs
+                fails = name in self.failing
+                outcome = worker.start(command, self.work_ms, fails)
+                if outcome is events.CallOutcome.DONE and not known:
+                    self._check_start(command, worker)
+                return events.StartAnswered(
+                    worker.worker_id, name, command.run, sent_ms, outcome
+                )
+            case events.StopRun():
+                outcome = worker.stop(command)
+                return events.StopAnswered(
+                    worker.worker_id, name, command.run, sent_ms, outcome
+                )
+            case events.PaceRun():
+                run = worker.runs.get((name, command.run))
+                if run is not None:
+                    run.pace = command.percent
+                return events.PaceAnswered(
+                    worker.worker_id,
+                    name,
+                    command.run,
+                    command.percent,
+                    events.CallOutcome.DONE,
+                )
+        return None
+
+    # --- checks -----------------------------------------------------------------------
+
+    def _check_start(self, command: events.StartRun, worker: FakeWorker) -> None:
+        self.starts[command.task] += 1
+        job_id, _, step, _ = parse_task_name(command.task)
+        spec = self.jobs.get(job_id)
+        lasts = spec is not None and spec.steps[step].long_running
+        if not lasts and any(
+            task == command.task
+            for other in self.workers.values()
+            for task, _ in other.noted
+        ):
+            self.violations.append(f"{command.task} started after its end")
+        if spec is not None and spec.steps[step].max_per_worker:
+            same = [
+                run
+                for run in worker.runs.values()
+                if run.task.rsplit(".", 1)[0] == command.task.rsplit(".", 1)[0]
+            ]
+            if len(same) > spec.steps[step].max_per_worker:
+                self.violations.append(f"{command.task} over its spread limit")
+
+    def check(self) -> None:
+        """Check what must hold at any time."""
+        places = defaultdict(list)
+        for worker in self.workers.values():
+            if not worker.alive:
+                continue
+            used = Resources()
+            for task, _ in worker.runs:
+                places[task].append(worker.worker_id)
+                job_id, _, step, _ = parse_task_name(task)
+                used = used.plus(self.jobs[job_id].steps[step].reserved)
+            if not used.fits_in(worker.capacity):
+                self.violations.append(f"{worker.worker_id} is over its room")
+        for task, where in places.items():
+            if len(where) > 1:
+                self.violations.append(f"{task} runs at {where}")
+
+    def state(self, job_id: str) -> JobState:
+        """Return a job's state as the store has it."""
+        value = self.records.get(job_id)
+        return job_records.decode_state(value) if value else JobState.PENDING
+
+    def running(self) -> dict[str, str]:
+        """Return the worker of each running task."""
+        return {
+            task: worker.worker_id
+            for worker in self.workers.values()
+            if worker.alive
+            for task, _ in worker.runs
+        }
+
+    def noted(self, event: str) -> list[events.Note]:
+        """Return the notes of one kind."""
+        return [note for note in self.notes if note.event == event]
+
+
+def fail(command, sent_ms: int) -> events.Event:
+    """Return the event of a call without an answer."""
+    outcome = events.CallOutcome.UNANSWERED
+    match command:
+        case events.Look():
+            return events.LookFailed(command.worker_id, sent_ms)
+        case events.StartRun():
+            return events.StartAnswered(
+                command.worker_id, command.task, command.run, sent_ms, outcome
+            )
+        case events.StopRun():
+            return events.StopAnswered(
+                command.worker_id, command.task, command.run, sent_ms, outcome
+            )
+    return events.PaceAnswered(
+        command.worker_id, command.task, command.run, command.percent, outcome
+    )
--- /dev/null
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -0,0 +1,181 @@
+"""Tests of the dispatcher against fake workers."""
+
+import unittest
+
+from poplarlb.state.jobs import JobState, StepSpec
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.job_world import JobWorld, make_job
+
+SMALL = Resources(1_000, 1_000)
+JOB = "a" * 16
+
+
+class DispatcherTest(unittest.TestCase):
+    """A world with one owner and four workers."""
+
+    def setUp(self) -> None:
+        """Begin with four workers and an owner."""
+        self.world = JobWorld()
+        self.world.new_owner()
+        self.world.add_workers(4)
+        self.world.run(200)
+
+    def tearDown(self) -> None:
+        """Check that nothing was broken meanwhile."""
+        self.assertEqual(self.world.violations, [])
+
+    def test_job_runs_to_its_end(self) -> None:
+        """Two tasks run once each and the job is done."""
+        self.world.submit(make_job())
+        self.world.run(2_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+        self.assertEqual(set(self.world.starts.values()), {1})
+
+    def test_step_waits_for_earlier_steps(self) -> None:
+        """A step begins after all tasks of the steps before it."""
+        first = StepSpec(3, SMALL, estimate_ms=500)
+        second = StepSpec(1, SMALL, estimate_ms=500, after=(0,))
+        self.world.submit(make_job(JOB, first, second))
+        self.world.run(300)
+        self.assertEqual(len(self.world.running()), 3)
+        self.world.run(2_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_failing_task_fails_its_job(self) -> None:
+        """A task that fails as often as its queue allows ends the job."""
+        self.world.failing.add(f"{JOB}.0.0.0")
+        self.world.submit(make_job())
+        self.world.run(6_000)
+        self.assertIs(self.world.state(JOB), JobState.FAILED)
+        self.assertEqual(self.world.starts[f"{JOB}.0.0.0"], 3)
+
+    def test_cancel_stops_what_runs(self) -> None:
+        """A cancelled job is stopped everywhere."""
+        self.world.work_ms = 60_000
+        self.world.submit(make_job())
+        self.world.run(500)
+        self.world.cancel(JOB)
+        self.world.run(1_000)
+        self.assertIs(self.world.state(JOB), JobState.CANCELLED)
+        self.assertEqual(self.world.running(), {})
+
+    def test_lost_worker_is_replaced_after_its_lease(self) -> None:
+        """A silent worker's tasks run elsewhere, not before their lease is over."""
+        self.world.work_ms = 3_000
+        self.world.submit(make_job())
+        self.world.run(300)
+        lost = next(iter(self.world.running().values()))
+        self.world.workers[lost].alive = False
+        self.world.run(2_000)
+        self.assertLess(sum(self.world.starts.values()), 3)
+        self.world.unlist(lost)
+        self.world.run(12_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_worker_cut_off_keeps_its_task_until_its_lease_ends(self) -> None:
+        """A worker behind a partition runs on; its task never runs twice."""
+        self.world.work_ms = 60_000
+        self.world.submit(make_job())
+        self.world.run(300)
+        cut = next(iter(self.world.running().values()))
+        self.world.cut.add(cut)
+        self.world.run(15_000)
+        self.assertEqual(len(self.world.running()), 2)
+        self.world.cut.clear()
+        self.world.run(3_000)
+        self.assertEqual(len(self.world.running()), 2)
+
+    def test_next_owner_adopts_running_tasks(self) -> None:
+        """A takeover stops and starts nothing."""
+        self.world.work_ms = 4_000
+        self.world.submit(make_job())
+        self.world.run(500)
+        self.world.new_owner()
+        self.world.run(6_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+        self.assertEqual(set(self.world.starts.values()), {1})
+
+    def test_task_of_a_worker_that_died_before_the_takeover_runs_again(self) -> None:
+        """A worker that the next owner never sees listed can't keep its tasks."""
+        self.world.work_ms = 60_000
+        self.world.submit(make_job())
+        self.world.run(500)
+        lost = next(iter(self.world.running().values()))
+        self.world.workers[lost].alive = False
+        self.world.listed.pop(lost)
+        self.world.new_owner()
+        self.world.run(25_000)
+        self.assertEqual(len(self.world.running()), 2)
+
+    def test_task_that_lasts_is_started_again(self) -> None:
+        """A lasting task runs again however it ended."""
+        step = StepSpec(2, SMALL, long_running=True)
+        self.world.submit(make_job(JOB, step))
+        self.world.run(3_000)
+        self.assertIs(self.world.state(JOB), JobState.ACTIVE)
+        self.assertGreater(min(self.world.starts.values()), 2)
+
+    def test_spread_limit_holds(self) -> None:
+        """No worker gets more tasks of a step than the step allows."""
+        self.world.work_ms = 1_000
+        self.world.submit(make_job(JOB, StepSpec(8, SMALL, max_per_worker=1)))
+        self.world.run(500)
+        self.assertEqual(len(self.world.running()), 4)
+        self.world.run(4_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_room_is_never_exceeded(self) -> None:
+        """Tasks wait for room."""
+        self.world.submit(make_job(JOB, StepSpec(12, Resources(8_000, 1_000))))
+        self.world.run(5_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_occurrences_begin_when_they_are_due(self) -> None:
+        """A job with times runs its steps once for each."""
+        first = self.world.utc_ms() + 1_000
+        spec = make_job(JOB, times=3, first_utc_ms=first, interval_ms=1_000)
+        self.world.submit(spec)
+        self.world.run(900)
+        self.assertEqual(self.world.starts.total(), 0)
+        self.world.run(4_500)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+        self.assertEqual(self.world.starts.total(), 6)
+
+    def test_gang_begins_together_or_not_at_all(self) -> None:
+        """A gang without room for all members starts none."""
+        big = Resources(16_000, 1_000)
+        self.world.submit(make_job(JOB, StepSpec(5, big, gang=True)))
+        self.world.run(1_000)
+        self.assertEqual(self.world.running(), {})
+        self.world.add_workers(1)
+        self.world.run(300)
+        self.assertEqual(len(self.world.running()), 5)
+        self.world.run(2_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_no_start_while_the_store_is_away(self) -> None:
+        """Nothing starts before its record is stored."""
+        self.world.store_up = False
+        self.world.submit(make_job())
+        self.world.run(4_000)
+        self.assertEqual(self.world.running(), {})
+        self.world.store_up = True
+        self.world.run(3_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
+    def test_draining_worker_gets_nothing_and_loses_lasting_tasks(self) -> None:
+        """Tasks that last leave a worker that drains."""
+        self.world.work_ms = 60_000
+        step = StepSpec(1, SMALL, long_running=True)
+        self.world.submit(make_job(JOB, step))
+        self.world.run(500)
+        (place,) = self.world.running().values()
+        self.world.workers[place].draining = True
+        self.world.relist(place)
+        self.world.run(1_500)
+        (after,) = self.world.running().values()
+        self.assertNotEqual(after, place)
+
+
+if __name__ == "__main__":
+    unittest.main()
