Walks over owners and workers that fail, and what they found

Cause: random walks with fake workers broke promises. A task was placed while a stopped run of it was not yet certain to be over; a restarted worker could carry out an unanswered start of its earlier life; an acknowledgement meant for an earlier life reached a later one. Change: a task with a held run isn't placed; unanswered starts are stopped in the next life too; a new connection begins with a plain look.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -129,6 +129,9 @@
         if event.outcome is CallOutcome.OLD_EPOCH:
             book.commands.append(StepDown(f"{event.worker_id} saw a higher epoch"))
             return
+        if event.outcome is CallOutcome.UNANSWERED:
+            late_ms = event.sent_ms + book.policy.late_start_ms
+            worker.loose[(event.task, event.run)] = late_ms
         if run is None:
             return
         if event.outcome is CallOutcome.DONE:
@@ -216,9 +219,14 @@
         if event.outcome is CallOutcome.OLD_EPOCH:
             book.commands.append(StepDown(f"{event.worker_id} saw a higher epoch"))
             return
-        run = book.worker(event.worker_id).runs.get((event.task, event.run))
-        if run is not None and event.outcome is CallOutcome.DONE:
+        if event.outcome is not CallOutcome.DONE:
+            return
+        worker = book.worker(event.worker_id)
+        run = worker.runs.get((event.task, event.run))
+        if run is not None:
             run.stop_confirmed_ms = book.now_ms
+        # If it runs in spite of the stop, the next look finds it again.
+        worker.stray_stops.pop((event.task, event.run), None)
 
     # --- losses -----------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/ends.py
+++ b/poplarlb/coordination/jobs/ends.py
@@ -63,11 +63,17 @@
         if not known:
             return
         book.note("worker_restarted", worker=worker.worker_id, life=look.life)
+        loose = {key for key, until in worker.loose.items() if book.now_ms < until}
+        worker.loose.clear()
+        for key in loose - worker.runs.keys():
+            worker.stray_stops[key] = 0
         for run in list(worker.runs.values()):
             if run.key in listed or run.phase is RunPhase.COMMITTING:
                 run.task.life = look.life if run.current else run.task.life
-            elif run.phase in (RunPhase.SENT, RunPhase.UNSETTLED):
+            elif run.phase is RunPhase.SENT or run.key in loose:
+                run.phase = RunPhase.UNSETTLED
                 run.stopping = run.stopping or "start unanswered by an earlier life"
+                run.stop_sent_ms = run.stop_confirmed_ms = 0
             else:
                 book.free(worker, run, "worker restarted")
 
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -84,12 +84,14 @@
     failures: int = 0  # failed ends in a row
     slowness: float = 1.0  # how long its tasks take against the usual
     stray_stops: dict[tuple[str, int], int] = Factory(dict)
+    loose: dict[tuple[str, int], int] = Factory(dict)  # late until: unanswered starts
 
     # --- room -------------------------------------------------------------------------
 
     def add(self, run: Run) -> None:
         """Reserve room for a run."""
         self.runs[run.key] = run
+        run.task.held += 1
         spec = run.task.spec
         self.reserved = self.reserved.plus(spec.reserved)
         self.filling_cpu += spec.size.cpu_millis if spec.fills else 0
@@ -100,6 +102,7 @@
         """Free a run's room."""
         if self.runs.pop(run.key, None) is None:
             return
+        run.task.held -= 1
         spec = run.task.spec
         self.reserved = self.reserved.minus(spec.reserved)
         self.filling_cpu -= spec.size.cpu_millis if spec.fills else 0
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -62,11 +62,13 @@
                     for task in occurrence.steps[step]
                     if task.status is TaskStatus.WAITING
                 ]
+                startable = [task for task in tasks if not task.held]
+                waiting |= len(startable) < len(tasks)
                 if spec.gang:
-                    placed = self._place_gang(tasks, spec, queue.service, placement)
+                    placed = self._place_gang(startable, spec, queue.service, placement)
                     waiting |= bool(tasks) and not placed
                     continue
-                for task in tasks:
+                for task in startable:
                     waiting |= not self._place(task, queue.service, placement)
         if not waiting:
             self.book.unplaced.discard(job)
@@ -91,7 +93,7 @@
 
     def _place_gang(self, tasks, spec, service: str, placement: Placement) -> bool:
         """Place all members under one run number, or none."""
-        if len(tasks) < spec.count or self._has_runs(tasks):
+        if len(tasks) < spec.count:
             return False
         number = max(task.run for task in tasks)
         racks = [""]
@@ -120,14 +122,6 @@
             run.task.worker_id, run.task.life = "", 0
         del book.to_start[begun:]
 
-    def _has_runs(self, tasks: list[Task]) -> bool:
-        members = set(tasks)
-        return any(
-            run.task in members
-            for worker in self.book.workers.values()
-            for run in worker.runs.values()
-        )
-
 
 def objective_of(job: Job, stretch: float, allowance_ms: int) -> float:
     """Return within how many ms of its due time a job should be done."""
--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+import attrs
 import orjson
 from attrs import define
 
@@ -84,8 +85,13 @@
     async def look(self, command: Look, sent_ms: int) -> LookAnswered | LookFailed:
         """Ask for a worker's lists.
 
+        A new connection may reach a later life of the worker, where an acknowledgement
+        or a lease of the earlier one would be wrong; it begins with a plain look.
+
         :raises OldEpochError: the worker has seen a higher epoch.
         """
+        if not self.client.has_connection(command.address):
+            command = attrs.evolve(command, seen=None, lease_end_ms=None, wait_ms=0)
         body: dict[str, Any] = {"fence": command.epoch}
         if command.seen is not None:
             body["lastSeen"] = command.seen
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -170,6 +170,7 @@
     saved: str = ""
     worker_id: str = ""
     life: int = 0
+    held: int = 0
 
     @property
     def name(self) -> str:
--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -176,6 +176,10 @@
             raise CallNotSentError(f"{address}: {error}") from None
         return connection
 
+    def has_connection(self, address: str) -> bool:
+        """Tell whether the next call goes over a connection that was used before."""
+        return any(connection.usable for connection in self.idle[address])
+
     def forget(self, address: str) -> None:
         """Close the idle connections to an address that is no longer used."""
         for connection in self.idle.pop(address, ()):
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -3,6 +3,7 @@
 import random
 from collections import Counter, defaultdict
 
+import attrs
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs import events
@@ -65,9 +66,8 @@
     notes: list[events.Note] = Factory(list)
     violations: list[str] = Factory(list)
     starts: Counter = Factory(Counter)
-    stepped_down: bool = False
+    earlier: list[Dispatcher] = Factory(list)  # owners that don't know better yet
     dice: random.Random = None
-    waiting_commit: list = Factory(list)
 
     def __attrs_post_init__(self) -> None:
         """Begin with the workers that were given."""
@@ -84,10 +84,14 @@
             self.listed[worker_id] = worker.listing()
             self.feed(events.WorkerListed(worker.listing()))
 
-    def new_owner(self) -> None:
-        """Let another daemon take the ownership from what the store holds."""
+    def new_owner(self, keep_earlier: bool = False) -> None:
+        """Let another daemon take the ownership from what the store holds.
+
+        An earlier owner that is kept goes on until it learns of the new one.
+        """
         self.epoch += 1
-        self.stepped_down = False
+        if self.owner is not None and keep_earlier:
+            self.earlier.append(self.owner)
         jobs = []
         for job_id, spec in self.jobs.items():
             job = Job(spec)
@@ -98,7 +102,6 @@
             jobs.append(job)
         now_ms = int(self.now_ms)
         self.owner = Dispatcher.take_over(self.policy, self.epoch, jobs, now_ms)
-        self.waiting_commit = []
         self.feed(events.ConfigChanged(OperatorConfig(1, (QUEUE,))))
         for listing in self.listed.values():
             self.feed(events.WorkerListed(listing))
@@ -137,22 +140,30 @@
                 worker.advance(STEP_MS)
             self._deliver()
             self.check()
-            if self.owner is None or self.stepped_down:
-                continue
-            if self.store_up:
-                self.feed(events.ViewConfirmed(int(self.now_ms)))
-            self.feed(events.Tick(self.utc_ms()))
+            for owner in [*self.earlier, self.owner]:
+                if owner is None:
+                    continue
+                if self.store_up and owner is self.owner:
+                    self.feed(events.ViewConfirmed(int(self.now_ms)))
+                self.feed(events.Tick(self.utc_ms()), owner)
 
     def utc_ms(self) -> int:
         """Return the time of day."""
         return int(START_UTC_MS + self.now_ms - 100_000)
 
-    def feed(self, event: events.Event) -> None:
-        """Hand an event to the owner."""
-        if self.owner is None or self.stepped_down:
+    def feed(self, event: events.Event, owner: Dispatcher | None = None) -> None:
+        """Hand an event to an owner, the present one if none is named."""
+        owner = owner or self.owner
+        if owner is None or (owner is not self.owner and owner not in self.earlier):
             return
-        for command in self.owner.handle(event, int(self.now_ms)):
-            self._carry_out(command)
+        for command in owner.handle(event, int(self.now_ms)):
+            self._carry_out(command, owner)
+
+    def _depose(self, owner: Dispatcher) -> None:
+        if owner in self.earlier:
+            self.earlier.remove(owner)
+        elif owner is self.owner:
+            self.violations.append("the present owner was deposed")
 
     def later(self, delay_ms: float, action) -> None:
         """Carry an action out later."""
@@ -167,13 +178,13 @@
 
     # --- commands ---------------------------------------------------------------------
 
-    def _carry_out(self, command: events.Command) -> None:
-        owner, now_ms = self.owner, int(self.now_ms)
+    def _carry_out(self, command: events.Command, owner: Dispatcher) -> None:
+        now_ms = int(self.now_ms)
         match command:
             case events.Note():
                 self.notes.append(command)
             case events.StepDown():
-                self.stepped_down = True
+                self._depose(owner)
             case events.Commit():
                 self.later(COMMIT_MS, lambda: self._commit(command, owner, now_ms))
             case events.Look():
@@ -182,20 +193,23 @@
                 self._call(command, owner, self._order, now_ms)
 
     def _commit(self, command: events.Commit, owner, sent_ms: int) -> None:
-        if owner is not self.owner:
-            return
         if not self.store_up:
             self.later(100, lambda: self._commit(command, owner, sent_ms))
             return
+        if owner is not self.owner:
+            self._depose(owner)
+            return
         for record in command.records:
             self.records[record.job_id] = record.value
         for job_id in command.forgotten:
             self.records.pop(job_id, None)
             self.jobs.pop(job_id, None)
-        self.feed(events.Committed(sent_ms))
+        self.feed(events.Committed(sent_ms), owner)
 
     def _call(self, command, owner, action, sent_ms: int) -> None:
         worker = self.workers[command.worker_id]
+        sent_to = worker.life
+        known = owner.book.worker(command.worker_id).life
         reached = worker.alive and command.worker_id not in self.cut
         if not reached or self.dice.random() < self.lost_share:
             self.later(900, lambda: self._answer(owner, fail(command, sent_ms)))
@@ -204,7 +218,13 @@
             command, events.Look
         ):
             delay_ms = self.dice.uniform(2_000, 12_000)
-            self.later(delay_ms, lambda: action(command, worker, sent_ms))
+
+            def execute_late() -> None:
+                # What a process has received dies with it.
+                if worker.alive and worker.life == sent_to:
+                    action(command, worker, sent_ms)
+
+            self.later(delay_ms, execute_late)
             self.later(1_000, lambda: self._answer(owner, fail(command, sent_ms)))
             return
 
@@ -212,7 +232,11 @@
             if not worker.alive:
                 self._answer(owner, fail(command, sent_ms))
                 return
-            answer = action(command, worker, sent_ms)
+            plain = command
+            if isinstance(command, events.Look) and worker.life != known:
+                # On a new connection the adapter looks without renewing first.
+                plain = attrs.evolve(command, seen=None, lease_end_ms=None)
+            answer = action(plain, worker, sent_ms)
             if self.dice.random() < self.lost_share:
                 answer = fail(command, sent_ms)
             self.later(CALL_MS, lambda: self._answer(owner, answer))
@@ -221,12 +245,10 @@
         self.later(CALL_MS + (min(wait_ms, 60) if wait_ms else 0), execute)
 
     def _answer(self, owner, event) -> None:
-        if owner is not self.owner or self.stepped_down:
-            return
         if event is None:
-            self.stepped_down = True
+            self._depose(owner)
             return
-        self.feed(event)
+        self.feed(event, owner)
 
     def _look(self, command: events.Look, worker: FakeWorker, sent_ms: int):
         lists = worker.look(command)
