Idle workers that missed looks are asked again; a tail over its target stops what fills

Change: missed looks are repeated; after 0.3 of the allowed time over a target every filling task beside it is paced to 0.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -56,6 +56,7 @@
         return bool(
             worker.runs
             or worker.stray_stops
+            or worker.missed
             or not worker.fenced
             or worker.life < worker.listing.life
             or worker.heard > worker.seen
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -39,6 +39,7 @@
     figure: float = 0.0
     paced_ms: int = 0  # since when it has been paced to a crawl
     learned_ms: int = 0
+    over_ms: int = 0  # since when a serving task's tail has been over its target
     progress_ms: int = 0  # when the percent last changed
     pace: int = 100
     pace_sent: int = 100
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -11,6 +11,7 @@
 FULL_PACE = 100
 HOPELESS_LOAD = 0.82  # over its target by its own load alone, whatever fills beside it
 PACE_STEP = 10  # percent; smaller changes aren't worth a call
+OVER_SHARE = 0.3  # of the longest time that a serving task may be over its target
 CRAWL = 30  # percent
 CRAWL_MS = 800  # a run that crawls for longer is better placed elsewhere
 HARMLESS = 0.02  # pressure that isn't worth a pace
@@ -82,6 +83,11 @@
                 for run, share in shares.items()
             }
             full = sum(presses.values())
+            if self._is_over_for_long(other):
+                # Whatever was learned, nothing that fills works beside it now.
+                for run in filling:
+                    run.wanted_pace = 0
+                break
             load = harm.load(other.task.step_key)
             if not full or load + full <= PRESSURE_GOAL or load >= HOPELESS_LOAD:
                 continue
@@ -93,6 +99,13 @@
         for run in filling:
             self._set_pace(worker, run)
 
+    def _is_over_for_long(self, run: Run) -> bool:
+        if run.figure < run.task.spec.target_ms:
+            run.over_ms = 0
+            return False
+        run.over_ms = run.over_ms or self.book.now_ms
+        return self.book.now_ms - run.over_ms >= self.book.policy.harm_ms * OVER_SHARE
+
     def _set_pace(self, worker: WorkerState, run: Run) -> None:
         now_ms = self.book.now_ms
         if run.wanted_pace >= CRAWL:
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -85,6 +85,15 @@
         self.world.run(3_000)
         self.assertEqual(len(self.world.running()), 2)
 
+    def test_idle_worker_that_missed_looks_is_used_again(self) -> None:
+        """A worker without runs is asked until it answers."""
+        self.world.cut.update(self.world.workers)
+        self.world.submit(make_job())
+        self.world.run(20_000)
+        self.world.cut.clear()
+        self.world.run(20_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
     def test_next_owner_adopts_running_tasks(self) -> None:
         """A takeover stops and starts nothing."""
         self.world.work_ms = 4_000
--- /dev/null
+++ b/tests/coordination/jobs/test_pacing.py
@@ -0,0 +1,109 @@
+"""Tests of the pace of filling tasks beside serving ones."""
+
+import unittest
+
+from poplarlb.coordination.jobs.book import Book
+from poplarlb.coordination.jobs.events import PaceRun, WorkerListing
+from poplarlb.coordination.jobs.fleet import Run, RunPhase
+from poplarlb.coordination.jobs.harm import HarmModel, pressure_of
+from poplarlb.coordination.jobs.pacing import Pacer
+from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.state.jobs import Job, StepSpec, TaskStatus
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.job_world import make_job
+
+CAPACITY = Resources(64_000, 256_000)
+TARGET_MS = 40
+
+
+class PacerTest(unittest.TestCase):
+    """One worker with a serving task and a filling one."""
+
+    def setUp(self) -> None:
+        """Place both tasks."""
+        self.book = Book(JobPolicy(), epoch=1, now_ms=10_000)
+        self.worker = self.book.worker("w")
+        self.worker.listing = WorkerListing("w", 1, "w:1", "desk", "z", False, CAPACITY)
+        self.serving = self.place(
+            "a" * 16,
+            StepSpec(
+                1,
+                Resources(13_000, 1_000),
+                long_running=True,
+                image="web",
+                target_ms=TARGET_MS,
+            ),
+        )
+        self.filling = self.place(
+            "b" * 16,
+            StepSpec(1, Resources(7_000, 1_000), image="sum", fills=True),
+        )
+        self.filling.figure = 7_000
+        self.pacer = Pacer(self.book)
+
+    def place(self, job_id: str, step: StepSpec) -> Run:
+        """Place the task of a job of one step."""
+        job = Job(make_job(job_id, step))
+        (task,) = job.open_occurrence(0).steps[0]
+        task.status, task.run, task.worker_id = TaskStatus.PLACED, 1, "w"
+        run = Run(task, 1, "w", RunPhase.RUNNING, 0, confirmed_ms=1)
+        self.worker.add(run)
+        return run
+
+    def see(self, ratio: float, times: int = 1) -> list[int]:
+        """Return the paces that were sent while a tail was seen for some looks."""
+        sent = []
+        for _ in range(times):
+            self.book.now_ms += 500
+            self.book.commands = []
+            self.serving.figure = ratio * TARGET_MS
+            self.pacer.pace(self.worker)
+            sent += [
+                command.percent
+                for command in self.book.commands
+                if isinstance(command, PaceRun)
+            ]
+        return sent
+
+    def test_low_tail_keeps_full_pace(self) -> None:
+        """Nothing is paced while the tail is far below its target."""
+        self.assertEqual(self.see(0.4, times=5), [])
+
+    def test_high_tail_slows_down(self) -> None:
+        """A tail near its target slows the filling task."""
+        self.assertTrue(min(self.see(0.95, times=4)) < 100)
+
+    def test_tail_over_its_target_stops_whatever_was_learned(self) -> None:
+        """A filling image that was learned as harmless is paced to 0 all the same."""
+        self.book.harm.presses = {"web": {"sum": 0.0}}
+        self.book.harm.loads[self.serving.task.step_key] = 0.95
+        self.see(1.3, times=5)
+        self.assertEqual(self.filling.wanted_pace, 0)
+
+    def test_crawling_task_is_moved(self) -> None:
+        """A filling task that may hardly work is stopped, to run elsewhere."""
+        self.see(1.5, times=8)
+        self.assertEqual(self.filling.stopping, "harms a serving task")
+
+
+class HarmModelTest(unittest.TestCase):
+    """What is learned of pairs of images."""
+
+    def test_pressure_of_a_tail(self) -> None:
+        """A tail without pressure tells 0, one at its target about 0.78."""
+        self.assertEqual(pressure_of(0.2), 0.0)
+        self.assertAlmostEqual(pressure_of(1.0), 0.78, places=2)
+
+    def test_harmful_and_harmless_pairs_are_told_apart(self) -> None:
+        """Figures of both pairs move their weights apart."""
+        model = HarmModel()
+        for _ in range(40):
+            model.learn(("j", 0, 0), "web", 0.45, {})
+            model.learn(("j", 0, 0), "web", 0.45 + 1.8 * 0.1, {"heavy": 0.1})
+            model.learn(("j", 0, 0), "web", 0.45, {"light": 0.1})
+        self.assertGreater(model.press("web", "heavy"), 1.4)
+        self.assertLess(model.press("web", "light"), 0.3)
+
+
+if __name__ == "__main__":
+    unittest.main()
