--- a/poplarlb/coordination/jobs/ends.py
+++ b/poplarlb/coordination/jobs/ends.py
@@ -108,6 +108,8 @@
         if run is not None:
             worker.remove(run)
             book.room_changed = True
+            if run.task.spec.fills and worker.serving:
+                worker.left.append((run.task.spec.image, run.figure, book.now_ms))
         worker.stray_stops.pop((row.task, row.run), None)
         if task is None:
             return
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -81,6 +81,7 @@
     filling_cpu: int = 0  # what filling tasks would use at full speed
     serving: int = 0  # runs that have a target
     serving_cpu: int = 0  # what they have reserved
+    left: list[tuple[str, float, int]] = Factory(list)  # image, processors, when ended
     paused_until_ms: int = 0
     failures: int = 0  # failed ends in a row
     slowness: float = 1.0  # how long its tasks take against the usual
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -15,7 +15,7 @@
 CRAWL = 30  # percent
 CRAWL_MS = 800  # a run that crawls for longer is better placed elsewhere
 HARMLESS = 0.02  # pressure that isn't worth a pace
-SETTLED_MS = 600  # figures cover half a second
+FIGURE_MS = 500  # figures cover half a second
 LEARN_PERIOD_MS = 400
 
 
@@ -46,18 +46,12 @@
 
     def _settled(self, run: Run) -> bool:
         age_ms = self.book.now_ms - run.confirmed_ms
-        return run.phase is RunPhase.RUNNING and age_ms >= SETTLED_MS
+        return run.phase is RunPhase.RUNNING and age_ms >= FIGURE_MS
 
     def _learn(
         self, worker: WorkerState, serving: list[Run], filling: list[Run]
     ) -> None:
-        if not all(self._settled(run) for run in filling):
-            return
-        capacity = max(worker.listing.capacity.cpu_millis, 1)
-        mix: dict[str, float] = {}
-        for run in filling:
-            image = run.task.spec.image
-            mix[image] = mix.get(image, 0.0) + run.figure / capacity
+        mix = self._recent_mix(worker, filling)
         harm = self.book.harm
         for run in serving:
             if self.book.now_ms - run.learned_ms < LEARN_PERIOD_MS:
@@ -67,6 +61,22 @@
             pressure = pressure_of(run.figure / spec.target_ms)
             harm.learn(run.task.step_key, spec.image, pressure, mix)
 
+    def _recent_mix(self, worker: WorkerState, filling: list[Run]) -> dict[str, float]:
+        """Return the share of the processors by image, over the figures' time."""
+        now_ms = self.book.now_ms
+        capacity = max(worker.listing.capacity.cpu_millis, 1)
+        mix: dict[str, float] = {}
+        for run in filling:
+            spec = run.task.spec
+            part = min(now_ms - run.confirmed_ms, FIGURE_MS) / FIGURE_MS
+            used = run.figure or spec.size.cpu_millis * run.pace / FULL_PACE
+            mix[spec.image] = mix.get(spec.image, 0.0) + part * used / capacity
+        worker.left = [item for item in worker.left if now_ms - item[2] < FIGURE_MS]
+        for image, used, ended_ms in worker.left:
+            part = 1.0 - (now_ms - ended_ms) / FIGURE_MS
+            mix[image] = mix.get(image, 0.0) + part * used / capacity
+        return mix
+
     def _set_paces(
         self, worker: WorkerState, serving: list[Run], filling: list[Run]
     ) -> None:
