--- a/poplarlb/coordination/jobs/harm.py
+++ b/poplarlb/coordination/jobs/harm.py
@@ -12,7 +12,7 @@
 
 IDLE_RATIO = 0.22  # of a tail without pressure to its target, measured on both sites
 USUAL_LOAD = 0.45  # pressure of a serving task's own load, measured on both sites
-UNKNOWN_PRESS = 0.9  # between what harmless and harmful pairs were measured to press
+UNKNOWN_PRESS = 0.6  # of pairs not seen yet; most pairs are harmless
 LARGEST_PRESS = 3.0
 LARGEST_PRESSURE = 0.95  # beyond it a queue has built up and tells no more
 PRESS_RATE = 0.2  # a pair is known after some ten figures
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -7,7 +7,7 @@
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.coordination.jobs.harm import pressure_of
 
-PRESSURE_GOAL = 0.70  # a tail meets its target at 0.78; figures lag half a second
+PRESSURE_GOAL = 0.74  # a tail meets its target at 0.78; figures lag half a second
 FULL_PACE = 100
 HOPELESS_LOAD = 0.82  # over its target by its own load alone, whatever fills beside it
 PACE_STEP = 10  # percent; smaller changes aren't worth a call
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -11,13 +11,14 @@
 from poplarlb.state.models import Resources
 
 # Costs are shares of a worker's processors; being nearly full costs 1.
-PRESSURE_LIMIT = 0.70  # a tail meets its target at 0.78; loads swing meanwhile
-PRESSURE_COST = 1.0  # for each unit of pressure on the serving task worst off
+PRESSURE_LIMIT = 0.72  # a tail meets its target at 0.78; loads swing meanwhile
+CALM_PRESSURE_LIMIT = 0.64  # for tasks of jobs that have time to wait
+PRESSURE_COST = 3.0  # for each unit of pressure on the serving task worst off
 IMAGE_COST = 1.0  # of a further serving image, which more filling images harm
 PACK_COST = 0.3  # of an empty worker for a serving task; they don't harm each other
 SLOW_COST = 1.0  # for each time that a worker's tasks take longer than usual
 STEP_COST = 0.05  # for each run of the same step, so that a worker's loss hits few
-SERVING_USE = 0.5  # of their reservation that serving tasks use, measured
+SERVING_USE = 0.4  # of their reservation that serving tasks use, measured
 
 
 @define
@@ -33,11 +34,21 @@
     misfits: dict[tuple, list[Resources]] = Factory(dict)
 
     def choose(
-        self, task: Task, service: str, exclude_rack: str = "", rack: str = ""
+        self, task: Task, service: str, rack: str = "", pressing: bool = True
     ) -> WorkerState | None:
-        """Return the cheapest worker with room for a task; None if there is none."""
+        """Return the cheapest worker with room for a task; None if there is none.
+
+        :param pressing: the task's job has no time to wait for a better worker.
+        """
         spec = task.spec
-        constraint = (service, spec.required_label, rack, spec.fills and spec.image)
+        constraint = (
+            service,
+            spec.required_label,
+            rack,
+            spec.fills and spec.image,
+            pressing,
+        )
+        limit = PRESSURE_LIMIT if pressing else CALM_PRESSURE_LIMIT
         known = self.misfits.get(constraint, ())
         if any(item.fits_in(spec.size) for item in known):
             return None
@@ -49,7 +60,7 @@
             if not has_room(worker, spec):
                 continue
             pressure = pressure_with(worker, spec, self.harm)
-            if spec.fills and pressure > PRESSURE_LIMIT:
+            if spec.fills and pressure > limit:
                 continue
             fits = True
             there = same_step[worker.worker_id]
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -7,6 +7,7 @@
 from poplarlb.coordination.jobs.placement import Placement
 from poplarlb.state.jobs import Job, JobState, Task, TaskStatus
 
+CALM_SHARE = 0.75  # of the time that a job may wait, left, to wait for a better worker
 LATE_FACTOR = 3  # a job that takes three times its objective earns nothing more
 
 
@@ -50,6 +51,14 @@
             group = 2
         return queue.priority, group, left_ms - rest_ms, job.spec.job_id
 
+    def is_pressing(self, job: Job) -> bool:
+        """Tell whether a job has used up much of the time that it may wait."""
+        queue = self.book.queue_of(job)
+        objective_ms = objective_of(job, queue.stretch, queue.objective_ms)
+        begun_ms = job.due_utc_ms(min(job.occurrences, default=0))
+        slack_ms = begun_ms + objective_ms - self.book.utc_ms - remaining_chain_ms(job)
+        return slack_ms < CALM_SHARE * (objective_ms - chain_ms(job))
+
     def _place_job(self, job: Job, placement: Placement) -> None:
         queue = self.book.queue_of(job)
         waiting = False
@@ -68,15 +77,23 @@
                     placed = self._place_gang(startable, spec, queue.service, placement)
                     waiting |= bool(tasks) and not placed
                     continue
+                pressing = spec.fills and self.is_pressing(job)
                 for task in startable:
-                    waiting |= not self._place(task, queue.service, placement)
+                    waiting |= not self._place(
+                        task, queue.service, placement, pressing=pressing
+                    )
         if not waiting:
             self.book.unplaced.discard(job)
 
     def _place(
-        self, task: Task, service: str, placement: Placement, rack: str = ""
+        self,
+        task: Task,
+        service: str,
+        placement: Placement,
+        rack: str = "",
+        pressing: bool = True,
     ) -> bool:
-        worker = placement.choose(task, service, rack=rack)
+        worker = placement.choose(task, service, rack, pressing)
         if worker is None:
             return False
         book = self.book
