--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -9,6 +9,9 @@
 
 PRESSURE_GOAL = 0.74  # a tail meets its target at 0.78; figures lag half a second
 FULL_PACE = 100
+ALARMING_RATIO = (
+    0.9  # of a tail to its target: its own figure goes before what is known
+)
 HOPELESS_LOAD = 0.82  # over its target by its own load alone, whatever fills beside it
 PACE_STEP = 10  # percent; smaller changes aren't worth a call
 OVER_SHARE = 0.3  # of the longest time that a serving task may be over its target
@@ -99,6 +102,10 @@
                     run.wanted_pace = 0
                 break
             load = harm.load(other.task.step_key)
+            ratio = other.figure / spec.target_ms
+            if ratio > ALARMING_RATIO:
+                now = sum(press * run.pace / 100 for run, press in presses.items())
+                load = max(load, pressure_of(ratio) - now)
             if not full or load + full <= PRESSURE_GOAL or load >= HOPELESS_LOAD:
                 continue
             scale = (PRESSURE_GOAL - load) / full
