Structured logs within a budget, metrics, and a trail for each job that is late

Cause: on-call engineers have only logs and metrics. Change: every decision is one call that counts a metric and writes a JSON line; successes and failures have budgets of 10 and 6 lines a second, changes of state are always written; a job that ends late or not done tells its decisions in its last line.

--- a/poplarlb/coordination/jobs/book.py
+++ b/poplarlb/coordination/jobs/book.py
@@ -15,8 +15,11 @@
     QueueConfig,
     Task,
     TaskStatus,
+    chain_ms,
 )
 
+TRAIL_LENGTH = 60  # decisions of one job that its last log line tells
+
 
 @define(eq=False)
 class Book:
@@ -47,6 +50,16 @@
         """Log a decision."""
         self.commands.append(Note(event, fields))
 
+    def note_task(self, event: str, task: Task, run: int, **fields) -> None:
+        """Log a decision on a task and keep it in its job's trail."""
+        job = task.job
+        self.note(event, task=task.name, run=run, **fields)
+        if len(job.trail) < TRAIL_LENGTH:
+            at_ms = self.utc_ms - job.spec.accepted_utc_ms
+            detail = " ".join(str(value) for value in fields.values())
+            where = f"{task.occurrence}.{task.step}.{task.index}"
+            job.trail.append(f"{at_ms} ms {event} {where} run {run} {detail}")
+
     def worker(self, worker_id: str) -> WorkerState:
         """Return the state kept for a worker, new if there is none."""
         if worker_id not in self.workers:
@@ -71,7 +84,7 @@
         self.unplaced.discard(job)
         self.harm.forget(job.spec.job_id)
         self.touch(job)
-        self.note("job_final", job=job.spec.job_id, state=str(state), reason=reason)
+        self._note_final(job)
         if state is JobState.DONE:
             return
         for worker in self.workers.values():
@@ -79,6 +92,25 @@
                 if run.task.job is job:
                     run.stopping = run.stopping or f"job {state}"
 
+    def _note_final(self, job: Job) -> None:
+        """Log a job's end; one that is late or not done tells its whole trail."""
+        queue = self.queue_of(job)
+        objective_ms = int(queue.stretch * chain_ms(job) + queue.objective_ms)
+        took_ms = job.final_utc_ms - job.due_utc_ms(0)
+        in_time = job.state is JobState.DONE and took_ms <= objective_ms
+        self.note(
+            "job_final",
+            job=job.spec.job_id,
+            queue=job.spec.queue,
+            state=str(job.state),
+            reason=job.reason,
+            took_ms=took_ms,
+            objective_ms=0 if job.spec.times else objective_ms,
+            config_version=self.config.version if self.config else 0,
+            trail=[] if in_time else job.trail,
+        )
+        job.trail = []
+
     # --- tasks ------------------------------------------------------------------------
 
     def give_back(self, task: Task, reason: str) -> None:
@@ -92,7 +124,7 @@
         self.touch(task.job)
         self.unplaced.add(task.job)
         self.room_changed = True
-        self.note("task_waits", task=task.name, run=task.run, reason=reason)
+        self.note_task("task_waits", task, task.run, reason=reason)
 
     def free(self, worker: WorkerState, run: Run, reason: str) -> None:
         """Free a run's room; its task waits again if this was its run."""
--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -140,10 +140,10 @@
                 run.phase = RunPhase.RUNNING
                 run.confirmed_ms = book.now_ms
             return
-        book.note(
+        book.note_task(
             "start_failed",
-            task=event.task,
-            run=event.run,
+            run.task,
+            event.run,
             worker=event.worker_id,
             outcome=str(event.outcome),
             sent_ms_ago=book.now_ms - event.sent_ms,
@@ -185,10 +185,10 @@
         ):
             return
         if not run.stop_sent_ms:
-            book.note(
+            book.note_task(
                 "run_stopped",
-                task=run.task.name,
-                run=run.number,
+                run.task,
+                run.number,
                 worker=run.worker_id,
                 reason=run.stopping,
             )
--- a/poplarlb/coordination/jobs/ends.py
+++ b/poplarlb/coordination/jobs/ends.py
@@ -113,10 +113,10 @@
         worker.stray_stops.pop((row.task, row.run), None)
         if task is None:
             return
-        book.note(
+        book.note_task(
             "run_ended",
-            task=row.task,
-            run=row.run,
+            task,
+            row.run,
             worker=worker.worker_id,
             how=str(row.how),
             stopping=run.stopping if run else "",
@@ -212,7 +212,7 @@
         run.progress_ms = book.now_ms
         run.stopping = "run was given up before"
         worker.add(run)
-        book.note("stray_run", task=row.task, run=row.run, worker=worker.worker_id)
+        book.note_task("stray_run", task, row.run, worker=worker.worker_id)
         return run
 
     def _free_missing(
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -145,10 +145,10 @@
                 self._send(worker, run)
 
     def _send(self, worker: WorkerState, run: Run) -> None:
-        self.book.note(
+        self.book.note_task(
             "run_paced",
-            task=run.task.name,
-            run=run.number,
+            run.task,
+            run.number,
             worker=worker.worker_id,
             percent=run.pace,
         )
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -5,7 +5,7 @@
 from poplarlb.coordination.jobs.book import Book
 from poplarlb.coordination.jobs.fleet import Run, RunPhase
 from poplarlb.coordination.jobs.placement import Placement
-from poplarlb.state.jobs import Job, JobState, Task, TaskStatus
+from poplarlb.state.jobs import Job, JobState, Task, TaskStatus, chain_ms
 
 CALM_SHARE = 0.75  # of the time that a job may wait, left, to wait for a better worker
 LATE_FACTOR = 3  # a job that takes three times its objective earns nothing more
@@ -103,8 +103,24 @@
         run = Run(task, task.run, worker.worker_id, RunPhase.COMMITTING, book.now_ms)
         worker.add(run)
         book.to_start.append(run)
+        waited_ms = book.utc_ms - task.job.due_utc_ms(task.occurrence)
+        book.note_task(
+            "task_placed",
+            task,
+            task.run,
+            worker=worker.worker_id,
+            free_cpu=worker.free().cpu_millis,
+            figures_ms_ago=book.now_ms - worker.answered_ms,
+            waited_ms=waited_ms,
+        )
         if task.job.state is JobState.PENDING:
             task.job.state = JobState.ACTIVE
+            book.note(
+                "job_begun",
+                job=task.job.spec.job_id,
+                queue=task.job.spec.queue,
+                waited_ms=waited_ms,
+            )
         book.touch(task.job)
         return True
 
@@ -145,15 +161,6 @@
     return stretch * chain_ms(job) + allowance_ms
 
 
-def chain_ms(job: Job) -> int:
-    """Return the longest chain of the steps' estimated times."""
-    ends: list[int] = []
-    for step in job.spec.steps:
-        begin = max((ends[earlier] for earlier in step.after), default=0)
-        ends.append(begin + step.estimate_ms)
-    return max(ends, default=0)
-
-
 def remaining_chain_ms(job: Job) -> int:
     """Return the longest chain of the steps that aren't done in the oldest pass."""
     occurrence = job.occurrences.get(min(job.occurrences, default=0))
--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -1,7 +1,8 @@
 """Structured logs: one JSON line for each decision, on standard output.
 
-Writing never blocks. Each kind of event has a budget of lines; what goes beyond it is
-counted and told in one ``lines_left_out`` line. ``loguru`` serves the product's own
+Writing never blocks. Successes and failures have a budget of lines each; what goes
+beyond it is counted and told in one ``lines_left_out`` line. Changes of state are
+always written. ``loguru`` serves the product's own
 daemon; it writes synchronously, which a pipe that nobody reads would block.
 """
 
@@ -10,29 +11,40 @@
 from collections.abc import Callable
 
 import orjson
-from attrs import Factory, define, field
+from attrs import define, field
+
+from poplarlb.job_metrics import JobMetrics
 
 BUFFER_LINES = 2_000  # about 400 KB; further lines are dropped and counted
-LINES_PER_S = 5.0  # for each kind of event, in the long run
-BURST_LINES = 300  # for each kind of event
-SUMMARY_PERIOD_MS = 1_000
+BURST_LINES = 400  # of each budget
+ROUTINE_LINES_PER_S = 10.0  # in the long run; operators bound a daemon to 20 in all
+FAILURE_LINES_PER_S = 6.0
+SUMMARY_PERIOD_MS = 2_000
 WRITE_LINES = 200  # joined into one write
-# Changes of state and failures are rare and always written.
+# Lines of successes; a job that fails or is late tells its whole trail at its end.
 ROUTINE_EVENTS = frozenset(
     (
         "job_accepted",
         "job_taken_in",
-        "job_final",
+        "job_begun",
         "task_placed",
         "run_ended",
         "run_paced",
         "run_stopped",
         "task_waits",
+    )
+)
+# Lines of failures have a budget of their own, which successes can't use up.
+FAILURE_EVENTS = frozenset(
+    (
+        "job_final",
+        "job_not_accepted",
         "start_failed",
         "request_refused",
-        "request_unsettled",
         "stray_run",
         "worker_paused",
+        "watch_failed",
+        "renewal_failed",
     )
 )
 
@@ -41,12 +53,13 @@
 class LineBudget:
     """A token bucket for one kind of event."""
 
+    lines_per_s: float
     tokens: float = BURST_LINES
     at_ms: int = 0
 
     def take(self, now_ms: int) -> bool:
         """Tell whether a line may be written."""
-        grown = (now_ms - self.at_ms) * LINES_PER_S / 1000
+        grown = (now_ms - self.at_ms) * self.lines_per_s / 1000
         self.tokens = min(BURST_LINES, self.tokens + grown)
         self.at_ms = now_ms
         if self.tokens < 1:
@@ -66,7 +79,9 @@
     clock: Callable[[], tuple[int, int]]
     descriptor: int = 1
     lines: deque = field(factory=deque)
-    budgets: dict[str, LineBudget] = Factory(dict)
+    routine: LineBudget = field(factory=lambda: LineBudget(ROUTINE_LINES_PER_S))
+    failures: LineBudget = field(factory=lambda: LineBudget(FAILURE_LINES_PER_S))
+    metrics: JobMetrics = field(factory=JobMetrics)
     left_out: Counter = field(factory=Counter)
     next_summary_ms: int = 0
     rest: bytes = b""
@@ -74,11 +89,15 @@
     def write(self, event: str, **fields) -> None:
         """Log one event."""
         now_ms, utc_ms = self.clock()
+        self.metrics.count(event, fields)
+        budget = None
         if event in ROUTINE_EVENTS:
-            budget = self.budgets.setdefault(event, LineBudget(at_ms=now_ms))
-            if not budget.take(now_ms):
-                self.left_out[event] += 1
-                return
+            budget = self.routine
+        elif event in FAILURE_EVENTS:
+            budget = self.failures
+        if budget is not None and not budget.take(now_ms):
+            self.left_out[event] += 1
+            return
         if len(self.lines) >= BUFFER_LINES:
             self.left_out[event] += 1
             return
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -34,6 +34,7 @@
 from poplarlb.transport.ownership_loop import OwnershipLoop
 from poplarlb.transport.prefix_watcher import PrefixWatcher
 
+METRICS_PATH = "/metrics"
 READY_PATH = "/v1/readyz"
 WATCH_WAIT_MS = 1_000  # a change must be in force within 2 s
 VIEW_LIMIT_MS = 2_500  # an older view of the configuration makes the daemon not ready
@@ -78,6 +79,10 @@
         self.servers = [front, HttpServer(self._answer_ready)]
         await self.servers[0].start(settings.listen.front)
         await self.servers[1].start(settings.listen.ready)
+        if settings.listen.metrics:
+            self.servers.append(HttpServer(self._answer_metrics))
+            await self.servers[2].start(settings.listen.metrics)
+        self._add_gauges()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
@@ -162,6 +167,38 @@
             return HttpReply(404)
         return HttpReply(200 if self.is_ready() else 503)
 
+    # --- metrics ----------------------------------------------------------------------
+
+    async def _answer_metrics(self, request: HttpRequest) -> HttpReply:
+        if request.path != METRICS_PATH:
+            return HttpReply(404)
+        text = self.log.metrics.text()
+        return HttpReply(200, text, content_type="text/plain; version=0.0.4")
+
+    def _add_gauges(self) -> None:
+        add = self.log.metrics.add_gauge
+        add("ready", "Whether new connections may come here.", self.is_ready)
+        add("owns_jobs", "Whether this daemon owns the jobs.", self.owns_jobs)
+        add("takeovers", "Ownerships begun here.", lambda: self.ownership.takeovers)
+        add("config_version", "Version of the configuration.", self.config_version)
+        add(
+            "view_age_seconds",
+            "Since when the store has confirmed nothing.",
+            lambda: (steady_ms() - self.view_ms) / 1000,
+        )
+        add("store_calls", "Calls to the store.", lambda: self.store.calls)
+        add("store_failures", "Failed calls to it.", lambda: self.store.failures)
+        add("connects", "Connections opened.", lambda: self.client.connects)
+
+    def owns_jobs(self) -> bool:
+        """Tell whether this daemon is the owner."""
+        return self.ownership.owner is not None
+
+    def config_version(self) -> int:
+        """Return the version in force here; 0 for none."""
+        config = self.operator.config
+        return config.version if config else 0
+
     # --- life -------------------------------------------------------------------------
 
     def _begin_stop(self) -> None:
--- a/poplarlb/platform/front.py
+++ b/poplarlb/platform/front.py
@@ -10,7 +10,6 @@
     BadAnswerError,
     BadRequestError,
     CallUnansweredError,
-    PoplarlbError,
     StoreRefusedError,
 )
 from poplarlb.platform.wire import decode_job, is_job_id
@@ -22,6 +21,7 @@
 DEADLINE_HEADER = "x-poplarlb-deadline-ms"
 DEFAULT_DEADLINE_S = 3.0  # the users' callers wait this long
 LONGEST_DEADLINE_S = 60.0
+UNUSUAL = frozenset((400, 405, 503, 504))  # 404 and 410 are answers, not refusals
 RETRY_AFTER_S = 1  # an outage's end is noticed within half a second
 
 
@@ -34,38 +34,32 @@
     config: OperatorConfig | None = None
 
     async def handle(self, request: HttpRequest) -> HttpReply:
-        """Answer one request."""
+        """Answer one request and count it."""
         started_s = asyncio.get_running_loop().time()
-        try:
-            reply = await self._route(request)
-        except BadRequestError as error:
-            self._refuse(request, 400, error)
-            return HttpReply(400, encode_error(error.detail))
-        except StoreRefusedError as error:
-            self._refuse(request, 503, error)
-            return HttpReply(503, retry_after_s=RETRY_AFTER_S)
-        except (CallUnansweredError, BadAnswerError) as error:
-            self._refuse(request, 504, error)
-            return HttpReply(504)
-        if reply.status not in (200, 404, 410):
-            held_ms = (asyncio.get_running_loop().time() - started_s) * 1000
+        reply = await self._answer(request)
+        took_s = asyncio.get_running_loop().time() - started_s
+        self.log.metrics.count_request(request.method, reply.status, took_s)
+        if reply.status in UNUSUAL:
             self.log.write(
                 "request_refused",
                 method=request.method,
                 path=request.path,
                 status=reply.status,
-                held_ms=int(held_ms),
+                held_ms=int(took_s * 1000),
+                config_version=self.config.version if self.config else 0,
+                error=reply.body.decode("utf-8", "replace"),
             )
         return reply
 
-    def _refuse(self, request: HttpRequest, status: int, error: PoplarlbError) -> None:
-        self.log.write(
-            "request_refused",
-            method=request.method,
-            path=request.path,
-            status=status,
-            error=error.detail,
-        )
+    async def _answer(self, request: HttpRequest) -> HttpReply:
+        try:
+            return await self._route(request)
+        except BadRequestError as error:
+            return HttpReply(400, encode_error(error.detail))
+        except StoreRefusedError as error:
+            return HttpReply(503, encode_error(error.detail), RETRY_AFTER_S)
+        except (CallUnansweredError, BadAnswerError) as error:
+            return HttpReply(504, encode_error(error.detail))
 
     async def _route(self, request: HttpRequest) -> HttpReply:
         if self.config is None:
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -10,7 +10,7 @@
 
 SETTINGS_VARIABLE = "POPLARLB_BOOT"
 DEFAULT_PATH = "/etc/poplarlb/local.json"
-METRICS_PORT_OFFSET = 0  # of the internal port range
+METRICS_PORT_VARIABLE = "POPLARLB_METRICS_PORT"
 
 
 @frozen
@@ -70,7 +70,6 @@
     "front": FieldRead(("listen", "front"), TEXT),
     "ready": FieldRead(("listen", "ready"), TEXT),
     "control": FieldRead(("listen", "control"), TEXT, False),
-    "ports": FieldRead(("internalPortRange",), list, False),
     "store": FieldRead(("platform", "addr"), TEXT),
     "advice": FieldRead(("advice",), TEXT, False),
     "machines": FieldRead(("cloud", "addr"), TEXT, False),
@@ -138,10 +137,8 @@
 
 def build_settings(values: dict) -> DeploymentSettings:
     """Return the settings from checked values; what is absent has its default."""
-    ports = values["ports"] or []
-    metrics = ""
-    if ports and isinstance(ports[0], int):
-        metrics = f"{values['ip']}:{ports[0] + METRICS_PORT_OFFSET}"
+    port = os.environ.get(METRICS_PORT_VARIABLE, "")
+    metrics = f"{values['ip']}:{port}" if port.isdigit() else ""
     default = Bounds()
     bounds = Bounds(
         grace_ms=in_ms(values["grace_s"], 1_000, default.grace_ms),
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -220,6 +220,7 @@
     next_occurrence: int = 0
     final_utc_ms: int = 0
     stored: bool = False  # a record of it is in the store
+    trail: list[str] = Factory(list)  # what this owner decided, for the log
 
     @property
     def final(self) -> bool:
@@ -262,3 +263,12 @@
     if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
         return None
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
+
+
+def chain_ms(job: Job) -> int:
+    """Return the longest chain of the steps' estimated times."""
+    ends: list[int] = []
+    for step in job.spec.steps:
+        begin = max((ends[earlier] for earlier in step.after), default=0)
+        ends.append(begin + step.estimate_ms)
+    return max(ends, default=0)
