--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -106,9 +106,11 @@
         ]
         for task in tasks:
             task.add_done_callback(self._part_ended)
-        await self.stopped.wait()
-        for task in tasks:
-            task.cancel()
+        try:
+            await self.stopped.wait()
+        finally:
+            for task in tasks:
+                task.cancel()
         self.log.write("stopped")
         self.log.flush()
 
--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,175 @@
+"""Runs daemons of the platform's role against the stand-in, in one process."""
+
+import asyncio
+import json
+import pathlib
+import socket
+import tempfile
+
+import orjson
+from attrs import Factory, define, field
+
+from poplarlb.event_log import EventLog
+from poplarlb.platform.daemon import PlatformDaemon
+from poplarlb.platform.settings import load_settings
+from poplarlb.transport.http_client import HttpAnswer, HttpClient
+from poplarlb.transport.job_owner import steady_ms, utc_ms
+from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.standins.users_platform import StoreService, WorkerService
+
+CONFIG = {
+    "version": 3,
+    "routes": [
+        {
+            "name": "orders",
+            "host": "orders.example",
+            "prefix": "/o/",
+            "kind": "unsafe",
+            "timeoutMs": 3000,
+            "sloMs": 250,
+            "priority": 0,
+            "service": "desk",
+            "maxAttempts": 3,
+            "stretch": 1.5,
+        }
+    ],
+    "services": [{"name": "desk", "admissionControl": False, "spare": False}],
+    "limits": {
+        "maxHeaderBytes": 4096,
+        "maxBodyBytes": 20_000,
+        "headerTimeoutMs": 500,
+        "idleTimeoutMs": 5000,
+    },
+}
+JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "memMb": 256}]}
+
+
+def free_address() -> str:
+    """Return an address on the loopback that nobody listens on."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return f"127.0.0.1:{probe.getsockname()[1]}"
+
+
+@define(eq=False)
+class KeptLog(EventLog):
+    """A log whose lines a test reads."""
+
+    kept: list[dict] = Factory(list)
+
+    def flush(self) -> None:
+        """Keep the lines instead of writing them."""
+        while self.lines:
+            self.kept.append(orjson.loads(self.lines.popleft()))
+
+
+@define(eq=False)
+class Deployment:
+    """A store, workers and daemons on the loopback."""
+
+    store: StoreService = Factory(StoreService)
+    workers: WorkerService = None
+    daemons: dict[str, PlatformDaemon] = Factory(dict)
+    running: dict[str, asyncio.Task] = Factory(dict)
+    client: HttpClient = field(factory=HttpClient)
+    folder: tempfile.TemporaryDirectory = field(factory=tempfile.TemporaryDirectory)
+    store_address: str = ""
+    lines: list[dict] = Factory(list)
+
+    async def start(self, daemons: int = 1, workers: int = 2) -> None:
+        """Start everything and wait until the first daemon is ready."""
+        self.store_address = free_address()
+        await self.store.start(self.store_address)
+        self.workers = WorkerService(self.store.table)
+        for number in range(workers):
+            worker = FakeWorker(f"w{number}", life=1_000 + number)
+            await self.workers.add(worker, free_address())
+        self.configure(CONFIG)
+        for number in range(daemons):
+            await self.start_daemon(f"d{number}")
+        await self.until(lambda: any(item.owns_jobs() for item in self.live()))
+
+    def configure(self, config: dict) -> None:
+        """Write the operator's configuration."""
+        self.store.table.put("op/config", json.dumps(config).encode())
+
+    def live(self) -> list[PlatformDaemon]:
+        """Return the daemons that run."""
+        return [self.daemons[name] for name in self.running]
+
+    async def start_daemon(self, name: str) -> None:
+        """Start one daemon."""
+        path = pathlib.Path(self.folder.name) / f"{name}.json"
+        path.write_text(json.dumps(self.settings(name)))
+        log = KeptLog(name, lambda: (steady_ms(), utc_ms()), kept=self.lines)
+        daemon = PlatformDaemon(load_settings(path), path, log)
+        self.daemons[name] = daemon
+        self.running[name] = asyncio.ensure_future(daemon.run())
+        await self.until(daemon.is_ready)
+
+    def settings(self, name: str) -> dict:
+        """Return a settings file as the platform lays it down."""
+        return {
+            "node": name,
+            "zone": "z1",
+            "ip": "127.0.0.1",
+            "listen": {"front": free_address(), "ready": free_address()},
+            "limits": {"cpuShare": 0.5},
+            "bounds": {"graceS": 2, "stopMs": 200, "holdMaxMs": 10_000},
+            "platform": {"addr": self.store_address},
+            "unknown": {"ignored": True},
+        }
+
+    def kill(self, name: str) -> None:
+        """End a daemon as a crash does: nothing is handed over."""
+        daemon = self.daemons[name]
+        self.running.pop(name).cancel()
+        if daemon.ownership.owner is not None:
+            daemon.ownership.owner.close()
+        for server in daemon.servers:
+            server.close()
+            for connection in list(server.connections):
+                connection.transport.abort()
+        daemon.client.close()
+
+    async def call(
+        self, method: str, path: str, body: dict | bytes = b"", daemon: str = "d0"
+    ) -> HttpAnswer:
+        """Call a daemon as a submitter does."""
+        if isinstance(body, dict):
+            body = json.dumps(body).encode()
+        address = self.daemons[daemon].settings.listen.front
+        request = (
+            f"{method} {path} HTTP/1.1\r\nHost: orders.example\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n"
+        ).encode() + body
+        connection = await self.client._connect(address, 1.0)
+        return await asyncio.wait_for(connection.exchange(request), 5)
+
+    async def state(self, job_id: str, daemon: str = "d0") -> str:
+        """Return a job's state as a submitter is told it."""
+        answer = await self.call("GET", f"/o/{job_id}", daemon=daemon)
+        return json.loads(answer.body)["state"] if answer.body else str(answer.status)
+
+    async def until(self, holds, timeout_s: float = 8.0) -> None:
+        """Wait until something holds."""
+        async with asyncio.timeout(timeout_s):
+            while not holds():
+                await asyncio.sleep(0.02)
+
+    async def until_state(
+        self, job_id: str, state: str, daemon: str = "d0", timeout_s: float = 8.0
+    ) -> None:
+        """Wait until a job is shown in a state."""
+        async with asyncio.timeout(timeout_s):
+            while await self.state(job_id, daemon) != state:
+                await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End everything."""
+        for name in list(self.running):
+            self.kill(name)
+        self.workers.close()
+        self.store.server.close()
+        self.client.close()
+        self.folder.cleanup()
