Tests of settings, wire and log; the log's output doesn't block

Cause: no test held the bounds of the log or the boundary of wire names. Change: eighteen tests, with any JSON and any bytes as input; standard output is set not to block.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import os
 import pathlib
 import signal
 import sys
@@ -291,6 +292,7 @@
         print(f"poplarlb: {error.detail}", file=sys.stderr)
         sys.exit(2)
     gc.set_threshold(50_000, 20, 50)  # few cycles are made; a full pass takes 10 ms
+    os.set_blocking(sys.stdout.fileno(), False)
     log = EventLog(settings.daemon_id, lambda: (steady_ms(), utc_ms()))
     asyncio.run(PlatformDaemon(settings, path, log).run())
 
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,64 @@
+"""Tests of the platform's settings file."""
+
+import json
+import pathlib
+import tempfile
+import unittest
+
+from poplarlb.exceptions import SettingsError
+from poplarlb.platform.daemon import build_policy
+from poplarlb.platform.settings import load_settings
+
+GOOD = {
+    "node": "edge-1",
+    "zone": "kochi",
+    "ip": "10.1.0.13",
+    "listen": {"front": "10.1.0.13:8161", "ready": "10.1.0.13:8167"},
+    "limits": {"cpuShare": 0.43},
+    "bounds": {"graceS": 6, "holdMaxMs": 6000, "stopMs": 200, "farX": 1.5},
+    "platform": {"addr": "10.200.1.7:8169"},
+}
+
+
+class SettingsTest(unittest.TestCase):
+    """Good files are read, bad ones told in full."""
+
+    def load(self, document: object):
+        """Write a document to a file and load it."""
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder) / "local.json"
+            text = document if isinstance(document, str) else json.dumps(document)
+            path.write_text(text)
+            return load_settings(path)
+
+    def test_good_file(self) -> None:
+        """Every field has its unit; what isn't known is ignored."""
+        settings = self.load({**GOOD, "new": {"field": 1}})
+        self.assertEqual(settings.daemon_id, "edge-1")
+        self.assertEqual(settings.bounds.grace_ms, 6_000)
+        self.assertEqual(settings.bounds.lease_limit_ms, 6_000)
+        self.assertEqual(settings.advice_address, "")
+
+    def test_policy_stays_within_the_bounds(self) -> None:
+        """A lease is never longer than workers grant."""
+        bounds = {**GOOD["bounds"], "holdMaxMs": 3_000}
+        policy = build_policy(self.load({**GOOD, "bounds": bounds}))
+        self.assertLessEqual(policy.lease_ms, 3_000)
+
+    def test_all_faults_are_told_at_once(self) -> None:
+        """A file with three faults names three."""
+        bad = {**GOOD, "node": 7, "zone": None, "platform": {"addr": "nowhere"}}
+        with self.assertRaises(SettingsError) as caught:
+            self.load(bad)
+        for fault in ("node: wrong type", "zone: missing", "platform.addr"):
+            self.assertIn(fault, caught.exception.detail)
+
+    def test_unreadable_files(self) -> None:
+        """What is no JSON object is a fault."""
+        for text in ("", "{", "[]", "3"):
+            with self.subTest(text=text), self.assertRaises(SettingsError):
+                self.load(text)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,148 @@
+"""Tests of what is decoded from the wire, and of where its names stand."""
+
+import json
+import pathlib
+import re
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+import poplarlb
+from poplarlb.exceptions import BadAnswerError, BadRequestError
+from poplarlb.platform import wire
+from poplarlb.state.job_records import decode_job, encode_job
+from poplarlb.state.jobs import QueueConfig, RunEnd
+from poplarlb.state.models import Resources
+
+QUEUE = QueueConfig("orders", "h", "/o/", "desk")
+ID = "0123456789abcdef"
+STEP = {"count": 2, "cpu": 500, "memMb": 256, "estimateMs": 900}
+WIRE_NAMES = re.compile(
+    r"untilMs|lastSeen|run-start|run-stop|kv-|memMb|farX|POPLARLB_BOOT|clockMs"
+    r"|maxPerServer|requiredLabel|preferredRack|longRunning|sameRack|targetMs"
+    r"|heartbeatMs|holdMaxMs|op/config|op/evacuate"
+)
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=12,
+)
+
+
+class JobBodyTest(unittest.TestCase):
+    """Submitted jobs."""
+
+    def test_every_field(self) -> None:
+        """All fields of a step arrive under the product's names."""
+        step = {
+            **STEP,
+            "checkpoints": True,
+            "gang": True,
+            "sameRack": True,
+            "requiredLabel": "a",
+            "preferredRack": "r1",
+            "maxPerServer": 3,
+            "speculative": True,
+            "longRunning": True,
+            "image": "web",
+            "targetMs": 45,
+            "fills": True,
+            "mayMiss": 1,
+        }
+        body = {"spec": "text", "steps": [STEP, {**step, "after": [0]}], "times": 2}
+        spec = wire.decode_job(json.dumps(body).encode(), ID, QUEUE, 1)
+        second = spec.steps[1]
+        self.assertEqual(second.size, Resources(500, 256, 0))
+        self.assertEqual((second.after, second.max_per_worker), ((0,), 3))
+        self.assertEqual((second.target_ms, second.may_miss), (45, 1))
+        self.assertTrue(second.gang and second.same_rack and second.fills)
+        self.assertEqual(decode_job(encode_job(spec)), spec)
+
+    @given(JSON)
+    def test_any_json_is_decoded_or_refused(self, document: object) -> None:
+        """No document raises anything but a refusal."""
+        for body in (document, {"steps": document}, {"steps": [document]}):
+            try:
+                wire.decode_job(json.dumps(body).encode(), ID, QUEUE, 1)
+            except BadRequestError:
+                continue
+
+    @given(st.binary())
+    def test_any_bytes_are_decoded_or_refused(self, body: bytes) -> None:
+        """No bytes raise anything but a refusal."""
+        try:
+            wire.decode_job(body, ID, QUEUE, 1)
+        except BadRequestError:
+            return
+
+    def test_ids(self) -> None:
+        """An id is 16 hexadecimal digits."""
+        self.assertTrue(wire.is_job_id(ID))
+        for text in ("", "0" * 15, "0" * 17, "g" * 16, "٣" * 16):
+            self.assertFalse(wire.is_job_id(text))
+
+
+class EntryTest(unittest.TestCase):
+    """Entries of workers and of the operator."""
+
+    ENTRY = {
+        "service": "desk",
+        "addr": "10.0.0.9:80",
+        "zone": "kochi",
+        "state": "draining",
+        "capacity": {"cpu": 16_000, "memMb": 32_768},
+        "labels": ["a", "r1-3"],
+        "born": 1_700_000_000_000,
+        "remainingMs": 1_500,
+    }
+
+    def test_worker(self) -> None:
+        """An entry becomes a listing."""
+        listing = wire.decode_listing("i-1", json.dumps(self.ENTRY).encode())
+        self.assertTrue(listing.draining)
+        self.assertEqual(listing.life, 1_700_000_000_000)
+        self.assertEqual(listing.remaining_ms, 1_500)
+
+    @given(st.dictionaries(st.sampled_from(sorted(ENTRY)), JSON), st.binary())
+    def test_foreign_entries_name_no_worker(self, changed: dict, raw: bytes) -> None:
+        """Any entry is either a listing or none."""
+        wire.decode_listing("i-1", json.dumps({**self.ENTRY, **changed}).encode())
+        wire.decode_listing("i-1", raw)
+
+    @given(JSON)
+    def test_any_configuration_is_decoded_or_refused(self, document: object) -> None:
+        """No configuration raises anything but its own error."""
+        for body in (document, {"version": 1, "routes": [document]}):
+            try:
+                wire.decode_config(json.dumps(body).encode())
+            except BadAnswerError:
+                continue
+
+    def test_ends(self) -> None:
+        """Rows of ends are decoded, malformed ones refused."""
+        (row,) = wire.decode_ended([[58, f"{ID}.0.1.9", 1, "done", ""]])
+        self.assertEqual((row.number, row.how), (58, RunEnd.DONE))
+        for rows in ([[1]], [[1, "t", 1, "asleep", ""]], [3], [["a", "t", 1, "done"]]):
+            with self.subTest(rows=rows), self.assertRaises(BadAnswerError):
+                wire.decode_ended(rows)
+
+
+class BoundaryTest(unittest.TestCase):
+    """The wire's names stay in one folder."""
+
+    def test_no_wire_name_outside_the_adapter(self) -> None:
+        """No other module of the package knows a name of the wire."""
+        package = pathlib.Path(poplarlb.__file__).parent
+        found = [
+            f"{path.name}:{number}"
+            for path in package.rglob("*.py")
+            if "platform" not in path.relative_to(package).parts[:1]
+            for number, line in enumerate(path.read_text().splitlines(), 1)
+            if WIRE_NAMES.search(line)
+        ]
+        self.assertEqual(found, [])
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/test_event_log.py
@@ -0,0 +1,76 @@
+"""Tests of the structured log: bounded, and never blocking."""
+
+import json
+import os
+import unittest
+
+from poplarlb.event_log import BUFFER_LINES, BURST_LINES, EventLog
+
+
+class EventLogTest(unittest.TestCase):
+    """A log that writes to a pipe, on a hand-held clock."""
+
+    def setUp(self) -> None:
+        """Open a pipe whose writing end doesn't block."""
+        self.now_ms = 0
+        self.reader, writer = os.pipe()
+        os.set_blocking(writer, False)
+        os.set_blocking(self.reader, False)
+        self.log = EventLog("d1", lambda: (self.now_ms, self.now_ms), writer)
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, writer)
+
+    def read(self) -> list[dict]:
+        """Return the lines that were written."""
+        self.log.flush()
+        try:
+            data = os.read(self.reader, 1 << 20)
+        except BlockingIOError:
+            return []
+        return [json.loads(line) for line in data.splitlines()]
+
+    def test_line_has_its_fields(self) -> None:
+        """A line is a JSON object with time, daemon and event."""
+        self.log.write("started", zone="kochi")
+        (line,) = self.read()
+        self.assertEqual((line["event"], line["zone"]), ("started", "kochi"))
+        self.assertEqual(line["daemon"], "d1")
+
+    def test_routine_lines_are_bounded_and_counted(self) -> None:
+        """Beyond the budget lines are left out, and their number is told."""
+        for _ in range(BURST_LINES + 50):
+            self.log.write("task_placed", task="t")
+        self.log.write("config_changed", version=4)
+        lines = self.read()
+        self.assertEqual(lines[-1]["counts"], {"task_placed": 50})
+        self.assertIn("config_changed", {line["event"] for line in lines})
+
+    def test_successes_leave_room_for_failures(self) -> None:
+        """A failure is written although successes have used their budget up."""
+        for _ in range(BURST_LINES + 50):
+            self.log.write("task_placed", task="t")
+        self.log.write("start_failed", task="t", outcome="unanswered")
+        self.assertIn("start_failed", {line["event"] for line in self.read()})
+
+    def test_long_run_stays_under_twenty_lines_a_second(self) -> None:
+        """Under a lasting load the log stays within its rate."""
+        written = 0
+        for second in range(300):
+            self.now_ms = 1_000 * second
+            for _ in range(200):
+                self.log.write("task_placed", task="t")
+                self.log.write("start_failed", task="t", outcome="unanswered")
+            written += len(self.read())
+        self.assertLess((written - 2 * BURST_LINES) / 300, 20)
+
+    def test_pipe_that_nobody_reads_doesnt_block(self) -> None:
+        """Lines that can't be written are dropped and counted; nothing waits."""
+        for _ in range(3 * BUFFER_LINES):
+            self.log.write("config_changed", detail="x" * 200)
+            self.log.flush()
+        self.assertLessEqual(len(self.log.lines), BUFFER_LINES + 1)
+        self.assertGreater(self.log.left_out["config_changed"], 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
