--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -59,6 +59,7 @@
     next_schedule_ms: int = 0
     next_status_ms: int = 0
     next_load_note_ms: int = 0
+    next_learned_ms: int = 0
     told_waiting: dict[str, int] | None = None
     stopping: bool = False
 
@@ -260,7 +261,17 @@
         self.in_commit_seen, book.acknowledge = book.acknowledge, {}
         forgotten = tuple(book.forgotten[:FORGET_PER_COMMIT])
         del book.forgotten[:FORGET_PER_COMMIT]
-        book.commands.append(Commit(book.take_records(), forgotten, waiting))
+        book.commands.append(
+            Commit(book.take_records(), forgotten, waiting, self._learned())
+        )
+
+    def _learned(self) -> bytes:
+        """Return what was learned, if it is to be stored with this commit."""
+        book = self.book
+        if book.now_ms < self.next_learned_ms or not book.harm.presses:
+            return b""
+        self.next_learned_ms = book.now_ms + book.policy.learned_period_ms
+        return book.harm.encode()
 
     def _count_waiting(self) -> dict[str, int] | None:
         """Return the counts of jobs that haven't begun, if they are due and changed."""
--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -277,6 +277,7 @@
     records: tuple[ProgressRecord, ...]
     forgotten: tuple[str, ...]
     waiting: dict[str, int] | None = None  # jobs not begun by queue; None: unchanged
+    learned: bytes = b""  # what the next owner needn't learn again; empty: unchanged
 
 
 @frozen
--- a/poplarlb/coordination/jobs/harm.py
+++ b/poplarlb/coordination/jobs/harm.py
@@ -8,8 +8,11 @@
 
 from collections.abc import Mapping
 
+import orjson
 from attrs import Factory, define
 
+from poplarlb.exceptions import BadAnswerError
+
 IDLE_RATIO = 0.22  # of a tail without pressure to its target, measured on both sites
 USUAL_LOAD = 0.45  # pressure of a serving task's own load, measured on both sites
 UNKNOWN_PRESS = 0.6  # of pairs not seen yet; most pairs are harmless
@@ -66,6 +69,30 @@
             press = known.get(image, UNKNOWN_PRESS) + step_size
             known[image] = min(max(press, 0.0), LARGEST_PRESS)
 
+    def encode(self) -> bytes:
+        """Return what was learned of pairs, for the next owner."""
+        rows = {
+            serving: {image: round(press, 2) for image, press in known.items()}
+            for serving, known in self.presses.items()
+        }
+        return orjson.dumps(rows)
+
+    def restore(self, value: bytes) -> None:
+        """Take in what an earlier owner learned.
+
+        :raises BadAnswerError: the record is not one of ours.
+        """
+        try:
+            self.presses = {
+                str(serving): {
+                    str(image): min(max(float(press), 0.0), LARGEST_PRESS)
+                    for image, press in known.items()
+                }
+                for serving, known in orjson.loads(value).items()
+            }
+        except (ValueError, TypeError, AttributeError) as error:
+            raise BadAnswerError(f"a record of learned pairs: {error}") from error
+
     def forget(self, job_id: str) -> None:
         """Drop the loads of a job that is over."""
         for step in [step for step in self.loads if step[0] == job_id]:
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -36,3 +36,4 @@
     failing_limit: int = 3  # failures in a row before the pause
     schedule_period_ms: int = 100  # waiting tasks are looked at again
     status_period_ms: int = 500  # counts of waiting jobs may be 2 s old
+    learned_period_ms: int = 1_000  # rides on a commit that is made anyway
--- a/poplarlb/transport/job_keys.py
+++ b/poplarlb/transport/job_keys.py
@@ -8,6 +8,7 @@
 ``in/cancel/ID``     a cancelled job, written by the daemon that was asked
 ``progress/ID``      what has become of a job, written by the owner
 ``waiting``          jobs that haven't begun, by queue, written by the owner
+``learned``          what the owner has learned of images, for the next owner
 ===================  ==========================================================
 """
 
@@ -18,3 +19,4 @@
 CANCELS = "in/cancel/"
 PROGRESS = "progress/"
 WAITING = "waiting"
+LEARNED = "learned"
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -23,7 +23,14 @@
 from poplarlb.state import job_records
 from poplarlb.state.jobs import Job
 from poplarlb.transport.committer import Committer
-from poplarlb.transport.job_keys import CANCELS, INBOX, JOBS, PROGRESS, WAITING
+from poplarlb.transport.job_keys import (
+    CANCELS,
+    INBOX,
+    JOBS,
+    LEARNED,
+    PROGRESS,
+    WAITING,
+)
 from poplarlb.transport.prefix_watcher import PrefixWatcher
 
 TICK_S = 0.02  # the longest that a due decision waits
@@ -94,10 +101,17 @@
         log: EventLog,
     ) -> "JobOwner":
         """Return an owner that resumes what the store holds."""
-        inbox, progress = await asyncio.gather(store.list(INBOX), store.list(PROGRESS))
+        inbox, progress, learned = await asyncio.gather(
+            store.list(INBOX), store.list(PROGRESS), store.get(LEARNED)
+        )
         jobs, cancelled = read_jobs(inbox, progress, log)
         dispatcher = Dispatcher.take_over(policy, committer.epoch, jobs, steady_ms())
         dispatcher.book.utc_ms = utc_ms()
+        if learned is not None:
+            try:
+                dispatcher.book.harm.restore(learned.value)
+            except BadAnswerError as error:
+                log.write("record_unreadable", key=LEARNED, error=error.detail)
         owner = cls(store, workers, directory, committer, dispatcher, log)
         owner.inbox = PrefixWatcher(
             store,
@@ -235,6 +249,8 @@
         ]
         if command.waiting is not None:
             puts.append(Put(WAITING, orjson.dumps(command.waiting)))
+        if command.learned:
+            puts.append(Put(LEARNED, command.learned))
         deletes = [
             prefix + job_id
             for job_id in command.forgotten
--- a/tests/coordination/jobs/test_pacing.py
+++ b/tests/coordination/jobs/test_pacing.py
@@ -8,6 +8,7 @@
 from poplarlb.coordination.jobs.harm import HarmModel, pressure_of
 from poplarlb.coordination.jobs.pacing import Pacer
 from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.exceptions import BadAnswerError
 from poplarlb.state.jobs import Job, StepSpec, TaskStatus
 from poplarlb.state.models import Resources
 from tests.coordination.jobs.job_world import make_job
@@ -104,6 +105,18 @@
         self.assertGreater(model.press("web", "heavy"), 1.4)
         self.assertLess(model.press("web", "light"), 0.3)
 
+    def test_next_owner_knows_what_was_learned(self) -> None:
+        """The record of one model restores another; a bad record is refused."""
+        model, other = HarmModel(), HarmModel()
+        model.learn(("j", 0, 0), "web", 0.7, {"heavy": 0.1})
+        other.restore(model.encode())
+        self.assertAlmostEqual(
+            other.press("web", "heavy"), model.press("web", "heavy"), places=2
+        )
+        for value in (b"", b"[]", b'{"web":3}', b'{"web":{"heavy":"x"}}'):
+            with self.subTest(value=value), self.assertRaises(BadAnswerError):
+                other.restore(value)
+
 
 if __name__ == "__main__":
     unittest.main()
