A known outage of the store refuses at once; reads are repeated

Change: after 0.3 s of failures everything is refused at once with Retry-After until an answer comes; a read without an answer is repeated, then refused; a write with little time left is tried all the same.

--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -49,7 +49,9 @@
             group = 1
         else:
             group = 2
-        return queue.priority, group, left_ms - rest_ms, job.spec.job_id
+        # Tasks that last hold their room for good; the others pass it on in seconds.
+        lasts = any(step.long_running for step in job.spec.steps)
+        return queue.priority, lasts, group, left_ms - rest_ms, job.spec.job_id
 
     def is_pressing(self, job: Job) -> bool:
         """Tell whether a job has used up much of the time that it may wait."""
--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -41,6 +41,7 @@
         "job_not_accepted",
         "start_failed",
         "request_refused",
+        "read_repeated",
         "stray_run",
         "worker_paused",
         "watch_failed",
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -161,6 +161,7 @@
         """Tell whether new connections may come here."""
         return (
             not self.stopping
+            and not self.store.is_down
             and self.operator.config is not None
             and steady_ms() - self.view_ms <= VIEW_LIMIT_MS
         )
--- a/poplarlb/platform/store.py
+++ b/poplarlb/platform/store.py
@@ -1,5 +1,6 @@
 """The platform's key-value store behind the product's store interface."""
 
+import time
 from urllib.parse import quote
 
 import orjson
@@ -28,6 +29,7 @@
 
 CALL_TIMEOUT_S = 1.0  # 4 ms is usual; sixty times that is the slowest on the sheets
 WATCH_GRACE_S = 1.0  # beyond the time that a watch may wait
+DOWN_AFTER_S = 0.3  # of failures only; a lost connection fails once and is replaced
 LEASE_TIMEOUT_S = 0.5  # renewals must be repeated well before a lease of 1.5 s ends
 
 
@@ -39,6 +41,19 @@
     address: str
     calls: int = 0
     failures: int = 0
+    failing_since_s: float | None = None  # first failure since the last answer
+
+    @property
+    def is_down(self) -> bool:
+        """Tell whether calls have failed for a while and none has been answered."""
+        if self.failing_since_s is None:
+            return False
+        return time.monotonic() - self.failing_since_s > DOWN_AFTER_S
+
+    def _note_failure(self) -> None:
+        self.failures += 1
+        if self.failing_since_s is None:
+            self.failing_since_s = time.monotonic()
 
     async def get(self, key: str) -> StoredItem | None:
         """Return a key's item, or None."""
@@ -130,14 +145,15 @@
                 self.address, method, path, body, timeout_s=timeout_s
             )
         except CallNotSentError as error:
-            self.failures += 1
+            self._note_failure()
             raise StoreRefusedError(error.detail) from error
         except CallUnansweredError:
-            self.failures += 1
+            self._note_failure()
             raise
         if answer.status in (429, 503):
-            self.failures += 1
+            self._note_failure()
             raise StoreRefusedError(f"{method} {path.split('?')[0]}: {answer.status}")
+        self.failing_since_s = None
         return answer
 
 
--- a/poplarlb/protocol/store.py
+++ b/poplarlb/protocol/store.py
@@ -98,6 +98,10 @@
     :class:`CallUnansweredError` if the effect is unknown.
     """
 
+    @property
+    def is_down(self) -> bool:
+        """Tell whether calls have failed for a while and none has been answered."""
+
     async def get(self, key: str) -> StoredItem | None:
         """Return a key's item, or None."""
 
--- a/poplarlb/transport/job_gateway.py
+++ b/poplarlb/transport/job_gateway.py
@@ -19,6 +19,7 @@
     Expectation,
     Put,
     Store,
+    StoredItem,
     Transaction,
 )
 from poplarlb.state import job_records
@@ -28,6 +29,7 @@
 WRITE_TIMEOUT_S = 0.8  # for one attempt; sixty times the usual answer is 240 ms
 WRITE_BUDGET_S = 2.4  # below the 3 s that callers wait
 DEADLINE_MARGIN_S = 0.2  # for the answer's way back
+DEADLINE_MARGIN_SHARE = 0.3  # of what is left, when little is
 RETRY_S = 0.1
 COUNTS_AGE_S = 0.5  # counts may be 2 s old; the owner's own are up to 0.5 s old
 
@@ -65,7 +67,7 @@
 
     async def cancel(self, job_id: str, budget_s: float) -> WriteResult | None:
         """Store that a job is cancelled; None if there is no such job."""
-        if await self.store.get(JOBS + job_id) is None:
+        if await self._read(JOBS + job_id) is None:
             return None
         result = await self._create(Put(CANCELS + job_id, b"{}"), budget_s)
         self.log.write("cancel_stored", job=job_id, result=result.value)
@@ -73,10 +75,10 @@
 
     async def read_state(self, job_id: str, queue: str) -> JobState | None:
         """Return a job's state; None if there is no such job in the queue."""
-        progress = await self.store.get(PROGRESS + job_id)
+        progress = await self._read(PROGRESS + job_id)
         if progress is not None:
             return job_records.decode_state(progress.value)
-        accepted = await self.store.get(JOBS + job_id)
+        accepted = await self._read(JOBS + job_id)
         if accepted is None:
             return None
         if job_records.decode_job(accepted.value).queue != queue:
@@ -87,20 +89,39 @@
         """Return how many jobs of a queue haven't begun, up to 1 s old."""
         now_s = asyncio.get_running_loop().time()
         if self.counts is None or now_s - self.counts_at_s > COUNTS_AGE_S:
-            item = await self.store.get(WAITING)
+            item = await self._read(WAITING)
             self.counts = orjson.loads(item.value) if item else {}
             self.counts_at_s = now_s
         return self.counts.get(queue, 0)
 
+    async def _read(self, key: str) -> StoredItem | None:
+        """Return a key's item; a read that got no answer is repeated once.
+
+        :raises StoreRefusedError: the store is away; nothing depends on the read.
+        """
+        if self.store.is_down:
+            raise StoreRefusedError("the store is down")
+        try:
+            return await self.store.get(key)
+        except CallUnansweredError:
+            self.log.write("read_repeated", key=key)
+        try:
+            return await self.store.get(key)
+        except CallUnansweredError as error:
+            raise StoreRefusedError(error.detail) from error
+
     async def _create(self, put: Put, budget_s: float) -> WriteResult:
         """Create a key if it is absent.
 
         A write without an answer may still be carried out, so it is repeated until it
         or its repetition is answered; a refusal counts only if nothing was unanswered.
         """
+        if self.store.is_down:
+            return WriteResult.REFUSED
         transaction = Transaction((Expectation(put.key, 0),), (put,))
         loop = asyncio.get_running_loop()
-        until_s = loop.time() + min(budget_s - DEADLINE_MARGIN_S, WRITE_BUDGET_S)
+        margin_s = min(DEADLINE_MARGIN_S, DEADLINE_MARGIN_SHARE * budget_s)
+        until_s = loop.time() + min(budget_s - margin_s, WRITE_BUDGET_S)
         uncertain = False
         while True:
             left_s = until_s - loop.time()
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -140,6 +140,21 @@
         await asyncio.sleep(0.5)
         self.assertEqual(self.system.workers.starts, [])
 
+    async def test_known_outage_refuses_at_once(self) -> None:
+        """Once the store is known to be away, nobody is held to a deadline."""
+        self.system.store.silent = True
+        daemons = self.system.live()
+        await self.system.until(lambda: all(item.store.is_down for item in daemons))
+        loop = asyncio.get_running_loop()
+        for method in ("POST", "GET"):
+            started_s = loop.time()
+            answer = await self.system.call(method, f"/o/{ID}", JOB)
+            self.assertEqual(answer.status, 503)
+            self.assertLess(loop.time() - started_s, 0.06)  # a quarter of 250 ms
+        self.system.store.silent = False
+        await self.system.until(lambda: not any(item.store.is_down for item in daemons))
+        self.assertEqual(self.system.workers.starts, [])
+
     async def test_daemon_without_a_view_is_not_ready(self) -> None:
         """A daemon that lost the store says so, and says when it is back."""
         self.system.store.refusing = True
