poplarlb trace: from a job's id to its timeline and causes, out of saved logs

Cause: on-call engineers have only the lines of several daemons. Change: a command that merges logs, shows the job's own lines and trail between the changes of owner, store and configuration around them, and names the causes.

--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -8,6 +8,7 @@
 everywhere in time.
 """
 
+import contextlib
 import getpass
 import json as json_module
 import os
@@ -18,7 +19,8 @@
 from poplarlb import rendering
 from poplarlb.client import ATTEMPT_HEADER, Client, quote, to_error
 from poplarlb.commands import JobCommands, Session, TemplateCommands, ZoneCommands
-from poplarlb.exceptions import PoplarlbError
+from poplarlb.exceptions import BadRequestError, PoplarlbError
+from poplarlb.log_trace import read_lines, trace_job
 
 EXIT_CODES = {
     "internal": 1,
@@ -51,6 +53,7 @@
   request TEAM SERVICE [PATH]       send one request to a service
   explain job TEAM ID | worker ID | request ID
                           tell what was decided, when and why
+  trace ID FILE...        tell a job's timeline and causes from saved logs
   status                  members, zones, shards, queues, and what waits and why
 
 Flags for every command, after it:
@@ -67,6 +70,19 @@
 in force everywhere in time."""
 
 
+def trace_files(job_id: str, files: tuple[str, ...]) -> str:
+    """Return a job's timeline out of log files.
+
+    :raises BadRequestError: a file can't be read.
+    """
+    try:
+        with contextlib.ExitStack() as stack:
+            opened = [stack.enter_context(open(str(name))) for name in files]
+            return trace_job(read_lines(opened), job_id).text()
+    except (OSError, UnicodeDecodeError) as error:
+        raise BadRequestError(str(error)) from error
+
+
 class Commands:
     """Drive poplarlb: templates, zones, jobs, requests, explanations, status.
 
@@ -94,6 +110,15 @@
         self.zone = ZoneCommands(self._session)
         self.job = JobCommands(self._session)
 
+    def trace(self, job_id: str, *files: str) -> str:
+        """Tell from saved logs what became of a job on the platform, and why.
+
+        Args:
+            job_id: the job's id.
+            files: logs of one or more daemons, in any order.
+        """
+        return trace_files(str(job_id), files)
+
     def request(
         self,
         team: str,
--- /dev/null
+++ b/poplarlb/log_trace.py
@@ -0,0 +1,162 @@
+"""Tells from saved logs what became of one job, and why."""
+
+import json
+from collections.abc import Iterable
+
+from attrs import define, frozen
+
+MARGIN_MS = 2_000  # of what else happened before and after the job's own lines
+CONTEXT_EVENTS = frozenset(
+    (
+        "started",
+        "stopped",
+        "stop_requested",
+        "store_lost",
+        "store_regained",
+        "ownership_claimed",
+        "ownership_lost",
+        "ownership_released",
+        "config_changed",
+        "zones_out",
+        "worker_restarted",
+        "worker_unlisted",
+        "worker_draining",
+        "lines_left_out",
+    )
+)
+LATE_FIRST_START_MS = 500  # a start that waited longer is worth telling
+
+
+@frozen
+class TraceLine:
+    """One line of a job's timeline."""
+
+    utc_ms: int
+    daemon: str
+    text: str
+    own: bool  # of the job itself, not of what happened around it
+
+
+@define
+class Trace:
+    """What the logs tell of one job.
+
+    ``causes`` is empty if it was done in time without anything unusual.
+    """
+
+    job_id: str
+    lines: list[TraceLine]
+    causes: list[str]
+
+    def text(self) -> str:
+        """Return the timeline, with times since its first line."""
+        if not any(line.own for line in self.lines):
+            return f"{self.job_id}: nothing in these logs"
+        begun_ms = next(line.utc_ms for line in self.lines if line.own)
+        rows = [
+            f"{line.utc_ms - begun_ms:+8d} ms  {line.daemon:18s}"
+            f"{'  ' if line.own else '| '}{line.text}"
+            for line in self.lines
+        ]
+        causes = self.causes or ["nothing unusual"]
+        return "\n".join([f"{self.job_id}: {'; '.join(causes)}", *rows])
+
+
+def read_lines(files: Iterable[Iterable[str]]) -> list[dict]:
+    """Return the JSON objects of log files, in order of time.
+
+    What stands before a line's object, as a collector's prefix, is passed over; so are
+    lines that hold none.
+    """
+    rows = []
+    for line in (line for file in files for line in file):
+        begin = line.find("{")
+        if begin < 0:
+            continue
+        try:
+            row = json.loads(line[begin:])
+        except ValueError:
+            continue
+        if isinstance(row, dict) and "event" in row and "utc_ms" in row:
+            rows.append(row)
+    return sorted(rows, key=lambda row: row["utc_ms"])
+
+
+def trace_job(rows: list[dict], job_id: str) -> Trace:
+    """Return a job's timeline with what happened around it, and its causes."""
+    own = [row for row in rows if is_about(row, job_id)]
+    if not own:
+        return Trace(job_id, [], [])
+    first_ms = own[0]["utc_ms"] - MARGIN_MS
+    last_ms = own[-1]["utc_ms"] + MARGIN_MS
+    around = [
+        row
+        for row in rows
+        if row["event"] in CONTEXT_EVENTS and first_ms <= row["utc_ms"] <= last_ms
+    ]
+    chosen = sorted(own + around, key=lambda row: row["utc_ms"])
+    lines = [
+        TraceLine(row["utc_ms"], row.get("daemon", ""), describe(row), row in own)
+        for row in chosen
+    ]
+    return Trace(job_id, lines, find_causes(own, around))
+
+
+def is_about(row: dict, job_id: str) -> bool:
+    """Tell whether a line is about a job."""
+    return (
+        row.get("job") == job_id
+        or str(row.get("task", "")).startswith(f"{job_id}.")
+        or job_id in str(row.get("path", ""))
+    )
+
+
+def describe(row: dict) -> str:
+    """Return a line without the fields that stand in its own columns."""
+    left_out = ("utc_ms", "daemon", "event", "trail")
+    fields = " ".join(f"{k}={v}" for k, v in row.items() if k not in left_out)
+    trail = "".join(f"\n{'':32s}  {item}" for item in row.get("trail", ()))
+    return f"{row['event']} {fields}{trail}"
+
+
+def find_causes(own: list[dict], around: list[dict]) -> list[str]:
+    """Return why a job was refused, late, failed or ran again."""
+    causes = []
+    refused = [row for row in own if row["event"] == "request_refused"]
+    if refused:
+        lost = any(row["event"] == "store_lost" for row in around)
+        why = "the store was away" if lost else refused[-1].get("error") or "no answer"
+        causes.append(
+            f"refused {len(refused)} times with {refused[-1]['status']}: {why}"
+        )
+    final = next((row for row in own if row["event"] == "job_final"), None)
+    if final is None:
+        causes.append("no end in these logs")
+    elif final["state"] != "done":
+        causes.append(f"{final['state']}: {final['reason']}")
+    elif final["objective_ms"] and final["took_ms"] > final["objective_ms"]:
+        causes.append(f"late: {final['took_ms']} ms of {final['objective_ms']} ms")
+    trail = list(final.get("trail", ())) if final else []
+    begun = next((row for row in own if row["event"] == "job_begun"), None)
+    if begun and begun["waited_ms"] > LATE_FIRST_START_MS:
+        causes.append(f"waited {begun['waited_ms']} ms for room")
+    counted = {
+        "ended failed": "runs that failed",
+        " failed ": "runs that failed",
+        "harms a serving task": "runs moved off serving tasks",
+        "lease is over": "runs lost with their worker",
+        "worker restarted": "runs lost with their worker",
+        "start_failed": "starts that failed",
+        "no progress": "runs that stood still",
+        "worker is draining": "runs moved off a draining worker",
+    }
+    texts = trail or [describe(row) for row in own]
+    for label in dict.fromkeys(counted.values()):
+        marks = [mark for mark, name in counted.items() if name == label]
+        number = sum(any(mark in text for mark in marks) for text in texts)
+        if number:
+            causes.append(f"{number} {label}")
+    takeovers = sum(row["event"] == "ownership_claimed" for row in around)
+    if takeovers:
+        causes.append(f"{takeovers} changes of owner meanwhile")
+    return causes
