A figure is acted on once; paces no longer swing between 0 and 100

The alarm of a tail near its target took the commanded pace for what had worked while the figure was taken, so each look undid the last one, up to a load that counted as hopeless. Change: the mix that worked while the figure was taken is used, paces are set once a figure, only a learned load counts as hopeless. The test failed first.

--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -79,6 +79,7 @@
     heard: int = 0  # ends up to this number have been taken in
     runs: dict[tuple[str, int], Run] = Factory(dict)
     reserved: Resources = Resources()
+    paced_ms: int = 0  # when the paces of its filling runs were last set
     filling_cpu: int = 0  # what filling tasks would use at full speed
     serving: int = 0  # runs that have a target
     serving_cpu: int = 0  # what they have reserved
--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -19,7 +19,8 @@
 CRAWL_MS = 800  # a run that crawls for longer is better placed elsewhere
 HARMLESS = 0.02  # pressure that isn't worth a pace
 FIGURE_MS = 500  # figures cover half a second
-LEARN_PERIOD_MS = 400
+LEARN_PERIOD_MS = 400  # a figure is learned from once
+PACE_PERIOD_MS = 450  # a figure is acted on once
 
 
 @define(eq=False)
@@ -43,18 +44,17 @@
             for run in worker.runs.values()
             if run.task.spec.fills and run.phase is RunPhase.RUNNING
         ]
-        self._learn(worker, serving, filling)
-        if filling:
-            self._set_paces(worker, serving, filling)
+        mix = self._recent_mix(worker, filling)
+        self._learn(serving, mix)
+        if filling and self.book.now_ms - worker.paced_ms >= PACE_PERIOD_MS:
+            worker.paced_ms = self.book.now_ms
+            self._set_paces(worker, serving, filling, mix)
 
     def _settled(self, run: Run) -> bool:
         age_ms = self.book.now_ms - run.confirmed_ms
         return run.phase is RunPhase.RUNNING and age_ms >= FIGURE_MS
 
-    def _learn(
-        self, worker: WorkerState, serving: list[Run], filling: list[Run]
-    ) -> None:
-        mix = self._recent_mix(worker, filling)
+    def _learn(self, serving: list[Run], mix: dict[str, float]) -> None:
         harm = self.book.harm
         for run in serving:
             if self.book.now_ms - run.learned_ms < LEARN_PERIOD_MS:
@@ -81,9 +81,16 @@
         return mix
 
     def _set_paces(
-        self, worker: WorkerState, serving: list[Run], filling: list[Run]
+        self,
+        worker: WorkerState,
+        serving: list[Run],
+        filling: list[Run],
+        mix: dict[str, float],
     ) -> None:
-        """Scale what the filling runs may do so that every tail meets its target."""
+        """Scale what the filling runs may do so that every tail meets its target.
+
+        :param mix: what the filling runs used while the figures were taken.
+        """
         harm = self.book.harm
         capacity = max(worker.listing.capacity.cpu_millis, 1)
         shares = {run: run.task.spec.size.cpu_millis / capacity for run in filling}
@@ -102,11 +109,12 @@
                     run.wanted_pace = 0
                 break
             load = harm.load(other.task.step_key)
+            if not full or load >= HOPELESS_LOAD:
+                continue
             ratio = other.figure / spec.target_ms
             if ratio > ALARMING_RATIO:
-                now = sum(press * run.pace / 100 for run, press in presses.items())
-                load = max(load, pressure_of(ratio) - now)
-            if not full or load + full <= PRESSURE_GOAL or load >= HOPELESS_LOAD:
+                load = max(load, pressure_of(ratio) - harm.pressure(spec.image, mix))
+            if load + full <= PRESSURE_GOAL:
                 continue
             scale = (PRESSURE_GOAL - load) / full
             pace = int(min(max(scale, 0.0), 1.0) * FULL_PACE) // PACE_STEP * PACE_STEP
--- a/tests/coordination/jobs/test_pacing.py
+++ b/tests/coordination/jobs/test_pacing.py
@@ -51,11 +51,11 @@
         self.worker.add(run)
         return run
 
-    def see(self, ratio: float, times: int = 1) -> list[int]:
+    def see(self, ratio: float, times: int = 1, every_ms: int = 500) -> list[int]:
         """Return the paces that were sent while a tail was seen for some looks."""
         sent = []
         for _ in range(times):
-            self.book.now_ms += 500
+            self.book.now_ms += every_ms
             self.book.commands = []
             self.serving.figure = ratio * TARGET_MS
             self.pacer.pace(self.worker)
@@ -81,6 +81,16 @@
         self.see(1.3, times=5)
         self.assertEqual(self.filling.wanted_pace, 0)
 
+    def test_one_figure_is_acted_on_once(self) -> None:
+        """Many looks within a figure's half second don't turn the pace up and down."""
+        sent = self.see(0.95, times=40, every_ms=20)
+        self.assertLessEqual(len(sent), 2)
+        for ratio in (1.2, 3.0):
+            with self.subTest(ratio=ratio):
+                sent = self.see(ratio, times=40, every_ms=20)
+                self.assertLessEqual(len(sent), 2)
+                self.assertEqual(sent, sorted(sent, reverse=True))
+
     def test_crawling_task_is_moved(self) -> None:
         """A filling task that may hardly work is stopped, to run elsewhere."""
         self.see(1.5, times=8)
