--- a/poplarlb/coordination/jobs/pacing.py
+++ b/poplarlb/coordination/jobs/pacing.py
@@ -119,8 +119,11 @@
             scale = (PRESSURE_GOAL - load) / full
             pace = int(min(max(scale, 0.0), 1.0) * FULL_PACE) // PACE_STEP * PACE_STEP
             for run, press in presses.items():
-                if press > HARMLESS:
-                    run.wanted_pace = min(run.wanted_pace, pace)
+                if press <= HARMLESS:
+                    continue
+                # Nothing speeds up beside a tail that is over its target.
+                limit = min(pace, run.pace) if ratio >= 1.0 else pace
+                run.wanted_pace = min(run.wanted_pace, limit)
         for run in filling:
             self._set_pace(worker, run)
 
