Pressures are computed once a round; bench.jobs measures decisions and takeovers

Cause: a profile of the dispatcher at 77 starts a second: half of its time went into summing the same mixes for each choice. Change: a round keeps them for each worker.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -6,6 +6,7 @@
 MODULES = (
     "store",
     "shard",
+    "jobs",
     "transport",
     "requests",
     "restart",
--- /dev/null
+++ b/bench/jobs.py
@@ -0,0 +1,123 @@
+"""Processor time of the job decisions, and takeovers: ``python -m bench.jobs``.
+
+Drives the dispatcher against fake workers with a hand-held clock at about the load of
+the users' heavier site; only the time inside the dispatcher counts.
+"""
+
+import time
+
+from attrs import define
+
+from bench.rows import Row, save_rows
+from poplarlb.coordination.jobs.dispatcher import Dispatcher
+from poplarlb.coordination.jobs.events import Event
+from poplarlb.state.jobs import JobState, StepSpec
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.job_world import JobWorld, make_job
+
+WORKERS = 33
+CAPACITY = Resources(64_000, 250_000)
+SERVING_JOBS = 30
+SECONDS = 20
+JOBS_PER_S = 5
+IMAGES = 9
+
+
+@define(eq=False, slots=False)
+class MeteredWorld(JobWorld):
+    """A world that counts the time inside the dispatcher and checks nothing."""
+
+    spent_s: float = 0.0
+    events: int = 0
+
+    def feed(self, event: Event, owner: Dispatcher | None = None) -> None:
+        """Hand an event on and count its time."""
+        owner = owner or self.owner
+        if owner is None or owner is not self.owner:
+            return
+        begun_s = time.perf_counter()
+        commands = owner.handle(event, int(self.now_ms))
+        self.spent_s += time.perf_counter() - begun_s
+        self.events += 1
+        for command in commands:
+            self._carry_out(command, owner)
+
+    def check(self) -> None:
+        """Leave the checks to the tests."""
+
+
+def make_world() -> MeteredWorld:
+    """Return a world with serving tasks at work."""
+    world = MeteredWorld(work_ms=1e9)
+    world.new_owner()
+    world.add_workers(WORKERS, capacity=CAPACITY)
+    serving = StepSpec(
+        5, Resources(13_000, 1_000), long_running=True, image="web", target_ms=45
+    )
+    for number in range(SERVING_JOBS):
+        world.submit(make_job(f"{number:016x}", serving))
+    world.run(500)
+    world.work_ms = 1_500.0
+    return world
+
+
+def submit_batch(world: MeteredWorld, number: int) -> str:
+    """Submit a job of two steps of eight filling tasks."""
+    job_id = f"{10_000 + number:016x}"
+    image = f"f{number % IMAGES}"
+    size = Resources(7_000, 1_000)
+    world.submit(
+        make_job(
+            job_id,
+            StepSpec(8, size, estimate_ms=1_500, fills=True, image=image),
+            StepSpec(8, size, estimate_ms=1_500, fills=True, after=(0,), image=image),
+        )
+    )
+    return job_id
+
+
+def measure_load() -> list[Row]:
+    """Return the dispatcher's time for each start under load."""
+    world = make_world()
+    world.spent_s, world.events = 0.0, 0
+    before = world.starts.total()
+    for number in range(SECONDS * JOBS_PER_S):
+        submit_batch(world, number)
+        world.run(1_000 / JOBS_PER_S)
+    starts = world.starts.total() - before
+    return [
+        Row("starts per second", "1/s", starts / SECONDS),
+        Row("decisions for one start", "ms", 1_000 * world.spent_s / starts),
+        Row("decisions for one event", "us", 1e6 * world.spent_s / world.events),
+    ]
+
+
+def measure_takeover() -> list[Row]:
+    """Return what a takeover costs in accepted jobs and in time without starts."""
+    world = make_world()
+    jobs = [submit_batch(world, number) for number in range(20)]
+    world.run(1_000)
+    before = world.starts.total()
+    begun_s = time.perf_counter()
+    world.new_owner()
+    spent_s = time.perf_counter() - begun_s
+    begun_ms = world.now_ms
+    while world.starts.total() == before:
+        world.run(20)
+    waited_ms = world.now_ms - begun_ms
+    world.run(60_000)
+    lost = sum(world.state(job_id) is not JobState.DONE for job_id in jobs)
+    return [
+        Row("taking over", "ms", 1_000 * spent_s),
+        Row("first start after a takeover", "ms", waited_ms),
+        Row("accepted jobs lost by a takeover", "jobs", lost),
+    ]
+
+
+def main() -> None:
+    """Measure and save."""
+    save_rows("jobs", measure_load() + measure_takeover())
+
+
+if __name__ == "__main__":
+    main()
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -33,6 +33,7 @@
     harm: HarmModel
     workers: dict[str, list[WorkerState]]
     misfits: dict[tuple, list[Resources]] = Factory(dict)
+    pressures: dict[str, dict[str, float]] = Factory(dict)  # worker: serving image
 
     def choose(
         self,
@@ -68,7 +69,7 @@
                 continue
             if not has_room(worker, spec):
                 continue
-            pressure = pressure_with(worker, spec, self.harm)
+            pressure = self.pressure_with(worker, spec)
             if spec.fills and pressure > limit:
                 continue
             fits = True
@@ -79,10 +80,39 @@
             cost += PRESSURE_COST * pressure
             if best is None or cost < best_cost:
                 best, best_cost = worker, cost
+        if best is not None:
+            # The caller places the task there, which changes what presses.
+            self.pressures.pop(best.worker_id, None)
         if not fits:
             self.misfits.setdefault(constraint, []).append(spec.size)
         return best
 
+    def pressure_with(self, worker: WorkerState, spec: StepSpec) -> float:
+        """Return the pressure on the serving task worst off, with one more task."""
+        if spec.target_ms:
+            return self.harm.pressure(spec.image, worker.filling_mix())
+        if not spec.fills or not worker.serving:
+            return 0.0
+        pressures = self.pressures.get(worker.worker_id)
+        if pressures is None:
+            pressures = self.pressures[worker.worker_id] = self._pressures(worker)
+        share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
+        return max(
+            pressure + share * self.harm.press(image, spec.image)
+            for image, pressure in pressures.items()
+        )
+
+    def _pressures(self, worker: WorkerState) -> dict[str, float]:
+        """Return the highest pressure on each serving image at a worker."""
+        mix = worker.filling_mix()
+        loads: dict[str, float] = {}
+        for step, image in worker.serving_steps().items():
+            loads[image] = max(loads.get(image, 0.0), self.harm.load(step))
+        return {
+            image: load + self.harm.pressure(image, mix)
+            for image, load in loads.items()
+        }
+
     def count_step(self, task: Task, service: str) -> Counter:
         """Return how many runs of the task's step each worker holds."""
         counts = Counter()
@@ -118,21 +148,6 @@
     return unused >= spec.size.cpu_millis
 
 
-def pressure_with(worker: WorkerState, spec: StepSpec, harm: HarmModel) -> float:
-    """Return the pressure on the serving task worst off, with one more task."""
-    if spec.target_ms:
-        return harm.pressure(spec.image, worker.filling_mix())
-    if not spec.fills or not worker.serving:
-        return 0.0
-    mix = worker.filling_mix()
-    share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
-    mix[spec.image] = mix.get(spec.image, 0.0) + share
-    return max(
-        harm.load(step) + harm.pressure(image, mix)
-        for step, image in worker.serving_steps().items()
-    )
-
-
 def cost_of(worker: WorkerState, spec: StepSpec, policy: JobPolicy) -> float:
     """Return how bad a worker is for one more task of a step."""
     capacity = max(worker.listing.capacity.cpu_millis, 1)
