Reading the change: a count of zero is stored, unused parts go, HTTP has tests

A queue whose last waiting job was cancelled kept its old count, as an empty count looked like an unchanged one (the test failed first, 3 instead of 0); a connection lost between two calls raised an AttributeError; slowness, a set of ends and four settings were never used.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -268,7 +268,8 @@
             self.next_schedule_ms = book.now_ms + book.policy.schedule_period_ms
             self.scheduler.place_waiting()
         waiting = self._count_waiting()
-        if not (book.dirty or book.acknowledge or book.forgotten or waiting):
+        changed = book.dirty or book.acknowledge or book.forgotten
+        if not changed and waiting is None:
             return
         self.committing = True
         self.in_commit_starts, book.to_start = book.to_start, []
--- a/poplarlb/coordination/jobs/ends.py
+++ b/poplarlb/coordination/jobs/ends.py
@@ -14,7 +14,6 @@
 )
 
 ENDS_PER_ANSWER = 500  # a longer list goes on in the next answer
-OUTSIDE_ENDS = frozenset((RunEnd.LAPSED, RunEnd.BROKEN, RunEnd.ALONE, RunEnd.STOPPED))
 
 
 @define(eq=False)
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -86,7 +86,6 @@
     left: list[tuple[str, float, int]] = Factory(list)  # image, processors, when ended
     paused_until_ms: int = 0
     failures: int = 0  # failed ends in a row
-    slowness: float = 1.0  # how long its tasks take against the usual
     stray_stops: dict[tuple[str, int], int] = Factory(dict)
     loose: dict[tuple[str, int], int] = Factory(dict)  # late until: unanswered starts
 
@@ -179,7 +178,6 @@
         self.heard = 0
         self.lease_end_ms = 0
         self.failures = 0
-        self.slowness = 1.0
         self.stray_stops.clear()
 
     def is_usable(self, now_ms: int) -> bool:
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -17,7 +17,6 @@
 PRESSURE_COST = 3.0  # for each unit of pressure on the serving task worst off
 IMAGE_COST = 1.0  # of a further serving image, which more filling images harm
 PACK_COST = 0.3  # of an empty worker for a serving task; they don't harm each other
-SLOW_COST = 1.0  # for each time that a worker's tasks take longer than usual
 STEP_COST = 0.05  # for each run of the same step, so that a worker's loss hits few
 SERVING_USE = 0.4  # of their reservation that serving tasks use, measured
 
@@ -152,7 +151,7 @@
     """Return how bad a worker is for one more task of a step."""
     capacity = max(worker.listing.capacity.cpu_millis, 1)
     taken = worker.reserved.cpu_millis + worker.filling_cpu
-    cost = taken / capacity + SLOW_COST * (worker.slowness - 1.0)
+    cost = taken / capacity
     if spec.target_ms:
         cost = PACK_COST * (1.0 - taken / capacity) + worker.filling_cpu / capacity
         cost += IMAGE_COST * len(set(worker.serving_steps().values()) - {spec.image})
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -32,8 +32,6 @@
     lease_limit_ms: int = 10_000
     status_ms: int = 120_000
     harm_ms: int = 4_000
-    drain_ms: int = 2_000
-    config_ms: int = 2_000
     far_factor: float = 1.5
 
 
@@ -47,8 +45,6 @@
     listen: Addresses
     store_address: str
     advice_address: str = ""
-    machines_address: str = ""
-    processor_share: float = 1.0
     bounds: Bounds = Bounds()
 
 
@@ -72,15 +68,11 @@
     "control": FieldRead(("listen", "control"), TEXT, False),
     "store": FieldRead(("platform", "addr"), TEXT),
     "advice": FieldRead(("advice",), TEXT, False),
-    "machines": FieldRead(("cloud", "addr"), TEXT, False),
-    "processor_share": FieldRead(("limits", "cpuShare"), NUMBER, False),
     "grace_s": FieldRead(("bounds", "graceS"), NUMBER, False),
     "stop_ms": FieldRead(("bounds", "stopMs"), NUMBER, False),
     "lease_limit_ms": FieldRead(("bounds", "holdMaxMs"), NUMBER, False),
     "status_s": FieldRead(("bounds", "status_s"), NUMBER, False),
     "harm_ms": FieldRead(("bounds", "harmMs"), NUMBER, False),
-    "drain_ms": FieldRead(("bounds", "drainMs"), NUMBER, False),
-    "config_ms": FieldRead(("bounds", "configMs"), NUMBER, False),
     "far_factor": FieldRead(("bounds", "farX"), NUMBER, False),
 }
 
@@ -105,7 +97,7 @@
     values = {name: read_field(document, item, faults) for name, item in FIELDS.items()}
     faults += [
         f"{'.'.join(FIELDS[name].path)}: not HOST:PORT"
-        for name in ("front", "ready", "control", "store", "advice", "machines")
+        for name in ("front", "ready", "control", "store", "advice")
         if values[name] and not is_address(values[name])
     ]
     if faults:
@@ -146,8 +138,6 @@
         lease_limit_ms=in_ms(values["lease_limit_ms"], 1, default.lease_limit_ms),
         status_ms=in_ms(values["status_s"], 1_000, default.status_ms),
         harm_ms=in_ms(values["harm_ms"], 1, default.harm_ms),
-        drain_ms=in_ms(values["drain_ms"], 1, default.drain_ms),
-        config_ms=in_ms(values["config_ms"], 1, default.config_ms),
         far_factor=float(values["far_factor"] or default.far_factor),
     )
     return DeploymentSettings(
@@ -157,8 +147,6 @@
         Addresses(values["front"], values["ready"], values["control"] or "", metrics),
         values["store"],
         values["advice"] or "",
-        values["machines"] or "",
-        float(values["processor_share"] or 1.0),
         bounds,
     )
 
--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -90,7 +90,12 @@
         )
 
     async def exchange(self, request: bytes) -> HttpAnswer:
-        """Send one request and return its answer."""
+        """Send one request and return its answer.
+
+        :raises CallNotSentError: the connection was lost before.
+        """
+        if not self.usable:
+            raise CallNotSentError("the connection was lost")
         self.parser = httptools.HttpResponseParser(self)
         self.chunks = []
         self.size = 0
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -54,6 +54,11 @@
         await asyncio.sleep(1.2)
         answer = await self.system.call("GET", "/o/", daemon="d1")
         self.assertEqual(json.loads(answer.body), {"waiting": 3})
+        for number in range(3):
+            await self.system.call("DELETE", f"/o/{number:016x}")
+        await asyncio.sleep(1.6)  # counts may be 2 s old
+        answer = await self.system.call("GET", "/o/")
+        self.assertEqual(json.loads(answer.body), {"waiting": 0})
 
     async def test_malformed_jobs_are_refused(self) -> None:
         """Every malformed job is a 400 at once, and starts nothing."""
--- /dev/null
+++ b/tests/transport/test_http_client.py
@@ -0,0 +1,132 @@
+"""Tests of the client on the loop, against a server on the loop."""
+
+import asyncio
+import unittest
+
+from poplarlb.exceptions import CallNotSentError, CallUnansweredError
+from poplarlb.transport.http_client import ClientConnection, HttpClient
+from poplarlb.transport.http_server import HttpReply, HttpServer
+from tests.platform.deployment import free_address
+
+
+class HttpClientTest(unittest.IsolatedAsyncioTestCase):
+    """One server that echoes, sleeps or breaks off."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the server."""
+        self.address = free_address()
+        self.server = HttpServer(self.answer)
+        await self.server.start(self.address)
+        self.client = HttpClient()
+
+    async def asyncTearDown(self) -> None:
+        """End it."""
+        self.client.close()
+        self.server.close()
+
+    async def answer(self, request) -> HttpReply:
+        """Answer by the path."""
+        if request.path == "/slow":
+            await asyncio.sleep(5)
+        if request.path == "/break":
+            for connection in list(self.server.connections):
+                connection.transport.abort()
+        return HttpReply(200, request.body)
+
+    async def call(self, path: str, body: bytes = b"", timeout_s: float = 1.0):
+        """Call the server."""
+        return await self.client.call(
+            self.address, "POST", path, body, timeout_s=timeout_s
+        )
+
+    async def test_connections_are_used_again(self) -> None:
+        """Calls in turn share one connection."""
+        for number in range(5):
+            answer = await self.call("/", b"%d" % number)
+            self.assertEqual(answer.body, b"%d" % number)
+        self.assertEqual(self.client.connects, 1)
+        self.assertTrue(self.client.has_connection(self.address))
+
+    async def test_answers_reach_their_own_call(self) -> None:
+        """Calls side by side get each their own answer."""
+        bodies = [b"%d" % number for number in range(20)]
+        answers = await asyncio.gather(*(self.call("/", body) for body in bodies))
+        self.assertEqual([answer.body for answer in answers], bodies)
+
+    async def test_slow_answer_is_unanswered(self) -> None:
+        """A call that takes too long may have been executed."""
+        with self.assertRaises(CallUnansweredError):
+            await self.call("/slow", timeout_s=0.1)
+        self.assertFalse(self.client.has_connection(self.address))
+
+    async def test_broken_connection_is_unanswered(self) -> None:
+        """A call whose connection breaks may have been executed."""
+        with self.assertRaises(CallUnansweredError):
+            await self.call("/break")
+
+    async def test_nobody_listens(self) -> None:
+        """A call without a connection was certainly not executed."""
+        self.address = free_address()
+        with self.assertRaises(CallNotSentError):
+            await self.call("/")
+
+    async def test_connection_lost_before_the_call(self) -> None:
+        """A connection that was lost sends nothing and says so."""
+        with self.assertRaises(CallNotSentError):
+            await ClientConnection().exchange(b"")
+
+
+class HttpServerTest(unittest.IsolatedAsyncioTestCase):
+    """Bad input at the server."""
+
+    async def asyncSetUp(self) -> None:
+        """Start a server with small limits."""
+        self.address = free_address()
+        self.server = HttpServer(self.answer)
+        self.server.limits.header_bytes = 500
+        self.server.limits.body_bytes = 100
+        self.server.limits.header_s = 0.2
+        await self.server.start(self.address)
+
+    async def asyncTearDown(self) -> None:
+        """End it."""
+        self.server.close()
+
+    async def answer(self, request) -> HttpReply:
+        """Answer anything."""
+        return HttpReply(200, b"ok")
+
+    async def send(self, data: bytes) -> bytes:
+        """Send raw bytes and return all that comes until the end."""
+        host, _, port = self.address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(data)
+        try:
+            return await asyncio.wait_for(reader.read(), 2)
+        finally:
+            writer.close()
+
+    async def test_bad_input_is_told_at_once(self) -> None:
+        """Each kind of bad input has its status."""
+        cases = {
+            b"nonsense\r\n\r\n": b"400",
+            b"GET / HTTP/1.1\r\nX: " + b"x" * 600 + b"\r\n\r\n": b"431",
+            b"POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n": b"413",
+            b"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"70\r\n" + b"x" * 112 + b"\r\n0\r\n\r\n": b"413",
+            b"GET / HTTP/1.1\r\nHost: slow": b"408",
+        }
+        for data, status in cases.items():
+            with self.subTest(data=data[:40]):
+                self.assertIn(status, (await self.send(data)).split(b"\r\n")[0])
+
+    async def test_drain_closes_after_the_answer(self) -> None:
+        """A server that drains answers and closes the connection."""
+        self.server.drain()
+        answer = await self.send(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        self.assertIn(b"Connection: close", answer)
+        self.assertTrue(answer.endswith(b"ok"))
+
+
+if __name__ == "__main__":
+    unittest.main()
