Slow workers are found by the progress of tasks of one step

Ruled out: estimates (off by half) and learned times by image (sizes differ). Change: a run three times slower than the median of its step is a sign; two signs pause the worker for 3 s, and what is done sooner anew is stopped.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -35,6 +35,7 @@
 from poplarlb.coordination.jobs.pacing import Pacer
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.schedule import Scheduler
+from poplarlb.coordination.jobs.slowness import SlowWorkers
 from poplarlb.state.jobs import Job, JobSpec, JobState
 
 FORGET_PER_COMMIT = 8
@@ -54,6 +55,7 @@
     advice: AdviceDesk = None
     scheduler: Scheduler = None
     pacer: Pacer = None
+    slow_workers: SlowWorkers = None
     committing: bool = False
     committed_ms: int = 0
     in_commit_starts: list[Run] = Factory(list)
@@ -73,6 +75,7 @@
         self.advice = AdviceDesk(self.book)
         self.scheduler = Scheduler(self.book, self.advice)
         self.pacer = Pacer(self.book)
+        self.slow_workers = SlowWorkers(self.book)
 
     @classmethod
     def take_over(
@@ -311,6 +314,7 @@
         self._open_occurrences()
         self.calls.free_lost()
         self.calls.stop_stalled()
+        self.slow_workers.tick()
         self.calls.stop_due()
         self._drop_workers()
         self._forget_old()
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -31,6 +31,7 @@
     placed_ms: int
     sent_ms: int = 0
     sendings: int = 0
+    resumed: bool = False  # it began from a checkpoint
     ticket: str = ""  # of the advice service, where the queue needs one
     confirmed_ms: int = 0  # when the worker's answer to the start came
     stopping: str = ""  # why it is to be stopped
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -109,6 +109,7 @@
         task.status = TaskStatus.PLACED
         task.worker_id, task.life = worker.worker_id, worker.life
         run = Run(task, task.run, worker.worker_id, RunPhase.COMMITTING, book.now_ms)
+        run.resumed = bool(task.saved)
         if tickets is not None:
             run.ticket = tickets[worker.worker_id].text
         worker.add(run)
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -56,6 +56,7 @@
     alive: bool = True
     draining: bool = False
     fails_all: bool = False
+    speed: float = 1.0
     noted: set[tuple[str, int]] = Factory(set)  # ends as done that were acknowledged
 
     def listing(self) -> WorkerListing:
@@ -78,7 +79,7 @@
         self.clock_ms += elapsed_ms * self.clock_rate
         for key, run in list(self.runs.items()):
             if not run.stands:
-                run.done_ms += elapsed_ms * run.pace / 100
+                run.done_ms += elapsed_ms * run.pace / 100 * self.speed
             if run.stop_at_ms is not None and self.clock_ms >= run.stop_at_ms:
                 self.end(key, RunEnd.STOPPED)
             elif run.done_ms >= run.work_ms:
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -187,6 +187,17 @@
         (after,) = self.world.running().values()
         self.assertNotEqual(after, place)
 
+    def test_slow_worker_is_left_and_its_work_done_elsewhere(self) -> None:
+        """Steps end in time although one worker is seven times slower."""
+        self.world.workers["w1"].speed = 1 / 7
+        self.world.work_ms = 1_500
+        ids = [f"{number:016x}" for number in range(4)]
+        for job_id in ids:
+            self.world.submit(make_job(job_id, StepSpec(8, SMALL, estimate_ms=1_500)))
+        self.world.run(5_500)
+        for job_id in ids:
+            self.assertIs(self.world.state(job_id), JobState.DONE)
+
     def test_step_runs_only_where_the_advice_allows(self) -> None:
         """A queue that needs advice starts with tickets, and asks for few workers."""
         world = JobWorld(queue=attrs.evolve(QUEUE, needs_advice=True), good={"w2"})
