Leases are renewed in quiet times; a gang that doesn't fit leaves no trace

Ruled out by reading: the lease's own renewal is as good a proof, since nobody can claim while it lives. Change: it counts.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -132,8 +132,11 @@
             book.commands.append(StepDown(f"{event.worker_id} saw a higher epoch"))
             return
         if event.outcome is CallOutcome.UNANSWERED:
-            late_ms = event.sent_ms + book.policy.late_start_ms
-            worker.loose[(event.task, event.run)] = late_ms
+            worker.note_loose(
+                (event.task, event.run),
+                event.sent_ms + book.policy.late_start_ms,
+                book.now_ms,
+            )
         if run is None:
             return
         if event.outcome is CallOutcome.DONE:
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -181,6 +181,11 @@
         self.failures = 0
         self.stray_stops.clear()
 
+    def note_loose(self, key: tuple[str, int], until_ms: int, now_ms: int) -> None:
+        """Remember a start without an answer, which may be carried out until then."""
+        self.loose = {item: end for item, end in self.loose.items() if end > now_ms}
+        self.loose[key] = until_ms
+
     def is_usable(self, now_ms: int) -> bool:
         """Tell whether new runs may be placed here."""
         return (
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -84,27 +84,32 @@
                     continue
                 pressing = spec.fills and self.is_pressing(job)
                 for task in startable:
-                    waiting |= not self._place(
+                    run = self._reserve(
                         task, queue.service, placement, pressing=pressing
                     )
+                    if run is None:
+                        waiting = True
+                    else:
+                        self._announce(run)
         if not waiting:
             self.book.unplaced.discard(job)
 
-    def _place(
+    def _reserve(
         self,
         task: Task,
         service: str,
         placement: Placement,
         rack: str = "",
         pressing: bool = True,
-    ) -> bool:
+    ) -> Run | None:
+        """Reserve a task's room; None if there is none."""
         book = self.book
         tickets = None
         if book.queue_of(task.job).needs_advice:
             tickets = self.advice.allowed(task.step_key)
         worker = placement.choose(task, service, rack, pressing, tickets)
         if worker is None:
-            return False
+            return None
         task.run += 1
         task.status = TaskStatus.PLACED
         task.worker_id, task.life = worker.worker_id, worker.life
@@ -113,6 +118,13 @@
         if tickets is not None:
             run.ticket = tickets[worker.worker_id].text
         worker.add(run)
+        return run
+
+    def _announce(self, run: Run) -> None:
+        """Have a reserved run stored and started."""
+        book = self.book
+        task = run.task
+        worker = book.workers[run.worker_id]
         book.to_start.append(run)
         waited_ms = book.utc_ms - task.job.due_utc_ms(task.occurrence)
         book.note_task(
@@ -133,7 +145,6 @@
                 waited_ms=waited_ms,
             )
         book.touch(task.job)
-        return True
 
     def _place_gang(self, tasks, spec, service: str, placement: Placement) -> bool:
         """Place all members under one run number, or none."""
@@ -150,21 +161,27 @@
                 }
             )
         for rack in racks:
-            begun = len(self.book.to_start)
             for task in tasks:
                 task.run = number
-            if all(self._place(task, service, placement, rack) for task in tasks):
+            runs = []
+            for task in tasks:
+                run = self._reserve(task, service, placement, rack)
+                if run is None:
+                    break
+                runs.append(run)
+            if len(runs) == len(tasks):
+                for run in runs:
+                    self._announce(run)
                 return True
-            self._undo(begun)
+            self._give_up(runs)
         return False
 
-    def _undo(self, begun: int) -> None:
-        book = self.book
-        for run in book.to_start[begun:]:
-            book.workers[run.worker_id].remove(run)
+    def _give_up(self, runs: list[Run]) -> None:
+        """Free what was reserved for a gang that doesn't fit."""
+        for run in runs:
+            self.book.workers[run.worker_id].remove(run)
             run.task.status = TaskStatus.WAITING
             run.task.worker_id, run.task.life = "", 0
-        del book.to_start[begun:]
 
 
 def objective_of(job: Job, stretch: float, allowance_ms: int) -> float:
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -7,6 +7,7 @@
 import orjson
 from attrs import define, field
 
+from poplarlb.coordination.jobs.events import OwnershipProven
 from poplarlb.event_log import EventLog
 from poplarlb.exceptions import DeposedError, PoplarlbError
 from poplarlb.protocol.store import (
@@ -20,7 +21,7 @@
 )
 from poplarlb.transport.committer import Committer, decode_epoch, encode_chain
 from poplarlb.transport.job_keys import CHAIN, HOLDER
-from poplarlb.transport.job_owner import JobOwner
+from poplarlb.transport.job_owner import JobOwner, steady_ms
 from poplarlb.transport.prefix_watcher import PrefixWatcher
 
 LEASE_MS = 1_500  # a dead owner is replaced after this
@@ -169,11 +170,8 @@
         while True:
             await asyncio.sleep(RENEW_S)
             try:
-                if self.held_by == self.daemon_id and await self.store.renew_lease(
-                    self.lease
-                ):
-                    continue
-                await self._hold_again(committer)
+                if not await self._renew_once():
+                    await self._hold_again(committer)
             except DeposedError as error:
                 self.log.write("ownership_lost", reason=error.detail)
                 if self.owner is not None:
@@ -182,6 +180,17 @@
             except PoplarlbError as error:
                 self.log.write("renewal_failed", error=error.detail)
 
+    async def _renew_once(self) -> bool:
+        """Renew the lease; while it lives, nobody else can claim the ownership."""
+        if self.held_by != self.daemon_id:
+            return False
+        sent_ms = steady_ms()
+        if not await self.store.renew_lease(self.lease):
+            return False
+        if self.owner is not None:
+            self.owner.feed(OwnershipProven(sent_ms))
+        return True
+
     async def _hold_again(self, committer: Committer) -> None:
         if self.held_by not in ("", self.daemon_id):
             raise DeposedError(f"{self.held_by} holds the ownership")
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -158,6 +158,8 @@
         self.world.submit(make_job(JOB, StepSpec(5, big, gang=True)))
         self.world.run(1_000)
         self.assertEqual(self.world.running(), {})
+        self.assertIs(self.world.state(JOB), JobState.PENDING)
+        self.assertEqual(self.world.noted("task_placed"), [])
         self.world.add_workers(1)
         self.world.run(300)
         self.assertEqual(len(self.world.running()), 5)
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -129,6 +129,17 @@
         await self.system.until_state(ID, "done", daemon=other)
         self.assertEqual(len(self.system.workers.starts), 2)
 
+    async def test_lasting_task_outlives_a_quiet_time(self) -> None:
+        """Leases are renewed while nothing changes and nothing is committed."""
+        self.system.workers.work_ms = 60_000
+        step = {"count": 2, "cpu": 500, "memMb": 256, "longRunning": True}
+        await self.system.call("POST", f"/o/{ID}", {"spec": "", "steps": [step]})
+        await self.system.until_state(ID, "active")
+        await asyncio.sleep(11.5)  # the bound without proof and a lease after it
+        workers = self.system.workers.workers.values()
+        self.assertEqual(sum(len(worker.runs) for worker in workers), 2)
+        self.assertEqual(len(self.system.workers.starts), 2)
+
     async def test_lost_answer_of_an_acceptance(self) -> None:
         """A job whose acceptance got no answer is stored once."""
         self.system.store.silent_writes = 1
