--- /dev/null
+++ b/tests/coordination/jobs/test_planted_faults.py
@@ -0,0 +1,129 @@
+"""Faults planted in the rules for worker calls; the walks must find each."""
+
+import contextlib
+import unittest
+from unittest import mock
+
+from poplarlb.coordination.jobs.calls import WorkerCalls
+from poplarlb.coordination.jobs.dispatcher import Dispatcher
+from poplarlb.coordination.jobs.ends import ReportReader
+from poplarlb.coordination.jobs.events import CallOutcome
+from poplarlb.coordination.jobs.fleet import WorkerState
+from tests.coordination.jobs.test_job_fuzz import faults, walk
+
+SEEDS_TRIED = 150
+
+
+def acknowledge_early():
+    """An end is acknowledged before its record is in the store."""
+    original = ReportReader.read
+
+    def read(self, worker, look) -> None:
+        original(self, worker, look)
+        worker.seen = worker.heard
+
+    return mock.patch.object(ReportReader, "read", read)
+
+
+def forget_unanswered():
+    """An unanswered start is taken for one that was refused."""
+    original = WorkerCalls.start_answered
+
+    def start_answered(self, event) -> None:
+        run = self.book.worker(event.worker_id).runs.get((event.task, event.run))
+        if event.outcome is CallOutcome.UNANSWERED and run is not None:
+            self.book.free(self.book.worker(event.worker_id), run, "planted")
+            return
+        original(self, event)
+
+    return mock.patch.object(WorkerCalls, "start_answered", start_answered)
+
+
+def halve_the_lease():
+    """A silent worker's runs are given up before their lease is over."""
+
+    def lease_is_over(self, policy, now_ms: int) -> bool:
+        return now_ms - self.answered_ms > policy.lease_ms / 2
+
+    return mock.patch.object(WorkerState, "lease_is_over", lease_is_over)
+
+
+def trust_the_first_look():
+    """A new owner doesn't wait for workers that it can't reach."""
+    original = Dispatcher.take_over.__func__
+
+    def take_over(cls, policy, epoch, jobs, now_ms):
+        dispatcher = original(cls, policy, epoch, jobs, now_ms)
+        for worker in dispatcher.book.workers.values():
+            worker.unknown_until_ms = 0
+        return dispatcher
+
+    return mock.patch.object(Dispatcher, "take_over", classmethod(take_over))
+
+
+def place_beside_a_held_run():
+    """A task is placed again while an earlier run may still be at work."""
+    original = WorkerState.add
+
+    def add(self, run) -> None:
+        original(self, run)
+        run.task.held = 0
+
+    return mock.patch.object(WorkerState, "add", add)
+
+
+def free_at_the_stop():
+    """The answer to a stop is taken for the run's end."""
+    original = WorkerCalls.stop_answered
+
+    def stop_answered(self, event) -> None:
+        original(self, event)
+        worker = self.book.worker(event.worker_id)
+        run = worker.runs.get((event.task, event.run))
+        if run is not None and event.outcome is CallOutcome.DONE:
+            self.book.free(worker, run, "planted")
+
+    return mock.patch.object(WorkerCalls, "stop_answered", stop_answered)
+
+
+def take_an_id_for_a_life():
+    """Numbers of ends of an earlier life are kept for the next one."""
+
+    def begin_life(self, life: int) -> None:
+        self.life = life
+
+    return mock.patch.object(WorkerState, "begin_life", begin_life)
+
+
+PLANTED = {
+    acknowledge_early: 7,
+    forget_unanswered: 1,
+    halve_the_lease: 27,
+    trust_the_first_look: 13,
+    place_beside_a_held_run: 1,
+    free_at_the_stop: 14,
+    take_an_id_for_a_life: 1,
+}  # the seed whose walk finds each
+
+
+def breaks(plant, seed: int) -> bool:
+    """Tell whether a walk breaks with a fault planted."""
+    with plant():
+        return bool(faults(walk(seed)))
+
+
+class PlantedFaultTest(unittest.TestCase):
+    """Each rule left out breaks a walk that is sound with it."""
+
+    def test_each_fault_is_found(self) -> None:
+        """The walk of the fault's seed breaks with the fault, and only with it."""
+        for plant, seed in PLANTED.items():
+            with self.subTest(plant=plant.__name__, seed=seed):
+                self.assertTrue(breaks(plant, seed))
+                self.assertFalse(breaks(contextlib.nullcontext, seed))
+
+
+if __name__ == "__main__":
+    for planted in PLANTED:
+        found = (seed for seed in range(1, SEEDS_TRIED) if breaks(planted, seed))
+        print(planted.__name__, next(found, None), flush=True)
