--- a/tests/coordination/jobs/test_planted_faults.py
+++ b/tests/coordination/jobs/test_planted_faults.py
@@ -15,7 +15,7 @@
 
 
 def acknowledge_early():
-    """An end is acknowledged before its record is in the store."""
+    """Acknowledge an end before its record is in the store."""
     original = ReportReader.read
 
     def read(self, worker, look) -> None:
@@ -26,7 +26,7 @@
 
 
 def forget_unanswered():
-    """An unanswered start is taken for one that was refused."""
+    """Take an unanswered start for one that was refused."""
     original = WorkerCalls.start_answered
 
     def start_answered(self, event) -> None:
@@ -40,7 +40,7 @@
 
 
 def halve_the_lease():
-    """A silent worker's runs are given up before their lease is over."""
+    """Give a silent worker up before its lease is over."""
 
     def lease_is_over(self, policy, now_ms: int) -> bool:
         return now_ms - self.answered_ms > policy.lease_ms / 2
@@ -49,7 +49,7 @@
 
 
 def trust_the_first_look():
-    """A new owner doesn't wait for workers that it can't reach."""
+    """Let a new owner not wait for workers that it can't reach."""
     original = Dispatcher.take_over.__func__
 
     def take_over(cls, policy, epoch, jobs, now_ms):
@@ -62,7 +62,7 @@
 
 
 def place_beside_a_held_run():
-    """A task is placed again while an earlier run may still be at work."""
+    """Place a task again while an earlier run may still be at work."""
     original = WorkerState.add
 
     def add(self, run) -> None:
@@ -73,7 +73,7 @@
 
 
 def free_at_the_stop():
-    """The answer to a stop is taken for the run's end."""
+    """Take the answer to a stop for the run's end."""
     original = WorkerCalls.stop_answered
 
     def stop_answered(self, event) -> None:
@@ -87,7 +87,7 @@
 
 
 def take_an_id_for_a_life():
-    """Numbers of ends of an earlier life are kept for the next one."""
+    """Keep numbers of ends of an earlier life for the next one."""
 
     def begin_life(self, life: int) -> None:
         self.life = life
