Tests of heavy load: bursts, lasting beside short, wide and big tasks, harmful neighbours

Change: a module without a network names each pattern. With the sort key reduced to the time left, the tests of priorities and of lasting tasks fail.

--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -29,6 +29,7 @@
 QUEUE = QueueConfig(
     "orders", "h", "/o/", "desk", max_attempts=3, stretch=1.5, objective_ms=500
 )
+PATIENT = attrs.evolve(QUEUE, name="patient", prefix="/p/", priority=2)
 START_UTC_MS = 1_800_000_000_000
 
 
@@ -107,7 +108,7 @@
             jobs.append(job)
         now_ms = int(self.now_ms)
         self.owner = Dispatcher.take_over(self.policy, self.epoch, jobs, now_ms)
-        self.feed(events.ConfigChanged(OperatorConfig(1, (self.queue,))))
+        self.feed(events.ConfigChanged(OperatorConfig(1, (self.queue, PATIENT))))
         for listing in self.listed.values():
             self.feed(events.WorkerListed(listing))
         for job_id in self.cancels:
--- /dev/null
+++ b/tests/coordination/jobs/test_load.py
@@ -0,0 +1,145 @@
+"""Patterns of heavy load, and what the scheduler does about each; no network."""
+
+import unittest
+
+import attrs
+
+from poplarlb.coordination.jobs.fleet import WorkerState
+from poplarlb.coordination.jobs.harm import HarmModel
+from poplarlb.coordination.jobs.placement import Placement
+from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.state.jobs import Job, JobState, StepSpec
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.job_world import JobWorld, make_job
+
+QUARTER = Resources(4_000, 1_000)
+WHOLE = Resources(16_000, 1_000)
+
+
+def name(number: int) -> str:
+    """Return a job's id."""
+    return f"{number:016x}"
+
+
+class BurstTest(unittest.TestCase):
+    """More jobs than the workers can run."""
+
+    def setUp(self) -> None:
+        """Begin with four workers of four tasks each."""
+        self.world = JobWorld(work_ms=1_000)
+        self.world.new_owner()
+        self.world.add_workers(4)
+        self.world.run(200)
+
+    def tearDown(self) -> None:
+        """Check that nothing was broken meanwhile."""
+        self.assertEqual(self.world.violations, [])
+
+    def submit(self, number: int, step: StepSpec, queue: str = "orders") -> None:
+        """Submit a job that is accepted now."""
+        spec = attrs.evolve(
+            make_job(name(number), step),
+            queue=queue,
+            accepted_utc_ms=self.world.utc_ms(),
+        )
+        self.world.submit(spec)
+
+    def test_burst_of_patient_jobs_delays_no_urgent_one(self) -> None:
+        """Patient jobs that wait give every room that falls free to urgent ones."""
+        for number in range(40):
+            self.submit(number, StepSpec(4, QUARTER, estimate_ms=1_000), "patient")
+        self.world.run(300)
+        self.submit(100, StepSpec(4, QUARTER, estimate_ms=1_000))
+        self.world.run(2_600)
+        self.assertIs(self.world.state(name(100)), JobState.DONE)
+
+    def test_lasting_tasks_wait_for_short_ones_of_their_priority(self) -> None:
+        """Room that falls free goes to what passes it on."""
+        self.submit(0, StepSpec(16, QUARTER, estimate_ms=1_000))
+        self.world.run(100)
+        lasting = StepSpec(16, QUARTER, estimate_ms=100, long_running=True)
+        self.submit(1, lasting)
+        self.submit(2, StepSpec(16, QUARTER, estimate_ms=1_000))
+        self.world.run(1_500)
+        running = {task.split(".")[0] for task in self.world.running()}
+        self.assertIn(name(2), running)
+        self.assertNotIn(name(1), running)
+
+    def test_widest_jobs_are_not_starved(self) -> None:
+        """A job as wide as all workers ends beside a stream of narrow ones."""
+        begun_ms = self.world.now_ms
+        self.submit(0, StepSpec(16, QUARTER, estimate_ms=1_000))
+        for number in range(1, 60):
+            self.submit(number, StepSpec(2, QUARTER, estimate_ms=1_000))
+            self.world.run(100)
+            if self.world.state(name(0)) is JobState.DONE:
+                break
+        late_ms = 3 * (1.5 * 1_000 + 500)  # what ends later earns nothing
+        self.assertLess(self.world.now_ms - begun_ms, late_ms)
+
+    def test_big_tasks_find_a_whole_worker(self) -> None:
+        """Tasks that need a whole worker run although small ones keep coming."""
+        self.submit(0, StepSpec(2, WHOLE, estimate_ms=1_000))
+        for number in range(1, 60):
+            self.submit(number, StepSpec(1, QUARTER, estimate_ms=1_000), "patient")
+            self.world.run(100)
+        self.assertIs(self.world.state(name(0)), JobState.DONE)
+
+    def test_worker_that_fails_everything_is_left_alone(self) -> None:
+        """A worker that fails what it starts takes few attempts with it."""
+        self.world.workers["w0"].fails_all = True
+        for number in range(30):
+            self.submit(number, StepSpec(3, QUARTER, estimate_ms=1_000))
+            self.world.run(300)
+        self.world.run(6_000)
+        failed = sum(
+            self.world.state(name(number)) is JobState.FAILED for number in range(30)
+        )
+        self.assertEqual(failed, 0)
+
+
+class HarmfulNeighbourTest(unittest.TestCase):
+    """Filling tasks whose image harms one serving image and not another."""
+
+    def setUp(self) -> None:
+        """Put one serving task on each of two workers."""
+        self.world = JobWorld(work_ms=60_000)
+        self.world.new_owner()
+        self.world.add_workers(2)
+        self.world.run(200)
+        size = Resources(8_000, 1_000)
+        for number, image in enumerate(("web", "api")):
+            step = StepSpec(1, size, long_running=True, image=image, target_ms=40)
+            self.world.submit(make_job(name(number), step))
+            self.world.run(200)
+        harm = HarmModel({"web": {"sum": 2.5}, "api": {"sum": 0.0}})
+        workers = list(self.world.owner.book.workers.values())
+        self.placement = Placement(JobPolicy(), harm, {"desk": workers})
+
+    def choose(self, image: str) -> WorkerState | None:
+        """Return where a filling task of an image goes."""
+        step = StepSpec(1, Resources(4_000, 1_000), image=image, fills=True)
+        (task,) = Job(make_job("f" * 16, step)).open_occurrence(0).steps[0]
+        return self.placement.choose(task, "desk")
+
+    def serving(self, worker: WorkerState) -> set[str]:
+        """Return the serving images at a worker."""
+        return set(worker.serving_steps().values())
+
+    def test_serving_images_are_apart(self) -> None:
+        """Each image has its own worker while there is room."""
+        placed = [self.serving(w) for w in self.world.owner.book.workers.values()]
+        self.assertCountEqual(placed, [{"web"}, {"api"}])
+
+    def test_filling_task_goes_where_it_does_no_harm(self) -> None:
+        """The neighbour that it doesn't press is chosen."""
+        self.assertEqual(self.serving(self.choose("sum")), {"api"})
+
+    def test_filling_task_waits_rather_than_harm(self) -> None:
+        """Where it would press every neighbour over its target, it is not placed."""
+        self.placement.harm.presses["api"]["sum"] = 2.5
+        self.assertIsNone(self.choose("sum"))
+
+
+if __name__ == "__main__":
+    unittest.main()
