--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -15,6 +15,8 @@
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.state.jobs import TaskStatus
 
+START_SENDINGS = 3  # of a start that gets no answer
+# The worker has said, or it is certain, that the start was not carried out.
 NOT_STARTED = frozenset(
     (
         CallOutcome.NO_ROOM,
@@ -27,9 +29,6 @@
 )
 
 
-START_SENDINGS = 3  # of a start that gets no answer
-
-
 @define(eq=False)
 class WorkerCalls:
     """Orders calls and settles those that failed.
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -59,31 +59,44 @@
         known = self.misfits.get(constraint, ())
         if any(item.fits_in(spec.size) for item in known):
             return None
+        pressures = {
+            worker.worker_id: pressure
+            for worker in self.workers.get(service, ())
+            if allows(worker, spec, rack)
+            and (only is None or worker.worker_id in only)
+            and has_room(worker, spec)
+            and (
+                (pressure := self.pressure_with(worker, spec)) <= limit
+                or not spec.fills
+            )
+        }
+        if not pressures:
+            self.misfits.setdefault(constraint, []).append(spec.size)
+            return None
+        best = self._cheapest(task, service, pressures)
+        if best is not None:
+            # The caller places the task there, which changes what presses.
+            self.pressures.pop(best.worker_id, None)
+        return best
+
+    def _cheapest(
+        self, task: Task, service: str, pressures: dict[str, float]
+    ) -> WorkerState | None:
+        """Return the cheapest of some workers that the step's spread limit allows."""
+        spec = task.spec
         same_step = self.count_step(task, service)
-        best, best_cost, fits = None, 0.0, False
+        best, best_cost = None, 0.0
         for worker in self.workers.get(service, ()):
-            if not allows(worker, spec, rack):
-                continue
-            if only is not None and worker.worker_id not in only:
-                continue
-            if not has_room(worker, spec):
-                continue
-            pressure = self.pressure_with(worker, spec)
-            if spec.fills and pressure > limit:
-                continue
-            fits = True
+            pressure = pressures.get(worker.worker_id)
             there = same_step[worker.worker_id]
+            if pressure is None:
+                continue
             if spec.max_per_worker and there >= spec.max_per_worker:
                 continue
             cost = cost_of(worker, spec, self.policy) + there * STEP_COST
             cost += PRESSURE_COST * pressure
             if best is None or cost < best_cost:
                 best, best_cost = worker, cost
-        if best is not None:
-            # The caller places the task there, which changes what presses.
-            self.pressures.pop(best.worker_id, None)
-        if not fits:
-            self.misfits.setdefault(constraint, []).append(spec.size)
         return best
 
     def pressure_with(self, worker: WorkerState, spec: StepSpec) -> float:
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -26,6 +26,7 @@
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.http_client import HttpClient
 from poplarlb.transport.http_server import (
+    Handler,
     HttpLimits,
     HttpReply,
     HttpRequest,
@@ -57,7 +58,8 @@
     store: PlatformStore = None
     operator: OperatorView = None
     front: Front = None
-    servers: list[HttpServer] = field(factory=list)
+    front_server: HttpServer = None
+    servers: list[HttpServer] = field(factory=list)  # with the front's
     ownership: OwnershipLoop = None
     view_ms: int = 0
     stopped: asyncio.Event = field(factory=asyncio.Event)
@@ -81,13 +83,10 @@
     async def run(self) -> None:
         """Serve until stopped."""
         settings = self.settings
-        front = HttpServer(self.front.handle)
-        self.servers = [front, HttpServer(self._answer_ready)]
-        await self.servers[0].start(settings.listen.front)
-        await self.servers[1].start(settings.listen.ready)
+        self.front_server = await self._serve(self.front.handle, settings.listen.front)
+        await self._serve(self._answer_ready, settings.listen.ready)
         if settings.listen.metrics:
-            self.servers.append(HttpServer(self._answer_metrics))
-            await self.servers[2].start(settings.listen.metrics)
+            await self._serve(self._answer_metrics, settings.listen.metrics)
         self._add_gauges()
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
@@ -120,6 +119,12 @@
         self.log.write("stopped")
         self.log.flush()
 
+    async def _serve(self, handler: Handler, address: str) -> HttpServer:
+        server = HttpServer(handler)
+        await server.start(address)
+        self.servers.append(server)
+        return server
+
     # --- owner ------------------------------------------------------------------------
 
     async def _load_owner(self, committer: Committer) -> JobOwner:
@@ -141,7 +146,7 @@
         if isinstance(event, events.ConfigChanged):
             self.front.config = event.config
             limits = event.config.limits
-            self.servers[0].limits = HttpLimits(
+            self.front_server.limits = HttpLimits(
                 limits.header_bytes,
                 limits.body_bytes,
                 limits.header_ms / 1000,
@@ -217,7 +222,7 @@
         loop = asyncio.get_running_loop()
         bounds = self.settings.bounds
         until_s = loop.time() + (bounds.grace_ms - STOP_MARGIN_MS) / 1000
-        front = self.servers[0]
+        front = self.front_server
         front.drain()
         await self.ownership.stop()
         # Connections stay with this daemon and new ones come until the platform has
