Divide coordination by subject; no behaviour changed

Ruled out: dividing by layer inside coordination; the layers are transport, protocol, coordination and state already. Tests mirror it.

--- a/bench/baselines.py
+++ b/bench/baselines.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.policy import (
+from poplarlb.coordination.policy.policy import (
     Chosen,
     EvictionWanted,
     NotPlaced,
@@ -15,7 +15,7 @@
     Relief,
     WorkerRoom,
 )
-from poplarlb.coordination.rooms import service_of
+from poplarlb.coordination.workers.rooms import service_of
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Reason, Resources, TaskSpec
 from poplarlb.state.templates import ConfigView
--- a/bench/config.py
+++ b/bench/config.py
@@ -5,7 +5,7 @@
 import time
 
 from bench.rows import Row, save_rows
-from poplarlb.coordination.config_change import propose
+from poplarlb.coordination.configuration.config_change import propose
 from poplarlb.protocol import api, codec
 from poplarlb.protocol.ports import StoreRead, StoreWrite
 from poplarlb.settings import StoreSettings
--- a/bench/decisions.py
+++ b/bench/decisions.py
@@ -5,7 +5,12 @@
 
 from bench.loads import KITAKAZE
 from bench.rows import Row, save_rows
-from poplarlb.coordination.policy import PlacedTask, Policy, QueuedTask, WorkerRoom
+from poplarlb.coordination.policy.policy import (
+    PlacedTask,
+    Policy,
+    QueuedTask,
+    WorkerRoom,
+)
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass, Worker
 
--- a/bench/driver.py
+++ b/bench/driver.py
@@ -10,7 +10,7 @@
 from bench.baselines import Baseline, make_policy
 from bench.fakes import CHECKPOINT_S, RESTART_S, FakeTask, FakeWorker
 from bench.loads import DURATION_S, ZONE_OUT_S, Load
-from poplarlb.coordination.policy import (
+from poplarlb.coordination.policy.policy import (
     Chosen,
     EvictionWanted,
     Policy,
@@ -18,7 +18,7 @@
     Relief,
     WorkerRoom,
 )
-from poplarlb.coordination.replicas import replicas_wanted
+from poplarlb.coordination.workers.replicas import replicas_wanted
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Resources, ZoneState
 from poplarlb.state.templates import ConfigView, ZoneEntry
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -15,11 +15,11 @@
 
 from bench.processes import Deployment, read_usage
 from bench.rows import Row, save_rows
-from poplarlb.coordination.admission import Admission, Endpoint
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.key_takeover import KeyPeers
-from poplarlb.coordination.marks import MarkStore
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.admission import Admission, Endpoint
+from poplarlb.coordination.requests.idempotency import KeyTable
+from poplarlb.coordination.requests.key_takeover import KeyPeers
+from poplarlb.coordination.requests.marks import MarkStore
 from poplarlb.protocol import api, codec, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Resources, Worker
--- a/bench/shard.py
+++ b/bench/shard.py
@@ -13,13 +13,13 @@
 from attrs import define, evolve, field
 
 from bench.rows import Row, save_rows
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.effects import Effects, Resume
-from poplarlb.coordination.policy import Policy
-from poplarlb.coordination.shard import ShardMachine
-from poplarlb.coordination.shard_host import CHANGES, ShardHost
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.policy.policy import Policy
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.shards.effects import Effects, Resume
+from poplarlb.coordination.shards.shard import ShardMachine
+from poplarlb.coordination.shards.shard_host import CHANGES, ShardHost
 from poplarlb.protocol import api, codec, ports
 from poplarlb.settings import Settings, ShardSettings
 from poplarlb.state.changes import Change
--- a/bench/store.py
+++ b/bench/store.py
@@ -13,17 +13,17 @@
 from attrs import Factory, define, evolve
 
 from bench.rows import Row, save_rows
-from poplarlb.coordination.config import ConfigKeeper
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.journal import Journal, Recovered, SnapshotWanted
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import (
+from poplarlb.coordination.configuration.config import ConfigKeeper
+from poplarlb.coordination.journal.journal import Journal, Recovered, SnapshotWanted
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import (
     HandOverWanted,
     Ownership,
     ShardAcquired,
     ShardLost,
 )
-from poplarlb.coordination.sharding import Member, ShardMap, shard_zone
+from poplarlb.coordination.membership.sharding import Member, ShardMap, shard_zone
 from poplarlb.protocol import codec, messages, ports
 from poplarlb.settings import JournalSettings, Settings, ShardSettings, StoreSettings
 from poplarlb.state import changes
--- a/poplarlb/coordination/config.py
+++ b/poplarlb/coordination/configuration/config.py
@@ -5,8 +5,8 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.config_change import ChangeInProgress, Step
-from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.configuration.config_change import ChangeInProgress, Step
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import api, codec, messages, ports
 from poplarlb.state.models import Reason
--- a/poplarlb/coordination/journal.py
+++ b/poplarlb/coordination/journal/journal.py
@@ -4,13 +4,13 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from poplarlb.coordination.backoff import Backoff
-from poplarlb.coordination.budget import UrgentStoreCall
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.recovery import Recovery, RecoveryPhase
-from poplarlb.coordination.ring import JournalEntry, ShardKeys
-from poplarlb.coordination.snapshots import SnapshotBody, SnapshotWriter
-from poplarlb.coordination.staging import Batch, StagingQueue
+from poplarlb.coordination.journal.recovery import Recovery, RecoveryPhase
+from poplarlb.coordination.journal.ring import JournalEntry, ShardKeys
+from poplarlb.coordination.journal.snapshots import SnapshotBody, SnapshotWriter
+from poplarlb.coordination.journal.staging import Batch, StagingQueue
+from poplarlb.coordination.membership.backoff import Backoff
+from poplarlb.coordination.membership.budget import UrgentStoreCall
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.protocol import codec, ports
 from poplarlb.settings import JournalSettings
 
--- a/poplarlb/coordination/recovery.py
+++ b/poplarlb/coordination/journal/recovery.py
@@ -4,15 +4,15 @@
 
 from attrs import Factory, define, field
 
-from poplarlb.coordination.backoff import Backoff
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.ring import (
+from poplarlb.coordination.journal.ring import (
     JournalEntry,
     ShardKeys,
     SnapshotHead,
     join_items,
 )
-from poplarlb.coordination.snapshots import SnapshotBody
+from poplarlb.coordination.journal.snapshots import SnapshotBody
+from poplarlb.coordination.membership.backoff import Backoff
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.exceptions import SettingsError
 from poplarlb.protocol import codec, ports
 
--- a/poplarlb/coordination/snapshots.py
+++ b/poplarlb/coordination/journal/snapshots.py
@@ -3,9 +3,9 @@
 import cbor2
 from attrs import Factory, define, field, frozen
 
-from poplarlb.coordination.backoff import Backoff
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.ring import ShardKeys, SnapshotHead
+from poplarlb.coordination.journal.ring import ShardKeys, SnapshotHead
+from poplarlb.coordination.membership.backoff import Backoff
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import codec, ports
 
--- a/poplarlb/coordination/context.py
+++ b/poplarlb/coordination/membership/context.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.sharding import ShardMap
 from poplarlb.settings import Settings
 from poplarlb.state.changes import Change
 from poplarlb.state.models import Worker
--- a/poplarlb/coordination/handover.py
+++ b/poplarlb/coordination/membership/handover.py
@@ -2,9 +2,9 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import Ownership
-from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import Ownership
+from poplarlb.coordination.shards.shard_host import ShardHost
 from poplarlb.protocol import ports
 
 STUCK_MS = 10_000
--- a/poplarlb/coordination/membership.py
+++ b/poplarlb/coordination/membership/membership.py
@@ -2,10 +2,10 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.gossip import Gossip
-from poplarlb.coordination.registration import Registration
-from poplarlb.coordination.sharding import Member
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.gossip import Gossip
+from poplarlb.coordination.membership.registration import Registration
+from poplarlb.coordination.membership.sharding import Member
 from poplarlb.protocol import codec, messages, ports
 
 READ_PERIOD_MS = 1_500
--- a/poplarlb/coordination/owner_calls.py
+++ b/poplarlb/coordination/membership/owner_calls.py
@@ -2,10 +2,10 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import Ownership
-from poplarlb.coordination.requests import (
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import Ownership
+from poplarlb.coordination.requests.requests import (
     RequestParts,
     no_owner_fault,
     silent_owner_fault,
--- a/poplarlb/coordination/ownership.py
+++ b/poplarlb/coordination/membership/ownership.py
@@ -2,9 +2,14 @@
 
 from attrs import Factory, define, evolve, frozen
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.sharding import Member, ShardMap, choose_second, owner_order
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.sharding import (
+    Member,
+    ShardMap,
+    choose_second,
+    owner_order,
+)
 from poplarlb.protocol import codec, ports
 
 READ_PERIOD_MS = 1_000
--- a/poplarlb/coordination/registration.py
+++ b/poplarlb/coordination/membership/registration.py
@@ -2,9 +2,9 @@
 
 from attrs import define, field
 
-from poplarlb.coordination.backoff import Backoff
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.sharding import Member
+from poplarlb.coordination.membership.backoff import Backoff
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.sharding import Member
 from poplarlb.protocol import codec, ports
 
 
--- a/poplarlb/coordination/status.py
+++ b/poplarlb/coordination/membership/status.py
@@ -2,11 +2,11 @@
 
 import collections
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import Ownership
-from poplarlb.coordination.shard_host import ShardHost
-from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import Ownership
+from poplarlb.coordination.membership.sharding import Member, ShardMap
+from poplarlb.coordination.shards.shard_host import ShardHost
 from poplarlb.protocol import api
 from poplarlb.state.models import TaskPhase, WorkClass, ZoneState
 
--- a/poplarlb/coordination/interference.py
+++ b/poplarlb/coordination/policy/interference.py
@@ -17,8 +17,8 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.recent import keep_recent
-from poplarlb.coordination.rooms import (
+from poplarlb.coordination.requests.recent import keep_recent
+from poplarlb.coordination.workers.rooms import (
     PlacedTask,
     WorkerRoom,
     cpu_share,
--- a/poplarlb/coordination/placement.py
+++ b/poplarlb/coordination/policy/placement.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.rooms import (
+from poplarlb.coordination.workers.rooms import (
     Chosen,
     HarmEstimates,
     NotPlaced,
--- a/poplarlb/coordination/policy.py
+++ b/poplarlb/coordination/policy/policy.py
@@ -7,19 +7,20 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.breaches import BreachMonitor
-from poplarlb.coordination.fairness import order_by_band
-from poplarlb.coordination.interference import HarmTable
-from poplarlb.coordination.placement import Placement
-from poplarlb.coordination.quarantine import Quarantine
-from poplarlb.coordination.recent import forget_absent
-from poplarlb.coordination.relief import (
+from poplarlb.coordination.policy.breaches import BreachMonitor
+from poplarlb.coordination.policy.fairness import order_by_band
+from poplarlb.coordination.policy.interference import HarmTable
+from poplarlb.coordination.policy.placement import Placement
+from poplarlb.coordination.policy.quarantine import Quarantine
+from poplarlb.coordination.policy.relief import (
     EvictionBudget,
     EvictionCosts,
     ReliefPlanner,
     RoomMaker,
 )
-from poplarlb.coordination.rooms import (
+from poplarlb.coordination.policy.sizes import SizeLearner
+from poplarlb.coordination.requests.recent import forget_absent
+from poplarlb.coordination.workers.rooms import (
     Chosen,
     EvictionWanted,
     NotPlaced,
@@ -31,7 +32,6 @@
     WorkerRoom,
     service_of,
 )
-from poplarlb.coordination.sizes import SizeLearner
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import (
     Reason,
--- a/poplarlb/coordination/quota.py
+++ b/poplarlb/coordination/policy/quota.py
@@ -8,9 +8,9 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.amounts import scaled, smaller
-from poplarlb.coordination.effects import Effects, SendShard
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.policy.amounts import scaled, smaller
+from poplarlb.coordination.shards.effects import Effects, SendShard
 from poplarlb.protocol.messages import QuotaShare, QuotaWanted, ShardBody, ShardMessage
 from poplarlb.state import changes
 from poplarlb.state.models import Resources
--- a/poplarlb/coordination/relief.py
+++ b/poplarlb/coordination/policy/relief.py
@@ -5,9 +5,10 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.breaches import BreachMonitor
-from poplarlb.coordination.interference import HarmTable
-from poplarlb.coordination.rooms import (
+from poplarlb.coordination.policy.breaches import BreachMonitor
+from poplarlb.coordination.policy.interference import HarmTable
+from poplarlb.coordination.policy.sizes import SizeLearner
+from poplarlb.coordination.workers.rooms import (
     EvictionWanted,
     PlacedTask,
     Relief,
@@ -16,7 +17,6 @@
     cpu_share,
     service_of,
 )
-from poplarlb.coordination.sizes import SizeLearner
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Reason, Resources, TaskSpec, WorkClass
 from poplarlb.state.templates import ConfigView
--- a/poplarlb/coordination/sizes.py
+++ b/poplarlb/coordination/policy/sizes.py
@@ -7,9 +7,9 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.amounts import smaller
-from poplarlb.coordination.recent import keep_recent
-from poplarlb.coordination.rooms import kind_of
+from poplarlb.coordination.policy.amounts import smaller
+from poplarlb.coordination.requests.recent import keep_recent
+from poplarlb.coordination.workers.rooms import kind_of
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkerReport
 
--- a/poplarlb/coordination/admission.py
+++ b/poplarlb/coordination/requests/admission.py
@@ -6,18 +6,27 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.grants import GRANT_MARGIN_MS, LONGEST_GRANT_MS
-from poplarlb.coordination.health import EWMA_WEIGHT, OUTLIER_SAMPLES, may_eject
-from poplarlb.coordination.refusals import RefusalLog
-from poplarlb.coordination.service_queue import (
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.grants import GRANT_MARGIN_MS, LONGEST_GRANT_MS
+from poplarlb.coordination.requests.health import (
+    EWMA_WEIGHT,
+    OUTLIER_SAMPLES,
+    may_eject,
+)
+from poplarlb.coordination.requests.refusals import RefusalLog
+from poplarlb.coordination.requests.service_queue import (
     SCAN_LIMIT,
     Endpoint,
     QueuedRequest,
     ServiceQueue,
     ServingEndpoint,
 )
-from poplarlb.coordination.slots import GrantedSlot, ServiceKey, SlotTable, Takeover
+from poplarlb.coordination.workers.slots import (
+    GrantedSlot,
+    ServiceKey,
+    SlotTable,
+    Takeover,
+)
 from poplarlb.protocol import api, messages, ports
 from poplarlb.protocol.messages import EndpointSummary
 from poplarlb.state.models import Alternative, Reason, WorkClass
--- a/poplarlb/coordination/grants.py
+++ b/poplarlb/coordination/requests/grants.py
@@ -2,7 +2,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.sharding import score
+from poplarlb.coordination.membership.sharding import score
 from poplarlb.protocol import api, messages
 from poplarlb.state.models import Reason
 
--- a/poplarlb/coordination/idempotency.py
+++ b/poplarlb/coordination/requests/idempotency.py
@@ -2,16 +2,21 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.key_second import SecondDaemon
-from poplarlb.coordination.key_takeover import (
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.key_second import SecondDaemon
+from poplarlb.coordination.requests.key_takeover import (
     RESEND_MS,
     KeyPeers,
     MarkCollector,
     PreviousOwner,
     Uncertainty,
 )
-from poplarlb.coordination.marks import KeyLedger, MarkedKey, MarkStore, name_key
+from poplarlb.coordination.requests.marks import (
+    KeyLedger,
+    MarkedKey,
+    MarkStore,
+    name_key,
+)
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 
--- a/poplarlb/coordination/key_second.py
+++ b/poplarlb/coordination/requests/key_second.py
@@ -4,8 +4,8 @@
 
 from attrs import define
 
-from poplarlb.coordination.key_takeover import RESEND_MS, KeyPeers
-from poplarlb.coordination.marks import KeyLedger, outcomes_of
+from poplarlb.coordination.requests.key_takeover import RESEND_MS, KeyPeers
+from poplarlb.coordination.requests.marks import KeyLedger, outcomes_of
 from poplarlb.protocol import messages, ports
 
 
--- a/poplarlb/coordination/key_takeover.py
+++ b/poplarlb/coordination/requests/key_takeover.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.marks import MarkedKey, MarkStore, join_records
+from poplarlb.coordination.requests.marks import MarkedKey, MarkStore, join_records
 from poplarlb.protocol import messages, ports
 
 RESEND_MS = 200
--- a/poplarlb/coordination/requests.py
+++ b/poplarlb/coordination/requests/requests.py
@@ -2,15 +2,15 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
-from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
-from poplarlb.coordination.marks import MarkStore
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import OwnerRecord, Ownership
-from poplarlb.coordination.sharding import choose_second
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import OwnerRecord, Ownership
+from poplarlb.coordination.membership.sharding import choose_second
+from poplarlb.coordination.requests.admission import Admission
+from poplarlb.coordination.requests.grants import LONGEST_GRANT_MS, GrantBook
+from poplarlb.coordination.requests.idempotency import KeyTable
+from poplarlb.coordination.requests.key_takeover import KeyPeers, PreviousOwner
+from poplarlb.coordination.requests.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
 
--- a/poplarlb/coordination/router.py
+++ b/poplarlb/coordination/requests/router.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from poplarlb.coordination.sharding import score
+from poplarlb.coordination.membership.sharding import score
 from poplarlb.protocol import api
 from poplarlb.protocol.messages import EndpointSummary, ShardSummary
 
--- a/poplarlb/coordination/service_queue.py
+++ b/poplarlb/coordination/requests/service_queue.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.health import (
+from poplarlb.coordination.requests.health import (
     UNKNOWN_SERVICE_MS,
     EndpointHealth,
     mean_service_ms,
--- a/poplarlb/coordination/core.py
+++ b/poplarlb/coordination/shards/core.py
@@ -5,11 +5,11 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.effects import Effects, Resume, SendShard
-from poplarlb.coordination.policy import Policy
-from poplarlb.coordination.quota import QuotaLedger
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.policy.policy import Policy
+from poplarlb.coordination.policy.quota import QuotaLedger
+from poplarlb.coordination.shards.effects import Effects, Resume, SendShard
 from poplarlb.protocol.messages import ShardBody, ShardMessage, ShardSummary
 from poplarlb.state import changes
 from poplarlb.state.models import (
--- a/poplarlb/coordination/node.py
+++ b/poplarlb/coordination/shards/node.py
@@ -4,26 +4,30 @@
 
 from attrs import define
 
-from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.budget import CallBudget, StoreCallQueue
-from poplarlb.coordination.config import ConfigKeeper, PeerView
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.effects import SendShard
-from poplarlb.coordination.handover import HandOvers
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.owner_calls import OwnerCalls
-from poplarlb.coordination.ownership import (
+from poplarlb.coordination.configuration.config import ConfigKeeper, PeerView
+from poplarlb.coordination.membership.budget import CallBudget, StoreCallQueue
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.handover import HandOvers
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.owner_calls import OwnerCalls
+from poplarlb.coordination.membership.ownership import (
     HandOverWanted,
     Ownership,
     ShardAcquired,
     ShardLost,
 )
-from poplarlb.coordination.requests import RequestParts, Routing, no_owner_fault
-from poplarlb.coordination.router import choose_shard
-from poplarlb.coordination.shard_host import ShardHost
-from poplarlb.coordination.shard_set import ShardSet
-from poplarlb.coordination.sharding import Member, ShardMap
-from poplarlb.coordination.status import node_status
+from poplarlb.coordination.membership.sharding import Member, ShardMap
+from poplarlb.coordination.membership.status import node_status
+from poplarlb.coordination.requests.admission import Admission
+from poplarlb.coordination.requests.requests import (
+    RequestParts,
+    Routing,
+    no_owner_fault,
+)
+from poplarlb.coordination.requests.router import choose_shard
+from poplarlb.coordination.shards.effects import SendShard
+from poplarlb.coordination.shards.shard_host import ShardHost
+from poplarlb.coordination.shards.shard_set import ShardSet
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason
--- a/poplarlb/coordination/shard.py
+++ b/poplarlb/coordination/shards/shard.py
@@ -4,19 +4,19 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.admission import Endpoint
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.drain import Drain
-from poplarlb.coordination.effects import Effects
-from poplarlb.coordination.home import HomeTasks
-from poplarlb.coordination.leases import Contacts
-from poplarlb.coordination.places import Places
-from poplarlb.coordination.queue import PlacementQueue
-from poplarlb.coordination.quota import QuotaAuthority
-from poplarlb.coordination.replicas import ReplicaKeeper
-from poplarlb.coordination.reports import ReportReader
-from poplarlb.coordination.sharding import shard_zone
-from poplarlb.coordination.worker_calls import PlaceReady, WorkerCalls
+from poplarlb.coordination.membership.sharding import shard_zone
+from poplarlb.coordination.policy.quota import QuotaAuthority
+from poplarlb.coordination.requests.admission import Endpoint
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.shards.effects import Effects
+from poplarlb.coordination.workers.drain import Drain
+from poplarlb.coordination.workers.home import HomeTasks
+from poplarlb.coordination.workers.leases import Contacts
+from poplarlb.coordination.workers.places import Places
+from poplarlb.coordination.workers.queue import PlacementQueue
+from poplarlb.coordination.workers.replicas import ReplicaKeeper
+from poplarlb.coordination.workers.reports import ReportReader
+from poplarlb.coordination.workers.worker_calls import PlaceReady, WorkerCalls
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state import changes
 from poplarlb.state.models import (
--- a/poplarlb/coordination/shard_host.py
+++ b/poplarlb/coordination/shards/shard_host.py
@@ -5,11 +5,7 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.effects import Effects, Resume, ShardCommand
-from poplarlb.coordination.journal import (
+from poplarlb.coordination.journal.journal import (
     Committed,
     Deposed,
     Journal,
@@ -18,9 +14,13 @@
     Recovered,
     SnapshotWanted,
 )
-from poplarlb.coordination.policy import Policy
-from poplarlb.coordination.shard import ShardMachine
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.policy.policy import Policy
+from poplarlb.coordination.requests.admission import Admission
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.shards.effects import Effects, Resume, ShardCommand
+from poplarlb.coordination.shards.shard import ShardMachine
 from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import api, codec, ports
 from poplarlb.protocol.messages import ShardSummary
--- a/poplarlb/coordination/shard_set.py
+++ b/poplarlb/coordination/shards/shard_set.py
@@ -7,13 +7,13 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.journal import Journal
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import OwnerRecord, Ownership
-from poplarlb.coordination.shard_host import ShardHost
-from poplarlb.coordination.sharding import Member, ShardMap
+from poplarlb.coordination.journal.journal import Journal
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import OwnerRecord, Ownership
+from poplarlb.coordination.membership.sharding import Member, ShardMap
+from poplarlb.coordination.requests.admission import Admission
+from poplarlb.coordination.shards.shard_host import ShardHost
 from poplarlb.protocol import messages, ports
 
 SUMMARY_PERIOD_MS = 250
--- a/poplarlb/coordination/drain.py
+++ b/poplarlb/coordination/workers/drain.py
@@ -2,8 +2,8 @@
 
 from attrs import define
 
-from poplarlb.coordination.places import Places
-from poplarlb.coordination.policy import EvictionWanted, ThrottleWanted
+from poplarlb.coordination.policy.policy import EvictionWanted, ThrottleWanted
+from poplarlb.coordination.workers.places import Places
 from poplarlb.state.models import HostState, Reason
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord
 
--- a/poplarlb/coordination/places.py
+++ b/poplarlb/coordination/workers/places.py
@@ -4,10 +4,15 @@
 
 from attrs import Factory, define, evolve, frozen
 
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.leases import Contact, Contacts
-from poplarlb.coordination.policy import Chosen, NotPlaced, PlacedTask, WorkerRoom
-from poplarlb.coordination.worker_calls import PlaceReady, WorkerCalls
+from poplarlb.coordination.policy.policy import (
+    Chosen,
+    NotPlaced,
+    PlacedTask,
+    WorkerRoom,
+)
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.workers.leases import Contact, Contacts
+from poplarlb.coordination.workers.worker_calls import PlaceReady, WorkerCalls
 from poplarlb.protocol import messages
 from poplarlb.state import changes
 from poplarlb.state.models import (
--- a/poplarlb/coordination/queue.py
+++ b/poplarlb/coordination/workers/queue.py
@@ -5,11 +5,11 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.home import ClosedDoor, HomeTasks
-from poplarlb.coordination.places import PlaceRequest, Places
-from poplarlb.coordination.policy import NotPlaced, QueuedTask
-from poplarlb.coordination.sharding import shard_zone
+from poplarlb.coordination.membership.sharding import shard_zone
+from poplarlb.coordination.policy.policy import NotPlaced, QueuedTask
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.workers.home import ClosedDoor, HomeTasks
+from poplarlb.coordination.workers.places import PlaceRequest, Places
 from poplarlb.protocol.messages import ShardSummary
 from poplarlb.state.models import (
     Decision,
--- a/poplarlb/coordination/reports.py
+++ b/poplarlb/coordination/workers/reports.py
@@ -2,8 +2,8 @@
 
 from attrs import define
 
-from poplarlb.coordination.leases import Contact, SentCall
-from poplarlb.coordination.places import Places
+from poplarlb.coordination.workers.leases import Contact, SentCall
+from poplarlb.coordination.workers.places import Places
 from poplarlb.protocol import ports
 from poplarlb.state.models import Reason, TaskOutcome, TaskReport
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord
--- a/poplarlb/coordination/slots.py
+++ b/poplarlb/coordination/workers/slots.py
@@ -2,7 +2,7 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.grants import GRANT_MARGIN_MS
+from poplarlb.coordination.requests.grants import GRANT_MARGIN_MS
 from poplarlb.protocol import messages
 
 ServiceKey = tuple[str, str]
--- a/poplarlb/coordination/worker_calls.py
+++ b/poplarlb/coordination/workers/worker_calls.py
@@ -2,8 +2,8 @@
 
 from attrs import Factory, define, frozen
 
-from poplarlb.coordination.core import ShardCore
-from poplarlb.coordination.leases import Contact, Contacts
+from poplarlb.coordination.shards.core import ShardCore
+from poplarlb.coordination.workers.leases import Contact, Contacts
 from poplarlb.protocol import ports
 from poplarlb.state.models import TaskReport
 from poplarlb.state.shard_state import PlaceKey, PlaceRecord
--- a/poplarlb/transport/gateway.py
+++ b/poplarlb/transport/gateway.py
@@ -13,7 +13,7 @@
 from attrs import Factory, define, evolve, field
 from loguru import logger
 
-from poplarlb.coordination.retries import RetryBudget
+from poplarlb.coordination.requests.retries import RetryBudget
 from poplarlb.exceptions import (
     BadRequestError,
     NotFoundError,
--- a/poplarlb/transport/jobs.py
+++ b/poplarlb/transport/jobs.py
@@ -2,7 +2,7 @@
 
 import cherrypy
 
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.sharding import ShardMap
 from poplarlb.exceptions import (
     BadRequestError,
     MethodNotAllowedError,
--- a/poplarlb/transport/meter.py
+++ b/poplarlb/transport/meter.py
@@ -4,7 +4,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.node import Node
+from poplarlb.coordination.shards.node import Node
 from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
 from poplarlb.state import changes
--- a/poplarlb/transport/operators.py
+++ b/poplarlb/transport/operators.py
@@ -14,7 +14,7 @@
 from cheroot.wsgi import Server
 from loguru import logger
 
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.sharding import ShardMap
 from poplarlb.exceptions import (
     BadRequestError,
     NotFoundError,
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -7,8 +7,8 @@
 
 from loguru import logger
 
-from poplarlb.coordination.node import Node
-from poplarlb.coordination.sharding import Member
+from poplarlb.coordination.membership.sharding import Member
+from poplarlb.coordination.shards.node import Node
 from poplarlb.exceptions import NotRunError, OutcomeUnknownError
 from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
--- a/poplarlb/transport/service_calls.py
+++ b/poplarlb/transport/service_calls.py
@@ -6,7 +6,7 @@
 from attrs import frozen
 from cheroot.server import HTTPRequest
 
-from poplarlb.coordination.grants import LONGEST_GRANT_MS
+from poplarlb.coordination.requests.grants import LONGEST_GRANT_MS
 from poplarlb.exceptions import BadRequestError, NotFoundError
 from poplarlb.settings import RequestSettings
 from poplarlb.state.models import WorkClass
--- a/poplarlb/transport/views.py
+++ b/poplarlb/transport/views.py
@@ -8,7 +8,7 @@
 from cattrs.preconf.json import make_converter
 
 from poplarlb import exceptions
-from poplarlb.coordination.replicas import REPLICA_PREFIX
+from poplarlb.coordination.workers.replicas import REPLICA_PREFIX
 from poplarlb.exceptions import BadRequestError
 from poplarlb.protocol import api
 from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
--- a/tests/coordination/test_config.py
+++ b/tests/coordination/configuration/test_config.py
@@ -7,8 +7,8 @@
 from attrs import Factory, define, frozen
 from hypothesis import given, settings, strategies
 
-from poplarlb.coordination.config import ConfigKeeper, PeerView
-from poplarlb.coordination.context import NodeContext
+from poplarlb.coordination.configuration.config import ConfigKeeper, PeerView
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.protocol import api, codec, ports
 from poplarlb.settings import PeerSettings, Settings
 from poplarlb.state.models import Resources, ZoneState
--- /dev/null
+++ b/tests/coordination/journal/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of :mod:`poplarlb.coordination.journal`."""
--- a/tests/coordination/test_journal.py
+++ b/tests/coordination/journal/test_journal.py
@@ -13,9 +13,7 @@
     rule,
 )
 
-from poplarlb.coordination.budget import UrgentStoreCall
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.journal import (
+from poplarlb.coordination.journal.journal import (
     Committed,
     Deposed,
     Journal,
@@ -23,6 +21,8 @@
     Recovered,
     SnapshotWanted,
 )
+from poplarlb.coordination.membership.budget import UrgentStoreCall
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.protocol import ports
 from poplarlb.settings import JournalSettings, Settings
 from tests.harness.fuzzing import run_machine
--- a/tests/coordination/test_budget.py
+++ b/tests/coordination/membership/test_budget.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from poplarlb.coordination.budget import (
+from poplarlb.coordination.membership.budget import (
     CallBudget,
     CallPriority,
     StoreCallQueue,
--- a/tests/coordination/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -6,10 +6,10 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.gossip import Gossip
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.sharding import Member
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.gossip import Gossip
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.sharding import Member
 from poplarlb.protocol import codec, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Resources
--- a/tests/coordination/test_ownership.py
+++ b/tests/coordination/membership/test_ownership.py
@@ -12,16 +12,16 @@
     rule,
 )
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.membership import Membership
-from poplarlb.coordination.ownership import (
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.membership import Membership
+from poplarlb.coordination.membership.ownership import (
     HandOverWanted,
     OwnerRecord,
     Ownership,
     ShardAcquired,
     ShardLost,
 )
-from poplarlb.coordination.sharding import Member, ShardMap, owner_order
+from poplarlb.coordination.membership.sharding import Member, ShardMap, owner_order
 from poplarlb.protocol import codec, ports
 from poplarlb.settings import Settings, ShardSettings
 from tests.harness.fuzzing import run_machine
--- a/tests/coordination/test_sharding.py
+++ b/tests/coordination/membership/test_sharding.py
@@ -6,7 +6,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from poplarlb.coordination.sharding import (
+from poplarlb.coordination.membership.sharding import (
     Member,
     ShardMap,
     choose_second,
--- a/tests/coordination/test_policy.py
+++ b/tests/coordination/policy/test_policy.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from poplarlb.coordination.policy import (
+from poplarlb.coordination.policy.policy import (
     Chosen,
     NotPlaced,
     PlacedTask,
--- a/tests/coordination/test_quota.py
+++ b/tests/coordination/policy/test_quota.py
@@ -7,10 +7,10 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination import quota
-from poplarlb.coordination.effects import Effects
-from poplarlb.coordination.quota import QuotaAuthority, QuotaLedger
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.policy import quota
+from poplarlb.coordination.policy.quota import QuotaAuthority, QuotaLedger
+from poplarlb.coordination.shards.effects import Effects
 from poplarlb.protocol.messages import QuotaShare, QuotaWanted, ShardMessage
 from poplarlb.state.models import Resources
 from poplarlb.state.quota import QuotaTable
--- a/tests/coordination/test_relief.py
+++ b/tests/coordination/policy/test_relief.py
@@ -6,19 +6,25 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.breaches import BreachMonitor, late_share_of
-from poplarlb.coordination.policy import (
+from poplarlb.coordination.policy.breaches import BreachMonitor, late_share_of
+from poplarlb.coordination.policy.policy import (
     EvictionWanted,
     PlacedTask,
     Policy,
     ThrottleWanted,
     WorkerRoom,
 )
-from poplarlb.coordination.quarantine import Quarantine
-from poplarlb.coordination.relief import EvictionBudget
+from poplarlb.coordination.policy.quarantine import Quarantine
+from poplarlb.coordination.policy.relief import EvictionBudget
 from poplarlb.settings import PolicySettings
 from poplarlb.state.models import ServiceLatency, TaskSpec, WorkClass, WorkerReport
-from tests.coordination.test_policy import VIEW, placed, replica_of, room_of, spec_of
+from tests.coordination.policy.test_policy import (
+    VIEW,
+    placed,
+    replica_of,
+    room_of,
+    spec_of,
+)
 
 BASE_MS = 20.0
 LIMIT = PolicySettings().eviction_budget_per_min
--- a/tests/coordination/key_world.py
+++ b/tests/coordination/requests/key_world.py
@@ -4,10 +4,10 @@
 
 from attrs import Factory, define, evolve
 
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.key_takeover import KeyPeers, PreviousOwner
-from poplarlb.coordination.marks import MarkStore
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.idempotency import KeyTable
+from poplarlb.coordination.requests.key_takeover import KeyPeers, PreviousOwner
+from poplarlb.coordination.requests.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import MemberSettings, Settings
 from poplarlb.state.models import Resources
--- a/tests/coordination/test_admission.py
+++ b/tests/coordination/requests/test_admission.py
@@ -4,16 +4,16 @@
 import random
 import unittest
 
-from poplarlb.coordination.admission import Admission, Endpoint
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.grants import LONGEST_GRANT_MS, GrantBook
-from poplarlb.coordination.health import EJECTION_MS
-from poplarlb.coordination.service_queue import ServiceQueue
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.admission import Admission, Endpoint
+from poplarlb.coordination.requests.grants import LONGEST_GRANT_MS, GrantBook
+from poplarlb.coordination.requests.health import EJECTION_MS
+from poplarlb.coordination.requests.service_queue import ServiceQueue
 from poplarlb.protocol import api, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason, Resources, WorkClass, Worker
 from poplarlb.state.templates import ConfigView, ServiceTemplate, TeamTemplate
-from tests.coordination.key_world import without
+from tests.coordination.requests.key_world import without
 from tests.harness.fuzzing import count_broken
 
 SHARD = "kochi/0"
--- a/tests/coordination/test_idempotency.py
+++ b/tests/coordination/requests/test_idempotency.py
@@ -12,12 +12,18 @@
     run_state_machine_as_test,
 )
 
-from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.key_takeover import MarkCollector
-from poplarlb.coordination.marks import MarkStore
+from poplarlb.coordination.requests.idempotency import KeyTable
+from poplarlb.coordination.requests.key_takeover import MarkCollector
+from poplarlb.coordination.requests.marks import MarkStore
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import Reason
-from tests.coordination.key_world import HORIZON_MS, NAMES, WINDOW_MS, KeyWorld, without
+from tests.coordination.requests.key_world import (
+    HORIZON_MS,
+    NAMES,
+    WINDOW_MS,
+    KeyWorld,
+    without,
+)
 from tests.harness.fuzzing import count_broken, make_settings
 
 DAEMONS = st.sampled_from(NAMES)
--- a/tests/coordination/test_router.py
+++ b/tests/coordination/requests/test_router.py
@@ -3,8 +3,8 @@
 import collections
 import unittest
 
-from poplarlb.coordination.retries import RETRIES_AT_START, RetryBudget
-from poplarlb.coordination.router import choose_shard
+from poplarlb.coordination.requests.retries import RETRIES_AT_START, RetryBudget
+from poplarlb.coordination.requests.router import choose_shard
 from poplarlb.protocol import api
 from poplarlb.protocol.messages import EndpointSummary, ShardSummary
 from poplarlb.state.models import Resources
--- a/tests/coordination/shard_world.py
+++ b/tests/coordination/shards/shard_world.py
@@ -7,18 +7,18 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from poplarlb.coordination.admission import Admission
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.effects import SendShard
-from poplarlb.coordination.journal import (
+from poplarlb.coordination.journal.journal import (
     Committed,
     Deposed,
     JournalPhase,
     Recovered,
     SnapshotWanted,
 )
-from poplarlb.coordination.shard_host import ShardHost
-from poplarlb.coordination.sharding import ShardMap
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.coordination.requests.admission import Admission
+from poplarlb.coordination.shards.effects import SendShard
+from poplarlb.coordination.shards.shard_host import ShardHost
 from poplarlb.protocol import api, codec, messages, ports
 from poplarlb.settings import (
     ConfigSettings,
--- a/tests/coordination/test_shard.py
+++ b/tests/coordination/shards/test_shard.py
@@ -4,7 +4,7 @@
 
 from attrs import define, evolve, field
 
-from poplarlb.coordination.policy import EvictionWanted, Policy
+from poplarlb.coordination.policy.policy import EvictionWanted, Policy
 from poplarlb.protocol import api, messages, ports
 from poplarlb.state.models import (
     HostState,
@@ -18,7 +18,7 @@
     ZoneState,
 )
 from poplarlb.state.templates import ServiceTemplate
-from tests.coordination.shard_world import ShardWorld
+from tests.coordination.shards.shard_world import ShardWorld
 from tests.harness import oracle
 
 
--- a/tests/coordination/test_shard_fuzz.py
+++ b/tests/coordination/shards/test_shard_fuzz.py
@@ -8,7 +8,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, rule
 
-from poplarlb.coordination.policy import (
+from poplarlb.coordination.policy.policy import (
     EvictionWanted,
     Policy,
     Relief,
@@ -26,7 +26,7 @@
     ZoneState,
 )
 from poplarlb.state.templates import ConfigView
-from tests.coordination.shard_world import ShardWorld
+from tests.coordination.shards.shard_world import ShardWorld
 from tests.harness import fuzzing, oracle
 
 QUIET_MS = 120_000
--- a/tests/harness/world.py
+++ b/tests/harness/world.py
@@ -8,8 +8,8 @@
 
 from attrs import Factory, define, evolve, field, frozen
 
-from poplarlb.coordination.node import Node
-from poplarlb.coordination.sharding import Member
+from poplarlb.coordination.membership.sharding import Member
+from poplarlb.coordination.shards.node import Node
 from poplarlb.protocol import api, codec, messages, ports
 from poplarlb.settings import Settings
 from poplarlb.state.models import HostState, Resources, Worker
--- a/tests/state/test_shard_state.py
+++ b/tests/state/test_shard_state.py
@@ -6,13 +6,13 @@
 from hypothesis import HealthCheck, given, settings
 from hypothesis import strategies as st
 
-from poplarlb.coordination.shard_host import ShardHost
+from poplarlb.coordination.shards.shard_host import ShardHost
 from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import api
 from poplarlb.state.models import Resources, TaskKey, TaskSpec, WorkClass
 from poplarlb.state.shard_state import ShardState
 from poplarlb.state.snapshot import decode_state, encode_state
-from tests.coordination.shard_world import ShardWorld
+from tests.coordination.shards.shard_world import ShardWorld
 
 KEPT = 2_000
 STEPS = st.lists(
--- a/tests/transport/owner.py
+++ b/tests/transport/owner.py
@@ -8,11 +8,11 @@
 import time
 import types
 
-from poplarlb.coordination.admission import Admission, Endpoint
-from poplarlb.coordination.context import NodeContext
-from poplarlb.coordination.idempotency import KeyTable
-from poplarlb.coordination.key_takeover import KeyPeers
-from poplarlb.coordination.marks import MarkStore
+from poplarlb.coordination.membership.context import NodeContext
+from poplarlb.coordination.requests.admission import Admission, Endpoint
+from poplarlb.coordination.requests.idempotency import KeyTable
+from poplarlb.coordination.requests.key_takeover import KeyPeers
+from poplarlb.coordination.requests.marks import MarkStore
 from poplarlb.exceptions import OutcomeUnknownError
 from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
