Takeovers: strong daemons first, waits of lost workers go on, counts without an owner

Cause, three findings of takeovers. Each new owner that can't reach a worker waits 10.3 s for leases of the owner before, and takeovers in a row began that wait anew. Ruled out: shorter leases (they must outlast takeovers and outages of the store); a lease judged by a worker's listing (it may live behind a partition). Change: the owner stores once a second how long the leases of silent workers may last, and renews none of them while such a record may stand; counts carry their time and are confirmed once a second, and a daemon that reads an older one counts what is stored; daemons below half of the strongest daemon's processors claim 0.4 s later. Tests failed first: both waits (1 task running instead of 2), the count (0 instead of 3), the strong daemon (claimed by a weak one).

--- a/poplarlb/coordination/jobs/book.py
+++ b/poplarlb/coordination/jobs/book.py
@@ -40,6 +40,7 @@
     forgotten: list[str] = Factory(list)
     acknowledge: dict[str, tuple[int, int]] = Factory(dict)  # worker: life, number
     to_start: list[Run] = Factory(list)
+    lapsing: set[str] = Factory(set)  # workers that the store may call silent
     unplaced: set[Job] = Factory(set)  # jobs that may have tasks to place
     commands: list[Command] = Factory(list)
     room_changed: bool = False
--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -13,6 +13,7 @@
     StopRun,
 )
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.silence import may_renew
 from poplarlb.state.jobs import TaskStatus
 
 START_SENDINGS = 3  # of a start that gets no answer
@@ -69,7 +70,8 @@
         wait_ms = 0
         known = worker.fenced and worker.life >= worker.listing.life
         if known and not worker.is_silent(policy, book.now_ms):
-            if book.now_ms - self.proven_ms <= policy.renew_unproven_ms:
+            proven = book.now_ms - self.proven_ms <= policy.renew_unproven_ms
+            if proven and may_renew(book, worker):
                 lease_end_ms = worker.new_lease_end(policy, book.now_ms)
             watched = worker.serving and worker.filling_cpu
             wait_ms = policy.watched_look_wait_ms if watched else policy.look_wait_ms
@@ -161,6 +163,7 @@
             return
         # A start is idempotent; an unanswered one is sent again before it is given up.
         resend = event.outcome is CallOutcome.UNANSWERED and not run.stopping
+        resend = resend and may_renew(book, worker)
         if resend and run.sendings < START_SENDINGS and worker.listed:
             self.start(run)
             return
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -35,7 +35,9 @@
 from poplarlb.coordination.jobs.pacing import Pacer
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.schedule import Scheduler
+from poplarlb.coordination.jobs.silence import SilentWorkers
 from poplarlb.coordination.jobs.slowness import SlowWorkers
+from poplarlb.state.job_records import Lapse, WaitingCounts
 from poplarlb.state.jobs import Job, JobSpec, JobState
 
 FORGET_PER_COMMIT = 8
@@ -56,6 +58,7 @@
     scheduler: Scheduler = None
     pacer: Pacer = None
     slow_workers: SlowWorkers = None
+    silent_workers: SilentWorkers = None
     committing: bool = False
     committed_ms: int = 0
     in_commit_starts: list[Run] = Factory(list)
@@ -63,6 +66,7 @@
     view_ms: int = 0
     next_schedule_ms: int = 0
     next_status_ms: int = 0
+    next_confirm_ms: int = 0
     next_load_note_ms: int = 0
     next_learned_ms: int = 0
     told_waiting: dict[str, int] | None = None
@@ -76,12 +80,21 @@
         self.scheduler = Scheduler(self.book, self.advice)
         self.pacer = Pacer(self.book)
         self.slow_workers = SlowWorkers(self.book)
+        self.silent_workers = SilentWorkers(self.book, self.book.now_ms)
 
     @classmethod
     def take_over(
-        cls, policy: JobPolicy, epoch: int, jobs: list[Job], now_ms: int
+        cls,
+        policy: JobPolicy,
+        epoch: int,
+        jobs: list[Job],
+        now_ms: int,
+        lapses: tuple[Lapse, ...] = (),
     ) -> "Dispatcher":
-        """Return a dispatcher that resumes what the store holds."""
+        """Return a dispatcher that resumes what the store holds.
+
+        :param lapses: the workers that the last owner could not reach.
+        """
         book = Book(policy, epoch, now_ms=now_ms)
         for job in jobs:
             book.restore(job)
@@ -91,6 +104,7 @@
                 now_ms + policy.renew_unproven_ms + longest_ms + policy.lease_margin_ms
             )
         dispatcher = cls(book)
+        dispatcher.silent_workers.restore(lapses)
         dispatcher.calls.proven_ms = now_ms
         return dispatcher
 
@@ -229,6 +243,7 @@
         self.committing = False
         self.committed_ms = book.now_ms
         self.calls.proven_ms = max(self.calls.proven_ms, event.sent_ms)
+        self.silent_workers.committed()
         for worker_id, (life, number) in self.in_commit_seen.items():
             worker = book.worker(worker_id)
             if worker.life == life:
@@ -271,8 +286,9 @@
             self.next_schedule_ms = book.now_ms + book.policy.schedule_period_ms
             self.scheduler.place_waiting()
         waiting = self._count_waiting()
+        lapses = self.silent_workers.record()
         changed = book.dirty or book.acknowledge or book.forgotten
-        if not changed and waiting is None:
+        if not changed and waiting is None and lapses is None:
             return
         self.committing = True
         self.in_commit_starts, book.to_start = book.to_start, []
@@ -280,7 +296,7 @@
         forgotten = tuple(book.forgotten[:FORGET_PER_COMMIT])
         del book.forgotten[:FORGET_PER_COMMIT]
         book.commands.append(
-            Commit(book.take_records(), forgotten, waiting, self._learned())
+            Commit(book.take_records(), forgotten, waiting, lapses, self._learned())
         )
 
     def _learned(self) -> bytes:
@@ -291,8 +307,8 @@
         self.next_learned_ms = book.now_ms + book.policy.learned_period_ms
         return book.harm.encode()
 
-    def _count_waiting(self) -> dict[str, int] | None:
-        """Return the counts of jobs that haven't begun, if they are due and changed."""
+    def _count_waiting(self) -> WaitingCounts | None:
+        """Return the counts of jobs that haven't begun, if they are to be stored."""
         book = self.book
         if book.now_ms < self.next_status_ms:
             return None
@@ -302,10 +318,11 @@
             for job in book.jobs.values()
             if job.state is JobState.PENDING
         )
-        if counts == self.told_waiting:
+        if counts == self.told_waiting and book.now_ms < self.next_confirm_ms:
             return None
         self.told_waiting = counts
-        return dict(counts)
+        self.next_confirm_ms = book.now_ms + book.policy.status_confirm_ms
+        return WaitingCounts(book.utc_ms, dict(counts))
 
     # --- time -------------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -8,6 +8,7 @@
 
 from attrs import frozen
 
+from poplarlb.state.job_records import Lapse, WaitingCounts
 from poplarlb.state.jobs import JobSpec, OperatorConfig, RunEnd
 from poplarlb.state.models import Resources
 
@@ -298,7 +299,8 @@
 
     records: tuple[ProgressRecord, ...]
     forgotten: tuple[str, ...]
-    waiting: dict[str, int] | None = None  # jobs not begun by queue; None: unchanged
+    waiting: WaitingCounts | None = None  # None: neither changed nor to be confirmed
+    lapses: tuple[Lapse, ...] | None = None  # of silent workers; None: unchanged
     learned: bytes = b""  # what the next owner needn't learn again; empty: unchanged
 
 
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -1,6 +1,7 @@
 """What the owner knows of each worker: its runs, room, clock and lease."""
 
 import enum
+import math
 
 from attrs import Factory, define
 
@@ -159,12 +160,17 @@
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
         return self.lease_end_ms
 
+    def lease_rest_ms(self, policy: JobPolicy, now_ms: int) -> int:
+        """Return for how long something may still run here without a renewal."""
+        if not self.fenced:
+            return max(self.unknown_until_ms - now_ms, 0)
+        lease_ms = self.lease_end_ms + policy.lease_margin_ms - self.clock_ms
+        longest_ms = math.ceil(lease_ms / (1 - policy.clock_slack))
+        return max(self.clock_at_ms + longest_ms - now_ms, 0)
+
     def lease_is_over(self, policy: JobPolicy, now_ms: int) -> bool:
         """Tell whether everything on the worker has certainly been killed."""
-        if not self.fenced:
-            return now_ms >= self.unknown_until_ms
-        least_ms = (now_ms - self.clock_at_ms) * (1 - policy.clock_slack)
-        return self.clock_ms + least_ms >= self.lease_end_ms + policy.lease_margin_ms
+        return not self.lease_rest_ms(policy, now_ms)
 
     def is_silent(self, policy: JobPolicy, now_ms: int) -> bool:
         """Tell whether the worker has not answered for long, or can't be asked."""
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -36,4 +36,6 @@
     failing_limit: int = 3  # failures in a row before the pause
     schedule_period_ms: int = 100  # waiting tasks are looked at again
     status_period_ms: int = 500  # counts of waiting jobs may be 2 s old
+    status_confirm_ms: int = 1_000  # unchanged counts are confirmed after this
+    lapse_period_ms: int = 1_000  # a takeover prolongs a wait by no more than this
     learned_period_ms: int = 1_000  # rides on a commit that is made anyway
--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -42,6 +42,7 @@
         "start_failed",
         "request_refused",
         "read_repeated",
+        "waiting_recounted",
         "stray_run",
         "worker_paused",
         "watch_failed",
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -75,9 +75,13 @@
             on_regained=lambda: self.log.write("store_regained"),
         )
         self.operator = OperatorView(self.log, self._take_operator_event)
-        self.front = Front(JobGateway(self.store, self.log), self.log)
+        self.front = Front(JobGateway(self.store, self.log, utc_ms), self.log)
         self.ownership = OwnershipLoop(
-            self.store, settings.daemon_id, self._load_owner, self.log
+            self.store,
+            settings.daemon_id,
+            settings.processors,
+            self._load_owner,
+            self.log,
         )
 
     async def run(self) -> None:
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -45,6 +45,7 @@
     listen: Addresses
     store_address: str
     advice_address: str = ""
+    processors: float = 1.0  # that this process may use at once
     bounds: Bounds = Bounds()
 
 
@@ -68,6 +69,8 @@
     "control": FieldRead(("listen", "control"), TEXT, False),
     "store": FieldRead(("platform", "addr"), TEXT),
     "advice": FieldRead(("advice",), TEXT, False),
+    "processor_share": FieldRead(("limits", "cpuShare"), NUMBER, False),
+    "speed": FieldRead(("limits", "cores"), NUMBER, False),
     "grace_s": FieldRead(("bounds", "graceS"), NUMBER, False),
     "stop_ms": FieldRead(("bounds", "stopMs"), NUMBER, False),
     "lease_limit_ms": FieldRead(("bounds", "holdMaxMs"), NUMBER, False),
@@ -147,6 +150,7 @@
         Addresses(values["front"], values["ready"], values["control"] or "", metrics),
         values["store"],
         values["advice"] or "",
+        (values["processor_share"] or 1.0) * (values["speed"] or 1.0),
         bounds,
     )
 
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -6,6 +6,7 @@
 
 import attrs
 import orjson
+from attrs import frozen
 
 from poplarlb.exceptions import BadAnswerError
 from poplarlb.state.jobs import (
@@ -23,6 +24,55 @@
 DONE = 2  # a task that has ended done
 
 
+@frozen
+class WaitingCounts:
+    """Jobs that haven't begun, by queue, as an owner counted them at ``utc_ms``."""
+
+    utc_ms: int
+    queues: dict[str, int]
+
+
+def encode_waiting(counts: WaitingCounts) -> bytes:
+    """Return the record of what waits."""
+    return orjson.dumps(attrs.asdict(counts))
+
+
+def decode_waiting(value: bytes) -> WaitingCounts:
+    """Return what an owner counted.
+
+    :raises BadAnswerError: the record is not one of ours.
+    """
+    try:
+        return WaitingCounts(**orjson.loads(value))
+    except (ValueError, TypeError) as error:
+        raise BadAnswerError(f"a record of waiting jobs: {error}") from error
+
+
+@frozen
+class Lapse:
+    """For how long something may still run at a worker that doesn't answer."""
+
+    worker_id: str
+    rest_ms: int
+
+
+def encode_lapses(lapses: tuple[Lapse, ...]) -> bytes:
+    """Return the record of silent workers."""
+    return orjson.dumps({lapse.worker_id: lapse.rest_ms for lapse in lapses})
+
+
+def decode_lapses(value: bytes) -> tuple[Lapse, ...]:
+    """Return the silent workers that an owner stored.
+
+    :raises BadAnswerError: the record is not one of ours.
+    """
+    try:
+        rows = orjson.loads(value).items()
+        return tuple(Lapse(worker_id, int(rest_ms)) for worker_id, rest_ms in rows)
+    except (ValueError, TypeError, AttributeError) as error:
+        raise BadAnswerError(f"a record of silent workers: {error}") from error
+
+
 def encode_job(spec: JobSpec) -> bytes:
     """Return the record of an accepted job."""
     row = attrs.asdict(spec, recurse=False)
--- a/poplarlb/transport/job_gateway.py
+++ b/poplarlb/transport/job_gateway.py
@@ -5,9 +5,10 @@
 
 import asyncio
 import enum
+from collections import Counter
+from collections.abc import Callable, Mapping
 
-import orjson
-from attrs import define
+from attrs import define, field
 
 from poplarlb.event_log import EventLog
 from poplarlb.exceptions import (
@@ -24,14 +25,15 @@
 )
 from poplarlb.state import job_records
 from poplarlb.state.jobs import JobSpec, JobState
-from poplarlb.transport.job_keys import CANCELS, JOBS, PROGRESS, WAITING
+from poplarlb.transport.job_keys import CANCELS, INBOX, JOBS, PROGRESS, WAITING
 
 WRITE_TIMEOUT_S = 0.8  # for one attempt; sixty times the usual answer is 240 ms
 WRITE_BUDGET_S = 2.4  # below the 3 s that callers wait
 DEADLINE_MARGIN_S = 0.2  # for the answer's way back
 DEADLINE_MARGIN_SHARE = 0.3  # of what is left, when little is
 RETRY_S = 0.1
-COUNTS_AGE_S = 0.5  # counts may be 2 s old; the owner's own are up to 0.5 s old
+COUNTS_AGE_S = 0.5  # a count is read again after this
+COUNTS_TRUSTED_MS = 2_000  # the owner confirms its counts once a second
 
 
 class WriteResult(enum.Enum):
@@ -48,9 +50,10 @@
 
     store: Store
     log: EventLog
-    counts: dict[str, int] | None = None
+    utc_ms: Callable[[], int]
+    counts: Mapping[str, int] | None = None
     counts_at_s: float = 0.0
-    reading_counts: asyncio.Task | None = None
+    counting: asyncio.Lock = field(factory=asyncio.Lock)
 
     async def submit(self, spec: JobSpec, budget_s: float) -> WriteResult:
         """Store an accepted job; the same id is stored once."""
@@ -86,14 +89,51 @@
         return JobState.PENDING
 
     async def count_waiting(self, queue: str) -> int:
-        """Return how many jobs of a queue haven't begun, up to 1 s old."""
-        now_s = asyncio.get_running_loop().time()
-        if self.counts is None or now_s - self.counts_at_s > COUNTS_AGE_S:
-            item = await self._read(WAITING)
-            self.counts = orjson.loads(item.value) if item else {}
-            self.counts_at_s = now_s
+        """Return how many jobs of a queue haven't begun, up to 2.5 s old."""
+        loop = asyncio.get_running_loop()
+        async with self.counting:
+            if self.counts is None or loop.time() - self.counts_at_s > COUNTS_AGE_S:
+                self.counts = await self._read_counts()
+                self.counts_at_s = loop.time()
         return self.counts.get(queue, 0)
 
+    async def _read_counts(self) -> Mapping[str, int]:
+        """Return the owner's counts, or our own if no owner has confirmed them."""
+        item = await self._read(WAITING)
+        if item is not None:
+            told = job_records.decode_waiting(item.value)
+            age_ms = self.utc_ms() - told.utc_ms
+            # Clocks may differ, so a count from the future can't be trusted either.
+            if abs(age_ms) <= COUNTS_TRUSTED_MS:
+                return told.queues
+        else:
+            age_ms = None
+        self.log.write("waiting_recounted", owners_count_ms_ago=age_ms)
+        return await self._count_from_records()
+
+    async def _count_from_records(self) -> Mapping[str, int]:
+        """Count the accepted jobs that have no progress and weren't cancelled."""
+        try:
+            inbox = await self.store.list(INBOX)
+            progress = await self.store.list(PROGRESS)
+        except CallUnansweredError as error:
+            raise StoreRefusedError(error.detail) from error
+        begun = {
+            item.key.removeprefix(PROGRESS)
+            for item in progress.items
+            if job_records.decode_state(item.value) is not JobState.PENDING
+        }
+        begun |= {
+            item.key.removeprefix(CANCELS)
+            for item in inbox.items
+            if item.key.startswith(CANCELS)
+        }
+        return Counter(
+            job_records.decode_job(item.value).queue
+            for item in inbox.items
+            if item.key.startswith(JOBS) and item.key.removeprefix(JOBS) not in begun
+        )
+
     async def _read(self, key: str) -> StoredItem | None:
         """Return a key's item; a read that got no answer is repeated once.
 
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -6,7 +6,6 @@
 from collections.abc import Callable
 from typing import Protocol
 
-import orjson
 from attrs import Factory, define, field
 
 from poplarlb.coordination.jobs import events
@@ -19,7 +18,7 @@
     OldEpochError,
     PoplarlbError,
 )
-from poplarlb.protocol.store import Put, Store, StoredChange, StoredList
+from poplarlb.protocol.store import Put, Store, StoredChange, StoredItem, StoredList
 from poplarlb.state import job_records
 from poplarlb.state.jobs import Job
 from poplarlb.transport.committer import Committer
@@ -27,6 +26,7 @@
     CANCELS,
     INBOX,
     JOBS,
+    LAPSES,
     LEARNED,
     PROGRESS,
     WAITING,
@@ -110,11 +110,20 @@
         log: EventLog,
     ) -> "JobOwner":
         """Return an owner that resumes what the store holds."""
-        inbox, progress, learned = await asyncio.gather(
-            store.list(INBOX), store.list(PROGRESS), store.get(LEARNED)
+        inbox, progress, learned, lapses = await asyncio.gather(
+            store.list(INBOX),
+            store.list(PROGRESS),
+            store.get(LEARNED),
+            store.get(LAPSES),
         )
         jobs, cancelled = read_jobs(inbox, progress, log)
-        dispatcher = Dispatcher.take_over(policy, committer.epoch, jobs, steady_ms())
+        dispatcher = Dispatcher.take_over(
+            policy,
+            committer.epoch,
+            jobs,
+            steady_ms(),
+            read_lapses(lapses, log),
+        )
         dispatcher.book.utc_ms = utc_ms()
         if learned is not None:
             try:
@@ -259,7 +268,10 @@
             Put(PROGRESS + record.job_id, record.value) for record in command.records
         ]
         if command.waiting is not None:
-            puts.append(Put(WAITING, orjson.dumps(command.waiting)))
+            waiting = job_records.encode_waiting(command.waiting)
+            puts.append(Put(WAITING, waiting))
+        if command.lapses is not None:
+            puts.append(Put(LAPSES, job_records.encode_lapses(command.lapses)))
         if command.learned:
             puts.append(Put(LEARNED, command.learned))
         deletes = [
@@ -294,6 +306,19 @@
         self.deposed.set()
 
 
+def read_lapses(
+    item: StoredItem | None, log: EventLog
+) -> tuple[job_records.Lapse, ...]:
+    """Return the silent workers that the last owner stored."""
+    if item is None:
+        return ()
+    try:
+        return job_records.decode_lapses(item.value)
+    except BadAnswerError as error:
+        log.write("record_unreadable", key=LAPSES, error=error.detail)
+        return ()
+
+
 def read_jobs(
     inbox: StoredList, progress: StoredList, log: EventLog
 ) -> tuple[list[Job], list[str]]:
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -20,7 +20,7 @@
     Transaction,
 )
 from poplarlb.transport.committer import Committer, decode_epoch, encode_chain
-from poplarlb.transport.job_keys import CHAIN, HOLDER
+from poplarlb.transport.job_keys import CHAIN, HOLDER, STRONGEST
 from poplarlb.transport.job_owner import JobOwner, steady_ms
 from poplarlb.transport.prefix_watcher import PrefixWatcher
 
@@ -28,6 +28,9 @@
 RENEW_S = 0.4  # three renewals may fail before the lease ends
 WATCH_WAIT_MS = 5_000  # a silent connection is noticed within this
 CLAIM_SPREAD_S = 0.1  # claims of several daemons seldom meet
+FIRST_CLAIM_S = 1.0  # all daemons of a new deployment have started by then
+WEAK_SHARE = 0.5  # of the strongest daemon's processors; weaker ones claim later
+WEAK_DELAY_S = 0.4  # a strong daemon's claim, four calls of the store, is made by then
 RETRY_S = 0.2
 HAND_OVER_S = 0.8  # what is on its way is answered within this
 
@@ -38,11 +41,15 @@
 class OwnershipLoop:
     """Claims the ownership when nobody holds it and runs the owner meanwhile.
 
+    The owner decides for all workers, so daemons with few processors wait for others.
+
+    :param processors: how many this daemon may use.
     :param load: returns the owner that resumes what the store holds.
     """
 
     store: Store
     daemon_id: str
+    processors: float
     load: OwnerLoader
     log: EventLog
     owner: JobOwner | None = None
@@ -65,6 +72,7 @@
         )
         watching = asyncio.ensure_future(watcher.run())
         try:
+            await self._enter()
             while True:
                 await self._wait_for_vacancy()
                 try:
@@ -107,10 +115,45 @@
             self.held_by = ""
             self.changed.set()
 
+    async def _enter(self) -> None:
+        """Tell the others how strong this daemon is, if it is the strongest."""
+        while not self.stopping:
+            try:
+                if await self.store.get(CHAIN) is None:
+                    await asyncio.sleep(FIRST_CLAIM_S)
+                if await self._raise_strongest():
+                    return
+            except PoplarlbError as error:
+                self.log.write("claim_failed", error=error.detail)
+                await asyncio.sleep(RETRY_S)
+
+    async def _raise_strongest(self) -> bool:
+        """Store the own strength unless a higher one is known; false to try again."""
+        found = await self.store.get(STRONGEST)
+        if found is not None and decode_strength(found.value) >= self.processors:
+            return True
+        revision = found.revision if found else 0
+        put = Put(STRONGEST, orjson.dumps(self.processors))
+        result = await self.store.transact(
+            Transaction((Expectation(STRONGEST, revision),), (put,))
+        )
+        return isinstance(result, Applied)
+
+    async def _is_weak(self) -> bool:
+        """Tell whether stronger daemons should have the first chance."""
+        try:
+            found = await self.store.get(STRONGEST)
+        except PoplarlbError as error:
+            self.log.write("claim_failed", error=error.detail)
+            return True
+        strongest = decode_strength(found.value) if found else 0.0
+        return self.processors < WEAK_SHARE * strongest
+
     async def _wait_for_vacancy(self) -> None:
         while True:
             if self.held_by == "" and not self.stopping:
-                await asyncio.sleep(random.uniform(0, CLAIM_SPREAD_S))
+                delay_s = WEAK_DELAY_S if await self._is_weak() else 0.0
+                await asyncio.sleep(delay_s + random.uniform(0, CLAIM_SPREAD_S))
                 if self.held_by == "" and not self.stopping:
                     return
             self.changed.clear()
@@ -207,3 +250,8 @@
         put = self._holder_put(committer.epoch)
         if await committer.write((put,), expected=(Expectation(HOLDER, 0),)):
             self.held_by = self.daemon_id
+
+
+def decode_strength(value: bytes) -> float:
+    """Return the processors out of the strongest daemon's record."""
+    return float(orjson.loads(value))
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -56,6 +56,7 @@
     jobs: dict[str, JobSpec] = Factory(dict)
     cancels: set[str] = Factory(set)
     records: dict[str, bytes] = Factory(dict)
+    lapses: tuple[job_records.Lapse, ...] = ()  # as stored
     listed: dict[str, events.WorkerListing] = Factory(dict)
     calls: list = Factory(list)  # (due, order, owner, action)
     order: int = 0
@@ -107,7 +108,9 @@
                 job.open_occurrence(0)
             jobs.append(job)
         now_ms = int(self.now_ms)
-        self.owner = Dispatcher.take_over(self.policy, self.epoch, jobs, now_ms)
+        self.owner = Dispatcher.take_over(
+            self.policy, self.epoch, jobs, now_ms, self.lapses
+        )
         self.feed(events.ConfigChanged(OperatorConfig(1, (self.queue, PATIENT))))
         for listing in self.listed.values():
             self.feed(events.WorkerListed(listing))
@@ -209,6 +212,8 @@
             return
         for record in command.records:
             self.records[record.job_id] = record.value
+        if command.lapses is not None:
+            self.lapses = command.lapses
         for job_id in command.forgotten:
             self.records.pop(job_id, None)
             self.jobs.pop(job_id, None)
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -118,6 +118,52 @@
         self.world.run(25_000)
         self.assertEqual(len(self.world.running()), 2)
 
+    def lose_worker_of_a_task(self) -> str:
+        """Begin a job of long tasks and lose one of its workers for good."""
+        self.world.work_ms = 60_000
+        self.world.submit(make_job())
+        self.world.run(6_000)  # leases that an earlier owner may have given are over
+        lost = next(iter(self.world.running().values()))
+        self.world.workers[lost].alive = False
+        self.world.unlist(lost)
+        return lost
+
+    def test_takeover_knows_how_long_a_lost_worker_was_silent(self) -> None:
+        """The next owner waits only for what is left of a lost worker's lease."""
+        self.lose_worker_of_a_task()
+        self.world.run(4_000)
+        self.world.new_owner()
+        # Renewed for 2 s, a lease of 5 s, clocks, and the record's period: 8.3 s.
+        self.world.run(4_500)
+        self.assertEqual(len(self.world.running()), 2)
+
+    def test_takeovers_in_a_row_prolong_no_wait(self) -> None:
+        """Each owner goes on waiting where the last one was."""
+        self.lose_worker_of_a_task()
+        self.world.new_owner()
+        for _ in range(3):
+            self.world.run(3_000)
+            self.world.new_owner()
+        # The bound of renewals and a lease since the first takeover, 10.3 s, and up
+        # to the period of the record for each further takeover.
+        self.world.run(4_500)
+        self.assertEqual(len(self.world.running()), 2)
+
+    def test_worker_that_is_back_is_renewed_after_a_takeover(self) -> None:
+        """A worker cut off during a takeover keeps its tasks once it is back."""
+        self.world.work_ms = 60_000
+        self.world.submit(make_job())
+        self.world.run(500)
+        cut = next(iter(self.world.running().values()))
+        self.world.cut.add(cut)
+        self.world.run(2_500)
+        self.world.new_owner()
+        self.world.run(1_000)
+        self.world.cut.clear()
+        self.world.run(15_000)
+        self.assertEqual(set(self.world.starts.values()), {1})
+        self.assertEqual(len(self.world.running()), 2)
+
     def test_task_that_lasts_is_started_again(self) -> None:
         """A lasting task runs again however it ended."""
         step = StepSpec(2, SMALL, long_running=True)
--- a/tests/coordination/jobs/test_planted_faults.py
+++ b/tests/coordination/jobs/test_planted_faults.py
@@ -4,11 +4,13 @@
 import unittest
 from unittest import mock
 
+from poplarlb.coordination.jobs import calls
 from poplarlb.coordination.jobs.calls import WorkerCalls
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
 from poplarlb.coordination.jobs.ends import ReportReader
 from poplarlb.coordination.jobs.events import CallOutcome
 from poplarlb.coordination.jobs.fleet import WorkerState
+from tests.coordination.jobs.job_world import JobWorld, make_job
 from tests.coordination.jobs.test_job_fuzz import faults, walk
 
 SEEDS_TRIED = 150
@@ -52,8 +54,8 @@
     """Let a new owner not wait for workers that it can't reach."""
     original = Dispatcher.take_over.__func__
 
-    def take_over(cls, policy, epoch, jobs, now_ms):
-        dispatcher = original(cls, policy, epoch, jobs, now_ms)
+    def take_over(cls, policy, epoch, jobs, now_ms, lapses=()):
+        dispatcher = original(cls, policy, epoch, jobs, now_ms, lapses)
         for worker in dispatcher.book.workers.values():
             worker.unknown_until_ms = 0
         return dispatcher
@@ -123,6 +125,37 @@
                 self.assertFalse(breaks(contextlib.nullcontext, seed))
 
 
+class SilenceTest(unittest.TestCase):
+    """A rule that walks meet too seldom, by script."""
+
+    def meet_a_silent_worker_again(self) -> list[str]:
+        """Return what breaks when a worker is back while the store is away."""
+        world = JobWorld(work_ms=60_000)
+        world.new_owner()
+        world.add_workers(3)
+        world.run(200)
+        world.submit(make_job())
+        world.run(6_000)
+        back = next(iter(world.running().values()))
+        world.cut.add(back)
+        world.run(3_500)  # the store says by now how long its lease lasts
+        world.store_up = False
+        world.cut.clear()
+        world.run(2_500)
+        world.cut.add(back)
+        world.store_up = True
+        world.new_owner(keep_earlier=True)
+        world.run(12_000)
+        return world.violations
+
+    def test_no_renewal_beside_a_record_of_silence(self) -> None:
+        """The next owner would wait too short a time for the renewed lease."""
+        self.assertEqual(self.meet_a_silent_worker_again(), [])
+        planted = mock.patch.object(calls, "may_renew", lambda book, worker: True)
+        with planted:
+            self.assertNotEqual(self.meet_a_silent_worker_again(), [])
+
+
 if __name__ == "__main__":
     for planted in PLANTED:
         found = (seed for seed in range(1, SEEDS_TRIED) if breaks(planted, seed))
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -97,24 +97,24 @@
         """Return the daemons that run."""
         return [self.daemons[name] for name in self.running]
 
-    async def start_daemon(self, name: str) -> None:
-        """Start one daemon."""
+    async def start_daemon(self, name: str, cores: int = 1) -> None:
+        """Start one daemon on a host of some processors."""
         path = pathlib.Path(self.folder.name) / f"{name}.json"
-        path.write_text(json.dumps(self.settings(name)))
+        path.write_text(json.dumps(self.settings(name, cores)))
         log = KeptLog(name, lambda: (steady_ms(), utc_ms()), kept=self.lines)
         daemon = PlatformDaemon(load_settings(path), path, log)
         self.daemons[name] = daemon
         self.running[name] = asyncio.ensure_future(daemon.run())
         await self.until(daemon.is_ready)
 
-    def settings(self, name: str) -> dict:
+    def settings(self, name: str, cores: int = 1) -> dict:
         """Return a settings file as the platform lays it down."""
         return {
             "node": name,
             "zone": "z1",
             "ip": "127.0.0.1",
             "listen": {"front": free_address(), "ready": free_address()},
-            "limits": {"cpuShare": 0.5},
+            "limits": {"cpuShare": 0.5, "cores": cores},
             "bounds": {"graceS": 2, "stopMs": 200, "holdMaxMs": 10_000},
             "platform": {"addr": self.store_address},
             "unknown": {"ignored": True},
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -60,6 +60,22 @@
         answer = await self.system.call("GET", "/o/")
         self.assertEqual(json.loads(answer.body), {"waiting": 0})
 
+    async def test_waiting_jobs_are_counted_without_an_owner(self) -> None:
+        """Counts that no owner has confirmed for 2 s are made from what is stored."""
+        ghost = json.dumps({"daemon": "ghost", "epoch": 9}).encode()
+        await self.system.call("POST", f"/o/{ID}", JOB)
+        await self.system.until_state(ID, "done")
+        self.system.store.table.put("holder", ghost)
+        await self.system.until(
+            lambda: not any(item.owns_jobs() for item in self.system.live())
+        )
+        for number in range(3):
+            await self.system.call("POST", f"/o/{number:016x}", JOB)
+        await asyncio.sleep(2.2)
+        for daemon in ("d0", "d1"):
+            answer = await self.system.call("GET", "/o/", daemon=daemon)
+            self.assertEqual(json.loads(answer.body), {"waiting": 3})
+
     async def test_malformed_jobs_are_refused(self) -> None:
         """Every malformed job is a 400 at once, and starts nothing."""
         step = {"count": 1, "cpu": 1, "memMb": 1}
@@ -183,6 +199,22 @@
             lambda: told <= {line["event"] for line in self.system.lines}, 3.0
         )
 
+    async def test_strong_daemon_takes_over_before_weak_ones(self) -> None:
+        """Of daemons that could claim, one with many processors does."""
+        for number in range(2, 7):
+            cores = 8 if number == 4 else 1
+            await self.system.start_daemon(f"d{number}", cores)
+        owner = next(n for n, d in self.system.daemons.items() if d.owns_jobs())
+        self.system.kill(owner)
+        await self.system.until(self.system.daemons["d4"].owns_jobs, timeout_s=3.0)
+
+    async def test_weak_daemon_takes_over_when_it_is_alone(self) -> None:
+        """A weak daemon waits a little and claims what no strong one does."""
+        await self.system.start_daemon("d2", 8)
+        for name in ("d0", "d2"):
+            self.system.kill(name)
+        await self.system.until(self.system.daemons["d1"].owns_jobs, timeout_s=4.0)
+
     async def test_stop_hands_over(self) -> None:
         """A daemon that is stopped gives the ownership to another at once."""
         owner = next(n for n, d in self.system.daemons.items() if d.owns_jobs())
