--- a/tests/coordination/jobs/test_planted_faults.py
+++ b/tests/coordination/jobs/test_planted_faults.py
@@ -98,10 +98,10 @@
 
 
 PLANTED = {
-    acknowledge_early: 7,
+    acknowledge_early: 11,
     forget_unanswered: 1,
     halve_the_lease: 27,
-    trust_the_first_look: 13,
+    trust_the_first_look: 27,
     place_beside_a_held_run: 1,
     free_at_the_stop: 14,
     take_an_id_for_a_life: 1,
