--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -306,7 +306,3 @@
     os.set_blocking(sys.stdout.fileno(), False)
     log = EventLog(settings.daemon_id, lambda: (steady_ms(), utc_ms()))
     asyncio.run(PlatformDaemon(settings, path, log).run())
-
-
-if __name__ == "__main__":
-    main()
