--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -147,6 +147,7 @@
             worker=worker.worker_id,
             free_cpu=worker.free().cpu_millis,
             figures_ms_ago=book.now_ms - worker.answered_ms,
+            worker_paused=not worker.is_usable(book.now_ms),
             waited_ms=waited_ms,
         )
         if task.job.state is JobState.PENDING:
--- a/poplarlb/coordination/jobs/silence.py
+++ b/poplarlb/coordination/jobs/silence.py
@@ -51,6 +51,9 @@
         silent = frozenset(lapse.worker_id for lapse in lapses)
         if silent >= book.lapsing and (not silent or book.now_ms < self.next_ms):
             return None
+        if silent != book.lapsing:
+            rests = {lapse.worker_id: lapse.rest_ms for lapse in lapses}
+            book.note("workers_silent", lease_rest_ms=rests)
         self.next_ms = book.now_ms + book.policy.lapse_period_ms
         self.sent = silent
         book.lapsing |= silent
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -147,7 +147,15 @@
             self.log.write("claim_failed", error=error.detail)
             return True
         strongest = decode_strength(found.value) if found else 0.0
-        return self.processors < WEAK_SHARE * strongest
+        if self.processors >= WEAK_SHARE * strongest:
+            return False
+        self.log.write(
+            "claim_delayed",
+            processors=self.processors,
+            strongest=strongest,
+            revision=found.revision,
+        )
+        return True
 
     async def _wait_for_vacancy(self) -> None:
         while True:
