--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -33,7 +33,6 @@
     one_way: bool = False
     pairs: set[Pair] = Factory(set)
     server: asyncio.Server | None = None
-    tasks: set[asyncio.Task] = Factory(set)
 
     async def start(self) -> None:
         """Listen."""
@@ -52,11 +51,12 @@
             pair.silenced = True
 
     def close(self) -> None:
-        """Stop listening and drop everything."""
+        """Stop listening and drop everything; what is held ends soon after."""
         self.server.close()
+        self.held = self.one_way = False
+        for pair in self.pairs:
+            pair.silenced = False
         self.reset()
-        for task in self.tasks:
-            task.cancel()
 
     async def _serve(self, reader, writer) -> None:
         host, _, port = self.target.rpartition(":")
@@ -67,18 +67,15 @@
             return
         pair = Pair([writer, other_writer])
         self.pairs.add(pair)
-        pumps = [
-            asyncio.ensure_future(self._pump(pair, reader, other_writer, False)),
-            asyncio.ensure_future(self._pump(pair, other_reader, writer, True)),
-        ]
-        self.tasks.update(pumps)
         try:
-            await asyncio.gather(*pumps, return_exceptions=True)
+            await asyncio.gather(
+                self._pump(pair, reader, other_writer, answers=False),
+                self._pump(pair, other_reader, writer, answers=True),
+            )
         finally:
-            self.tasks.difference_update(pumps)
             self.pairs.discard(pair)
 
-    async def _pump(self, pair: Pair, reader, writer, answers: bool) -> None:
+    async def _pump(self, pair: Pair, reader, writer, *, answers: bool) -> None:
         try:
             while data := await reader.read(CHUNK_BYTES):
                 await asyncio.sleep(self.delay_s)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -22,6 +22,7 @@
 SUBMIT_PERIOD_S = 0.25
 QUIET_S = 45.0  # leases, late starts and retries are over within this
 CHECK_S = 0.02
+CLOSING_S = 0.6  # links end what they hold or delay within this
 START_LIMIT_S = 20.0
 ACTIONS = 14
 
@@ -297,3 +298,4 @@
         if self.workers is not None:
             self.workers.close()
         self.store.server.close()
+        await asyncio.sleep(CLOSING_S)
