Log the configuration's version, revision and age with each decision

Cause: the report's refusal could come from a watch that waits on a dead connection, from a change that a watch skipped, or from a configuration that was read and not applied. No line of a refusal, an acceptance or a 404 said which revision it was decided by, or as of when that was confirmed, so the three hypotheses looked alike.

Ruled out: a line for every query of a state; it would use up the budget of lines, so queries are only counted in the histogram of ages.

Change: ConfigStamp (version, revision, age) goes with job_accepted, job_not_accepted, cancel_stored, request_refused, and a new line queue_unknown for each 404; config_changed and zones_out name the store's revision; config_ignored tells of a stored configuration that isn't newer; histogram poplarlb_decision_view_age_seconds, gauge config_revision. Nothing is decided differently.

Conclusion: an old age speaks for the first hypothesis, a young one with an older revision for the second, config_unreadable for the third (docs/OPERATIONS.md).

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -29,6 +29,7 @@
         "job_accepted",
         "job_taken_in",
         "job_begun",
+        "queue_unknown",
         "task_placed",
         "run_ended",
         "run_paced",
--- a/poplarlb/job_metrics.py
+++ b/poplarlb/job_metrics.py
@@ -22,6 +22,7 @@
 REASONS_LIMIT = 60  # further reasons count as ``other``
 WAIT_BUCKETS_S = (0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5, 10, 30, 120)
 RESPONSE_BUCKETS_S = (0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5)
+VIEW_AGE_BUCKETS_S = (0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0)
 RATIO_BUCKETS = (0.25, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0)
 
 
@@ -53,6 +54,11 @@
             "poplarlb_request_seconds", "Time to the answer of a request.",
             ["method"], buckets=RESPONSE_BUCKETS_S, registry=registry,
         )  # fmt: skip
+        self.view_ages = Histogram(
+            "poplarlb_decision_view_age_seconds",
+            "Age of the configuration by which requests were answered.",
+            buckets=VIEW_AGE_BUCKETS_S, registry=registry,
+        )  # fmt: skip
         self.final_jobs = Counter(
             "poplarlb_jobs_final", "Jobs by queue and final state.",
             ["queue", "state"], registry=registry,
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -27,6 +27,7 @@
 )
 from poplarlb.platform.store import PlatformStore
 from poplarlb.platform.workers import PlatformWorkers
+from poplarlb.state.jobs import ConfigStamp
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.http_client import HttpClient
 from poplarlb.transport.http_server import (
@@ -85,7 +86,8 @@
             on_regained=lambda: self.log.write("store_regained"),
         )
         self.operator = OperatorView(self.log, self._on_operator_event)
-        self.job_api = JobApi(JobGateway(self.store, self.log, utc_ms), self.log)
+        gateway = JobGateway(self.store, self.log, utc_ms)
+        self.job_api = JobApi(gateway, self.log, self.stamp_config)
         self.ownership = OwnershipLoop(
             self.store,
             settings.daemon_id,
@@ -185,7 +187,7 @@
             not self.stopping
             and not self.store.is_down
             and self.operator.config is not None
-            and boottime_ms() - self.view_confirmed_ms <= MAX_VIEW_AGE_MS
+            and self.view_age_ms() <= MAX_VIEW_AGE_MS
         )
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
@@ -210,7 +212,12 @@
         add(
             "view_age_seconds",
             "Since when the store has confirmed nothing.",
-            lambda: (boottime_ms() - self.view_confirmed_ms) / 1000,
+            lambda: self.view_age_ms() / 1000,
+        )
+        add(
+            "config_revision",
+            "The store's revision of the configuration in force.",
+            lambda: self.operator.config_revision,
         )
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("store_failures", "Failed calls to it.", lambda: self.store.failures)
@@ -225,6 +232,16 @@
         config = self.operator.config
         return config.version if config else 0
 
+    def view_age_ms(self) -> int:
+        """Return the time since the store last confirmed the configuration."""
+        return boottime_ms() - self.view_confirmed_ms
+
+    def stamp_config(self) -> ConfigStamp:
+        """Return what is known now of the configuration in force here."""
+        return ConfigStamp(
+            self.config_version(), self.operator.config_revision, self.view_age_ms()
+        )
+
     # --- shutdown and reload ----------------------------------------------------------
 
     def _begin_stop(self) -> None:
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -1,6 +1,7 @@
 """The HTTP API for submitters of jobs, in the platform's wire format."""
 
 import asyncio
+from collections.abc import Callable
 
 import orjson
 from attrs import define
@@ -13,7 +14,7 @@
     StoreRefusedError,
 )
 from poplarlb.platform.wire import decode_job, is_job_id
-from poplarlb.state.jobs import OperatorConfig, QueueConfig
+from poplarlb.state.jobs import ConfigStamp, OperatorConfig, QueueConfig
 from poplarlb.transport.http_server import HttpRequest, HttpResponse
 from poplarlb.transport.job_gateway import JobGateway, WriteResult
 from poplarlb.transport.job_owner import utc_ms
@@ -30,18 +31,23 @@
     """Handles submissions and cancellations of jobs, and queries of states and counts.
 
     Without a configuration every request is refused with 503.
+
+    :param stamp_config: returns what is known of the configuration in force.
     """
 
     gateway: JobGateway
     log: EventLog
+    stamp_config: Callable[[], ConfigStamp]
     config: OperatorConfig | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request, count it in the metrics, and log an error status."""
         started_s = asyncio.get_running_loop().time()
-        response = await self._respond(request)
+        stamp = self.stamp_config()
+        response = await self._respond(request, stamp)
         took_s = asyncio.get_running_loop().time() - started_s
         self.log.metrics.count_request(request.method, response.status, took_s)
+        self.log.metrics.view_ages.observe(stamp.age_ms / 1000)
         if response.status in ERROR_STATUSES:
             self.log.write(
                 "request_refused",
@@ -49,14 +55,22 @@
                 path=request.path,
                 status=response.status,
                 held_ms=int(took_s * 1000),
-                config_version=self.config.version if self.config else 0,
                 error=response.body.decode("utf-8", "replace"),
+                **stamp.log_fields(),
+            )
+        elif response.status == 404:
+            self.log.write(
+                "queue_unknown",
+                method=request.method,
+                path=request.path,
+                host=request.headers.get("host", ""),
+                **stamp.log_fields(),
             )
         return response
 
-    async def _respond(self, request: HttpRequest) -> HttpResponse:
+    async def _respond(self, request: HttpRequest, stamp: ConfigStamp) -> HttpResponse:
         try:
-            return await self._route(request)
+            return await self._route(request, stamp)
         except BadRequestError as error:
             return HttpResponse(400, encode_error(error.detail))
         except StoreRefusedError as error:
@@ -64,7 +78,7 @@
         except (CallUnansweredError, BadAnswerError) as error:
             return HttpResponse(504, encode_error(error.detail))
 
-    async def _route(self, request: HttpRequest) -> HttpResponse:
+    async def _route(self, request: HttpRequest, stamp: ConfigStamp) -> HttpResponse:
         if self.config is None:
             return HttpResponse(503, retry_after_s=RETRY_AFTER_S)
         path = request.path.partition("?")[0]
@@ -79,9 +93,9 @@
             case "GET":
                 return await self._answer_state(queue, name)
             case "POST":
-                return await self._submit(queue, name, request)
+                return await self._submit(queue, name, request, stamp)
             case "DELETE":
-                return await self._cancel(name, request)
+                return await self._cancel(name, request, stamp)
         return HttpResponse(405)
 
     async def _answer_count(self, queue: QueueConfig) -> HttpResponse:
@@ -97,19 +111,21 @@
         return HttpResponse(200, orjson.dumps({"state": state}))
 
     async def _submit(
-        self, queue: QueueConfig, name: str, request: HttpRequest
+        self, queue: QueueConfig, name: str, request: HttpRequest, stamp: ConfigStamp
     ) -> HttpResponse:
         if not is_job_id(name):
             raise BadRequestError("the job's id is not 16 hexadecimal digits")
         spec = decode_job(request.body, name, queue, utc_ms())
         return response_to_write(
-            await self.gateway.submit(spec, caller_timeout_s(request))
+            await self.gateway.submit(spec, caller_timeout_s(request), stamp)
         )
 
-    async def _cancel(self, name: str, request: HttpRequest) -> HttpResponse:
+    async def _cancel(
+        self, name: str, request: HttpRequest, stamp: ConfigStamp
+    ) -> HttpResponse:
         if not is_job_id(name):
             return HttpResponse(410)
-        result = await self.gateway.cancel(name, caller_timeout_s(request))
+        result = await self.gateway.cancel(name, caller_timeout_s(request), stamp)
         return HttpResponse(410) if result is None else response_to_write(result)
 
 
--- a/poplarlb/platform/operator.py
+++ b/poplarlb/platform/operator.py
@@ -42,6 +42,7 @@
     """The operator's latest configuration and the zones taken out of service.
 
     A zone is out of service while its entry below ``op/evacuate/`` exists.
+    ``config_revision`` is the store's revision of the configuration's last change.
 
     :param on_event: called with an event for each change.
     """
@@ -49,6 +50,7 @@
     log: EventLog
     on_event: Callable[[events.Event], None]
     config: OperatorConfig | None = None
+    config_revision: int = 0
     zones_out: set[str] = Factory(set)
 
     def on_change(self, change: StoredChange) -> None:
@@ -57,26 +59,38 @@
         A configuration that was deleted, is malformed or isn't newer is ignored.
         """
         if change.key == CONFIG_KEY and change.value is not None:
-            self._apply_config(change.value)
+            self._apply_config(change.value, change.revision)
         elif change.key.startswith(EVACUATIONS_PREFIX):
             zone = change.key.removeprefix(EVACUATIONS_PREFIX)
             if change.value is None:
                 self.zones_out.discard(zone)
             else:
                 self.zones_out.add(zone)
-            self.log.write("zones_out", zones=sorted(self.zones_out))
+            self.log.write(
+                "zones_out", zones=sorted(self.zones_out), revision=change.revision
+            )
             self.on_event(events.ZonesOut(frozenset(self.zones_out)))
 
-    def _apply_config(self, value: bytes) -> None:
+    def _apply_config(self, value: bytes, revision: int) -> None:
         try:
             config = decode_config(value)
         except BadAnswerError as error:
-            self.log.write("config_unreadable", error=error.detail)
+            self.log.write("config_unreadable", error=error.detail, revision=revision)
             return
         if self.config is not None and config.version <= self.config.version:
+            self.log.write(
+                "config_ignored",
+                version=config.version,
+                revision=revision,
+                version_in_force=self.config.version,
+            )
             return
         self.config = config
+        self.config_revision = revision
         self.log.write(
-            "config_changed", version=config.version, queues=len(config.queues)
+            "config_changed",
+            version=config.version,
+            revision=revision,
+            queues=len(config.queues),
         )
         self.on_event(events.ConfigChanged(config))
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -176,6 +176,28 @@
         return max(matching, key=lambda item: len(item.prefix), default=None)
 
 
+@frozen
+class ConfigStamp:
+    """The configuration by which a daemon decided; logged with each decision.
+
+    ``version`` is 0 without a configuration, ``revision`` the store's revision of its
+    last change. ``age_ms`` is the time since the store last confirmed that no change
+    is missing.
+    """
+
+    version: int
+    revision: int
+    age_ms: int
+
+    def log_fields(self) -> dict[str, int]:
+        """Return the fields of a log line."""
+        return {
+            "config_version": self.version,
+            "config_revision": self.revision,
+            "view_age_ms": self.age_ms,
+        }
+
+
 @define(eq=False, slots=True)
 class Task:
     """One task of one occurrence of a job.
--- a/poplarlb/transport/job_gateway.py
+++ b/poplarlb/transport/job_gateway.py
@@ -25,7 +25,7 @@
     Transaction,
 )
 from poplarlb.state import job_records
-from poplarlb.state.jobs import JobSpec, JobState
+from poplarlb.state.jobs import ConfigStamp, JobSpec, JobState
 from poplarlb.transport.job_keys import CANCELS, INBOX, JOBS, PROGRESS, WAITING
 
 # For one attempt; above 240 ms, which is 60 times the usual response time.
@@ -60,10 +60,13 @@
     counts_read_s: float = 0.0
     counts_lock: asyncio.Lock = field(factory=asyncio.Lock)
 
-    async def submit(self, spec: JobSpec, budget_s: float) -> WriteResult:
+    async def submit(
+        self, spec: JobSpec, budget_s: float, stamp: ConfigStamp
+    ) -> WriteResult:
         """Store an accepted job; a repeat with the same id has no effect.
 
         :param budget_s: the time that the caller still waits.
+        :param stamp: the configuration by which the job was accepted, for the log.
         """
         key = JOBS + spec.job_id
         put = Put(key, job_records.encode_job(spec))
@@ -73,15 +76,20 @@
             job=spec.job_id,
             queue=spec.queue,
             result=result.value,
+            **stamp.log_fields(),
         )
         return result
 
-    async def cancel(self, job_id: str, budget_s: float) -> WriteResult | None:
+    async def cancel(
+        self, job_id: str, budget_s: float, stamp: ConfigStamp
+    ) -> WriteResult | None:
         """Store a job's cancellation; return None if there is no such job."""
         if await self._read(JOBS + job_id) is None:
             return None
         result = await self._create(Put(CANCELS + job_id, b"{}"), budget_s)
-        self.log.write("cancel_stored", job=job_id, result=result.value)
+        self.log.write(
+            "cancel_stored", job=job_id, result=result.value, **stamp.log_fields()
+        )
         return result
 
     async def read_state(self, job_id: str, queue: str) -> JobState | None:
