Tests of decisions by old or incomplete views; they fail on this code

Cause: not named yet. Each test shows one way in which a daemon decides by data of the store that is older than the bound of 2 s, or lacks a change for good.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -15,6 +15,7 @@
 from poplarlb.transport.http_client import ClientResponse, HttpClient
 from poplarlb.transport.job_owner import boottime_ms, utc_ms
 from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.soak.link import Link
 from tests.standins.users_platform import StoreService, WorkerService
 
 CONFIG = {
@@ -74,12 +75,22 @@
     client: HttpClient = field(factory=HttpClient)
     folder: tempfile.TemporaryDirectory = field(factory=tempfile.TemporaryDirectory)
     store_address: str = ""
+    link: Link | None = None  # between the daemons and the store
     lines: list[dict] = Factory(list)
 
-    async def start(self, daemons: int = 1, workers: int = 2) -> None:
-        """Start everything and wait until a daemon owns the jobs."""
+    async def start(
+        self, daemons: int = 1, workers: int = 2, linked: bool = False
+    ) -> None:
+        """Start everything and wait until a daemon owns the jobs.
+
+        :param linked: daemons reach the store through ``link``.
+        """
         self.store_address = free_address()
         await self.store.start(self.store_address)
+        if linked:
+            self.link = Link(free_address(), self.store_address)
+            await self.link.start()
+            self.store_address = self.link.listen
         self.workers = WorkerService(self.store.table)
         for number in range(workers):
             worker = FakeWorker(f"w{number}", incarnation=1_000 + number)
@@ -170,6 +181,8 @@
         for name in list(self.running):
             self.kill(name)
         self.workers.close()
+        if self.link is not None:
+            self.link.close()
         self.store.server.close()
         self.client.close()
         self.folder.cleanup()
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -135,7 +135,10 @@
 
     ``refusing``: every call gets status 503. ``silent``: every call waits for an hour
     before it is carried out. ``unanswered_writes``: this number of transactions is
-    carried out and answered an hour later.
+    carried out and answered an hour later. ``silent_watches`` and ``silent_prefixes``:
+    watches, and all calls for keys with these prefixes, wait for an hour.
+    ``hidden_keys``: watches leave out the changes of these keys, and their revision
+    passes them.
     """
 
     table: KvTable = Factory(KvTable)
@@ -143,6 +146,9 @@
     refusing: bool = False
     silent: bool = False
     unanswered_writes: int = 0
+    silent_watches: bool = False
+    silent_prefixes: tuple[str, ...] = ()
+    hidden_keys: set[str] = Factory(set)
     calls: int = 0
 
     async def start(self, address: str) -> None:
@@ -159,7 +165,13 @@
             return HttpResponse(503)
         parts = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        if self.silent:
+        wanted = query.get("prefix") or query.get("key", "")
+        is_watch = parts.path == "/v1/kv-watch"
+        if (
+            self.silent
+            or (is_watch and self.silent_watches)
+            or (wanted and wanted.startswith(self.silent_prefixes))
+        ):
             await asyncio.sleep(3_600)
         match request.method, parts.path:
             case "GET", "/v1/kv-key":
@@ -218,7 +230,11 @@
         while True:
             if after < table.compacted_revision:
                 return HttpResponse(410)
-            found = table.changes(query["prefix"], after)
+            found = [
+                row
+                for row in table.changes(query["prefix"], after)
+                if row["key"] not in self.hidden_keys
+            ]
             remaining_s = deadline_s - loop.time()
             if found or remaining_s <= 0:
                 body = {"events": found, "currentRev": table.revision}
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -53,6 +53,15 @@
         answers = await asyncio.gather(*(self.call("/", body) for body in bodies))
         self.assertEqual([answer.body for answer in answers], bodies)
 
+    # Connections die together, so one that timed out must not be replaced by another
+    # that was idle meanwhile.
+    async def test_idle_connections_are_closed_after_an_unanswered_call(self) -> None:
+        """The call after an unanswered one opens a connection."""
+        await asyncio.gather(*(self.call("/") for _ in range(3)))
+        with self.assertRaises(CallUnansweredError):
+            await self.call("/slow", timeout_s=0.1)
+        self.assertFalse(self.client.has_connection(self.address))
+
     async def test_slow_response_is_unanswered(self) -> None:
         """A call that times out has an ambiguous outcome."""
         with self.assertRaises(CallUnansweredError):
