HTTP client: close the idle connections that may have died with an unanswered one

What callers saw: nothing by itself; a daemon could be 4 s behind the configuration.

Cause: when the connections to the store go silent, the call in flight times out, and the retry takes the next idle connection, which is silent as well. With up to four in the pool a watch of 2 s spends up to 10 s on them. Class: a failure that several parts share is treated as the failure of one.

Ruled out: closing all idle connections; those that answered while the call was waiting are alive, and workers' connections are priced.

Change: after an unanswered call the idle connections without an answer since it began are closed.

--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -27,7 +27,10 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """A connection that carries one call at a time."""
+    """A connection that carries one call at a time.
+
+    ``answered_s`` is when its last call was answered, on the event loop's clock.
+    """
 
     def __init__(self) -> None:
         """Create a connection that has no transport yet."""
@@ -37,6 +40,7 @@
         self.chunks: list[bytes] = []
         self.size = 0
         self.keep_alive = True
+        self.answered_s = 0.0
 
     # --- asyncio ----------------------------------------------------------------------
 
@@ -75,6 +79,7 @@
         """Complete the pending call with the response."""
         parser = self.parser
         self.keep_alive = parser.should_keep_alive()
+        self.answered_s = asyncio.get_running_loop().time()
         response = ClientResponse(parser.get_status_code(), b"".join(self.chunks))
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(response)
@@ -156,6 +161,7 @@
                 response = await connection.exchange(request)
         except TimeoutError:
             connection.close()
+            self._close_unproven(address, started_s)
             raise CallUnansweredError(f"no response within {timeout_s} s") from None
         except BaseException:
             connection.close()
@@ -189,6 +195,17 @@
             raise CallNotSentError(f"{address}: {error}") from None
         return connection
 
+    def _close_unproven(self, address: str, since_s: float) -> None:
+        """Close the idle connections without an answer since ``since_s``.
+
+        A fault that silences one connection often silences all of them, and each would
+        cost its next call a timeout.
+        """
+        unproven = [item for item in self.idle[address] if item.answered_s < since_s]
+        for connection in unproven:
+            self.idle[address].remove(connection)
+            connection.close()
+
     def has_connection(self, address: str) -> bool:
         """Return whether the next call to an address would reuse an idle connection."""
         return any(connection.usable for connection in self.idle[address])
