Views: prove them by listings, and find the changes that a watch left out

Cause: a watch was the only source of a view. Its revision moved to that of each answer, so a change that one answer left out was never asked for again; a watch on a dead connection used up the bound of 2 s; and a view counted as confirmed when an answer arrived, however late the store had given it. Class: an incremental feed is trusted without a check against its source.

Ruled out: shorter waits of the watch alone (they don't find a skipped change); transactions that only compare revisions (small, but they count as writes, and their answers may be lost); listing all accepted jobs each second (megabytes).

Change: PrefixView holds what is known of a prefix: its revision, and the time at which it was proven. A listing proves the time of its request; an empty answer to a watch the end of its wait. Each prefix is listed periodically beside its watch, and after each failure of the watch before the watch goes on; answers may overtake each other. The operator's entries are proven by listings only, each 0.35 of the bound that the settings give; workers each 1.5 s, cancellations 1 s, jobs 2 s (the last three at most 128 KB a second), the owner's key 2 s. A change that only a listing shows is logged as change_missed.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -12,7 +12,7 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.event_log import EventLog
-from poplarlb.exceptions import PoplarlbError, SettingsError
+from poplarlb.exceptions import SettingsError
 from poplarlb.platform.advice import PlatformAdvice
 from poplarlb.platform.job_api import JobApi
 from poplarlb.platform.operator import (
@@ -28,6 +28,7 @@
 from poplarlb.platform.store import PlatformStore
 from poplarlb.platform.workers import PlatformWorkers
 from poplarlb.state.jobs import ConfigStamp
+from poplarlb.transport.clock import boottime_ms, utc_ms
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.http_client import HttpClient
 from poplarlb.transport.http_server import (
@@ -38,15 +39,18 @@
     HttpServer,
 )
 from poplarlb.transport.job_gateway import JobGateway
-from poplarlb.transport.job_owner import JobOwner, boottime_ms, utc_ms
+from poplarlb.transport.job_owner import JobOwner
 from poplarlb.transport.ownership_loop import OwnershipLoop
-from poplarlb.transport.prefix_watcher import PrefixWatcher
+from poplarlb.transport.prefix_watcher import PrefixWatcher, WatchSettings
 
 METRICS_PATH = "/metrics"
 READY_PATH = "/v1/readyz"
-# How long the store may wait for a change before it answers a watch call; a change must
-# be in force within 2 s.
-WATCH_WAIT_MS = 1_000
+OPERATOR_WATCH_WAIT_MS = 2_000
+# Of the time within which a change must be in force: from one listing of the operator's
+# entries to the next, and the longest wait for one. Together they leave a quarter of it
+# for the listing that finds the change.
+LIST_PERIOD_SHARE = 0.35
+LIST_TIMEOUT_SHARE = 0.4
 MAX_VIEW_AGE_MS = 2_500  # with an older configuration the daemon isn't ready
 SETTINGS_CHECK_PERIOD_S = 1.0  # the settings file may change without a signal
 LOG_FLUSH_PERIOD_S = 0.1
@@ -58,8 +62,8 @@
 class PlatformDaemon:
     """Connects the job API and the job owner to the platform and runs until stopped.
 
-    ``path`` is that of the settings file. ``view_confirmed_ms`` is when the store last
-    confirmed the configuration, on the machine's monotonic clock.
+    ``path`` is that of the settings file. ``operator_watcher`` delivers the operator's
+    entries to ``operator``.
     """
 
     settings: DaemonSettings
@@ -68,11 +72,11 @@
     client: HttpClient = field(factory=HttpClient)
     store: PlatformStore = None
     operator: OperatorView = None
+    operator_watcher: PrefixWatcher = None
     job_api: JobApi = None
     job_api_server: HttpServer = None
     servers: list[HttpServer] = field(factory=list)  # includes job_api_server
     ownership: OwnershipLoop = None
-    view_confirmed_ms: int = 0
     stopped: asyncio.Event = field(factory=asyncio.Event)
     stopping: bool = False
 
@@ -86,6 +90,13 @@
             on_regained=lambda: self.log.write("store_regained"),
         )
         self.operator = OperatorView(self.log, self._on_operator_event)
+        self.operator_watcher = PrefixWatcher(
+            self.store,
+            operator_watch(settings),
+            self.operator.on_change,
+            lambda: None,
+            self.log,
+        )
         gateway = JobGateway(self.store, self.log, utc_ms)
         self.job_api = JobApi(gateway, self.log, self.stamp_config)
         self.ownership = OwnershipLoop(
@@ -110,18 +121,10 @@
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self.log.write("started", zone=settings.zone, front=settings.listen.front)
-        watcher = PrefixWatcher(
-            self.store,
-            OPERATOR_PREFIX,
-            WATCH_WAIT_MS,
-            self.operator.on_change,
-            self._on_view_confirmed,
-            self._on_watch_failed,
-        )
         tasks = [
             asyncio.ensure_future(work)
             for work in (
-                watcher.run(),
+                self.operator_watcher.run(),
                 self.ownership.run(),
                 self._flush_logs(),
                 self._watch_settings(),
@@ -175,12 +178,6 @@
 
     # --- readiness --------------------------------------------------------------------
 
-    def _on_view_confirmed(self) -> None:
-        self.view_confirmed_ms = boottime_ms()
-
-    def _on_watch_failed(self, error: PoplarlbError) -> None:
-        self.log.write("watch_failed", source="operator", error=error.detail)
-
     def is_ready(self) -> bool:
         """Return whether this daemon is ready for new connections."""
         return (
@@ -233,8 +230,10 @@
         return config.version if config else 0
 
     def view_age_ms(self) -> int:
-        """Return the time since the store last confirmed the configuration."""
-        return boottime_ms() - self.view_confirmed_ms
+        """Return the time since no change of the operator's was missing here."""
+        now_ms = boottime_ms()
+        age_ms = self.operator_watcher.view.age_ms(now_ms)
+        return now_ms if age_ms is None else age_ms
 
     def stamp_config(self) -> ConfigStamp:
         """Return what is known now of the configuration in force here."""
@@ -328,6 +327,23 @@
     )
 
 
+def operator_watch(settings: DaemonSettings) -> WatchSettings:
+    """Return how the operator's entries are watched, within the deployment's bound.
+
+    Only listings prove that no change is missing: the store's watches may hear nothing
+    for a second, which is half of the bound.
+    """
+    bound_s = settings.bounds.config_ms / 1000
+    return WatchSettings(
+        "operator",
+        OPERATOR_PREFIX,
+        OPERATOR_WATCH_WAIT_MS,
+        LIST_PERIOD_SHARE * bound_s,
+        LIST_TIMEOUT_SHARE * bound_s,
+        watch_proves=False,
+    )
+
+
 def main() -> None:
     """Run one daemon; exit with 2 if its settings are invalid."""
     path = settings_path()
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -36,6 +36,7 @@
     :param lease_limit_ms: the longest lease that workers grant.
     :param status_ms: how long a job's final state can be queried.
     :param harm_ms: how long a serving task, one with a latency target, may be over it.
+    :param config_ms: how soon a stored configuration must be in force.
     :param far_factor: the factor of a task's run time away from its data.
     """
 
@@ -44,6 +45,7 @@
     lease_limit_ms: int = 10_000
     status_ms: int = 120_000
     harm_ms: int = 4_000
+    config_ms: int = 2_000
     far_factor: float = 1.5
 
 
@@ -90,6 +92,7 @@
     "lease_limit_ms": FieldSpec(("bounds", "holdMaxMs"), NUMBER, False),
     "status_s": FieldSpec(("bounds", "status_s"), NUMBER, False),
     "harm_ms": FieldSpec(("bounds", "harmMs"), NUMBER, False),
+    "config_ms": FieldSpec(("bounds", "configMs"), NUMBER, False),
     "far_factor": FieldSpec(("bounds", "farX"), NUMBER, False),
 }
 
@@ -158,6 +161,7 @@
         lease_limit_ms=to_ms(values["lease_limit_ms"], 1, default.lease_limit_ms),
         status_ms=to_ms(values["status_s"], 1_000, default.status_ms),
         harm_ms=to_ms(values["harm_ms"], 1, default.harm_ms),
+        config_ms=to_ms(values["config_ms"], 1, default.config_ms),
         far_factor=float(values["far_factor"] or default.far_factor),
     )
     return DaemonSettings(
--- a/poplarlb/platform/store.py
+++ b/poplarlb/platform/store.py
@@ -78,9 +78,11 @@
             return None
         return decode_item(parse_response(response))
 
-    async def list(self, prefix: str) -> StoredList:
+    async def list(self, prefix: str, timeout_s: float = CALL_TIMEOUT_S) -> StoredList:
         """Return every item under a prefix, read page by page.
 
+        :param timeout_s: how long each page may take.
+
         The revision is that of the first page, so that a watch from there misses
         nothing.
         """
@@ -91,7 +93,8 @@
             path = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            page = parse_response(await self._call("GET", path))
+            response = await self._call("GET", path, timeout_s=timeout_s)
+            page = parse_response(response)
             items += [decode_item(row) for row in page["items"]]
             revision = page["currentRev"] if revision is None else revision
             if not page.get("hasMore") or not page["items"]:
--- a/poplarlb/protocol/store.py
+++ b/poplarlb/protocol/store.py
@@ -106,8 +106,14 @@
     async def get(self, key: str) -> StoredItem | None:
         """Return a key's item, or None."""
 
-    async def list(self, prefix: str) -> StoredList:
-        """Return every item under a prefix."""
+    async def list(self, prefix: str, timeout_s: float = 1.0) -> StoredList:
+        """Return every item under a prefix.
+
+        The list holds every change up to its revision, the store's when the first page
+        was read.
+
+        :param timeout_s: how long each page may take.
+        """
 
     async def watch(self, prefix: str, after: int, wait_ms: int) -> StoredChanges:
         """Return the changes after a revision as soon as there is one.
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+import attrs
 from attrs import Factory, define, field
 
 from poplarlb.coordination.jobs import events
@@ -16,25 +17,30 @@
     BadAnswerError,
     DeposedError,
     OldEpochError,
-    PoplarlbError,
 )
 from poplarlb.protocol.store import Put, Store, StoredChange, StoredItem, StoredList
 from poplarlb.state import job_records
 from poplarlb.state.jobs import Job
+from poplarlb.transport.clock import boottime_ms, utc_ms
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.job_keys import (
     CANCELS,
-    INBOX,
     JOBS,
     LEARNED,
     PROGRESS,
     UNRESPONSIVE_WORKERS,
     WAITING,
 )
-from poplarlb.transport.prefix_watcher import PrefixWatcher
+from poplarlb.transport.prefix_watcher import PrefixWatcher, WatchSettings
 
 TICK_S = 0.02  # the dispatcher's decisions are delayed by at most this
-WATCH_WAIT_MS = 1_000  # the view of the workers must be confirmed every 1.5 s
+LIST_BYTES_PER_S = 128 * 1024  # what listings of one prefix may take of a slow link
+# Jobs don't become invalid, so only the delay of a missed one counts.
+JOBS_WATCH = WatchSettings("jobs", JOBS, 1_000, 2.0, 1.0, LIST_BYTES_PER_S)
+# The view must be proven every 1.5 s (``JobPolicy.max_view_age_ms``), also when the
+# store takes 60 times as long as usual; cancels and drains apply within 2 s and more.
+CANCELS_WATCH = WatchSettings("cancels", CANCELS, 300, 1.0, 1.0, LIST_BYTES_PER_S)
+WORKERS_WATCH = WatchSettings("workers", "", 300, 1.5, 1.0, LIST_BYTES_PER_S)
 
 
 class WorkerClient(Protocol):
@@ -72,24 +78,13 @@
         """Return the event for a change, or None if the entry can't be used."""
 
 
-def boottime_ms() -> int:
-    """Return a monotonic time in ms that also advances during a suspension."""
-    return int(time.clock_gettime(time.CLOCK_BOOTTIME) * 1000)
-
-
-def utc_ms() -> int:
-    """Return the UTC time in ms since 1970."""
-    return int(time.time() * 1000)
-
-
 @define(eq=False)
 class JobOwner:
     """Executes the dispatcher's commands until this daemon is no longer the owner.
 
-    ``inbox_watcher`` delivers submissions and cancellations of jobs,
-    ``registration_watcher`` the workers that register; ``confirmed_ms`` holds when each
-    was last up to date. ``deposed`` is set when the ownership ends. ``calls`` counts
-    the calls in flight by kind.
+    ``watchers`` deliver submissions, cancellations, and the workers that register.
+    ``deposed`` is set when the ownership ends. ``calls`` counts the calls in flight by
+    kind.
     """
 
     store: Store
@@ -101,9 +96,7 @@
     log: EventLog
     asyncio_tasks: set[asyncio.Task] = Factory(set)
     deposed: asyncio.Event = field(factory=asyncio.Event)
-    inbox_watcher: PrefixWatcher = None
-    registration_watcher: PrefixWatcher = None
-    confirmed_ms: dict[str, int] = Factory(dict)
+    watchers: tuple[PrefixWatcher, ...] = ()
     calls: Counter = field(factory=Counter)
     committing: bool = False
 
@@ -119,13 +112,15 @@
         log: EventLog,
     ) -> "JobOwner":
         """Return an owner that resumes from the records in the store."""
-        inbox, progress, learned, unresponsive = await asyncio.gather(
-            store.list(INBOX),
+        listed_ms = boottime_ms()
+        stored_jobs, cancels, progress, learned, unresponsive = await asyncio.gather(
+            store.list(JOBS),
+            store.list(CANCELS),
             store.list(PROGRESS),
             store.get(LEARNED),
             store.get(UNRESPONSIVE_WORKERS),
         )
-        jobs, cancelled = read_jobs(inbox, progress, log)
+        jobs = read_jobs(stored_jobs, progress, log)
         dispatcher = Dispatcher.take_over(
             policy,
             committer.epoch,
@@ -140,25 +135,19 @@
             except BadAnswerError as error:
                 log.write("record_unreadable", key=LEARNED, error=error.detail)
         owner = cls(store, workers, advice, directory, committer, dispatcher, log)
-        owner.inbox_watcher = PrefixWatcher(
-            store,
-            INBOX,
-            WATCH_WAIT_MS,
-            owner.handle_inbox_change,
-            lambda: owner.handle_watch_confirmed("inbox"),
-            lambda error: owner.log_watch_failure("inbox", error),
+        owner.watchers = (
+            owner.watch(JOBS_WATCH, owner.handle_job_change),
+            owner.watch(CANCELS_WATCH, owner.handle_cancel_change),
+            owner.watch(
+                attrs.evolve(WORKERS_WATCH, prefix=directory.prefix),
+                owner.handle_registration_change,
+            ),
         )
-        owner.inbox_watcher.resume_from(inbox)
-        owner.registration_watcher = PrefixWatcher(
-            store,
-            directory.prefix,
-            WATCH_WAIT_MS,
-            owner.handle_registration_change,
-            lambda: owner.handle_watch_confirmed("workers"),
-            lambda error: owner.log_watch_failure("workers", error),
-        )
-        for job_id in cancelled:
-            owner.feed(events.CancelStored(job_id))
+        jobs_watcher, cancels_watcher, _ = owner.watchers
+        jobs_watcher.resume_from(stored_jobs, listed_ms)
+        cancels_watcher.resume_from(cancels, listed_ms)
+        for item in cancels.items:
+            owner.feed(events.CancelStored(item.key.removeprefix(CANCELS)))
         log.write(
             "ownership_loaded",
             epoch=committer.epoch,
@@ -167,13 +156,17 @@
         )
         return owner
 
+    def watch(
+        self, settings: WatchSettings, on_change: Callable[[StoredChange], None]
+    ) -> PrefixWatcher:
+        """Return a watcher whose proofs count for the dispatcher's view."""
+        return PrefixWatcher(
+            self.store, settings, on_change, self.handle_view_confirmed, self.log
+        )
+
     def run(self) -> None:
         """Start the watches and the ticks."""
-        for work in (
-            self.inbox_watcher.run(),
-            self.registration_watcher.run(),
-            self._tick(),
-        ):
+        for work in (*(watcher.run() for watcher in self.watchers), self._tick()):
             self._spawn(work)
 
     def close(self) -> None:
@@ -200,12 +193,14 @@
         for command in self.dispatcher.handle(event, boottime_ms()):
             self._execute(command)
 
-    def handle_inbox_change(self, change: StoredChange) -> None:
-        """Handle a stored job or cancellation."""
-        if change.value is None:
-            return
-        if change.key.startswith(CANCELS):
+    def handle_cancel_change(self, change: StoredChange) -> None:
+        """Handle a stored cancellation."""
+        if change.value is not None:
             self.feed(events.CancelStored(change.key.removeprefix(CANCELS)))
+
+    def handle_job_change(self, change: StoredChange) -> None:
+        """Handle a stored job."""
+        if change.value is None:
             return
         try:
             spec = job_records.decode_job(change.value)
@@ -220,19 +215,14 @@
         if event is not None:
             self.feed(event)
 
-    def handle_watch_confirmed(self, source: str) -> None:
-        """Record that a watch has delivered all changes so far.
+    def handle_view_confirmed(self) -> None:
+        """Tell the dispatcher since when its view may lack a change.
 
-        Once both watches have been confirmed, the dispatcher's view is as old as the
-        older confirmation.
+        That is as long as the oldest of the views that it consists of.
         """
-        self.confirmed_ms[source] = boottime_ms()
-        if len(self.confirmed_ms) == 2:
-            self.feed(events.ViewConfirmed(min(self.confirmed_ms.values())))
-
-    def log_watch_failure(self, source: str, error: PoplarlbError) -> None:
-        """Log that a watch failed."""
-        self.log.write("watch_failed", source=source, error=error.detail)
+        proven_ms = [watcher.view.proven_ms for watcher in self.watchers]
+        if None not in proven_ms:
+            self.feed(events.ViewConfirmed(min(proven_ms)))
 
     async def _tick(self) -> None:
         while True:
@@ -345,18 +335,14 @@
 
 
 def read_jobs(
-    inbox: StoredList, progress: StoredList, log: EventLog
-) -> tuple[list[Job], list[str]]:
-    """Return the jobs with their stored progress, and the ids of the cancelled ones.
+    stored_jobs: StoredList, progress: StoredList, log: EventLog
+) -> list[Job]:
+    """Return the jobs with their stored progress.
 
     Unreadable records are logged and left out.
     """
     jobs: dict[str, Job] = {}
-    cancelled = []
-    for item in inbox.items:
-        if item.key.startswith(CANCELS):
-            cancelled.append(item.key.removeprefix(CANCELS))
-            continue
+    for item in stored_jobs.items:
         try:
             jobs[item.key] = Job(job_records.decode_job(item.value))
         except BadAnswerError as error:
@@ -372,4 +358,4 @@
     for job in jobs.values():
         if not job.stored and not job.spec.times:
             job.open_occurrence(0)
-    return list(jobs.values()), cancelled
+    return list(jobs.values())
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -26,14 +26,16 @@
     StoredChange,
     Transaction,
 )
+from poplarlb.transport.clock import boottime_ms
 from poplarlb.transport.committer import Committer, decode_epoch, encode_chain
 from poplarlb.transport.job_keys import CHAIN, HOLDER, STRONGEST
-from poplarlb.transport.job_owner import JobOwner, boottime_ms
-from poplarlb.transport.prefix_watcher import PrefixWatcher
+from poplarlb.transport.job_owner import JobOwner
+from poplarlb.transport.prefix_watcher import PrefixWatcher, WatchSettings
 
 LEASE_MS = 1_500  # a failed owner is replaced after this
 RENEW_PERIOD_S = 0.4  # three renewals are attempted before the lease expires
-WATCH_WAIT_MS = 5_000  # an unresponsive connection is detected within this
+# Claims and renewals are checked by the store, so an old view only delays a takeover.
+HOLDER_WATCH = WatchSettings("owner", HOLDER, 5_000, 2.0)
 CLAIM_JITTER_S = 0.1  # makes simultaneous claims of daemons unlikely
 FIRST_CLAIM_DELAY_S = 1.0  # until all daemons of a new deployment have started
 # Daemons with fewer than this share of the most processors of any daemon claim later.
@@ -79,11 +81,10 @@
         """Claim the ownership whenever it is free, until cancelled."""
         watcher = PrefixWatcher(
             self.store,
-            HOLDER,
-            WATCH_WAIT_MS,
+            HOLDER_WATCH,
             self._handle_holder_change,
             self._handle_confirmation,
-            lambda error: None,
+            self.log,
         )
         watch_task = asyncio.ensure_future(watcher.run())
         try:
--- a/poplarlb/transport/prefix_watcher.py
+++ b/poplarlb/transport/prefix_watcher.py
@@ -1,82 +1,189 @@
-"""Watches all keys under a prefix of the store."""
+"""Keeps a view of all keys under a prefix of the store up to date."""
 
 import asyncio
 from collections.abc import Callable
 
-from attrs import Factory, define
+from attrs import Factory, define, field, frozen
 
-from poplarlb.exceptions import HistoryGoneError, PoplarlbError
+from poplarlb.coordination.jobs.prefix_view import PrefixView, ViewUpdate
+from poplarlb.event_log import EventLog
+from poplarlb.exceptions import PoplarlbError
 from poplarlb.protocol.store import Store, StoredChange, StoredList
+from poplarlb.transport.clock import boottime_ms
 
 RETRY_S = 0.1  # doubles up to MAX_RETRY_DELAY_S
 MAX_RETRY_DELAY_S = 0.5  # the end of an outage is noticed within this
 
 
-@define
+@frozen
+class WatchSettings:
+    """How one prefix is watched and listed.
+
+    :param source: the prefix's name in log lines.
+    :param wait_ms: how long a watch may wait for a change.
+    :param list_period_s: from one listing's request to the next one's; a change that
+        the watch left out is found within this.
+    :param list_timeout_s: how long each page of a listing may take.
+    :param list_bytes_per_s: lists larger than this allows for are read less often;
+        None for no limit.
+    :param watch_proves: whether answers of the watch count as proof that no change is
+        missing, besides listings.
+    """
+
+    source: str
+    prefix: str
+    wait_ms: int
+    list_period_s: float
+    list_timeout_s: float = 1.0
+    list_bytes_per_s: int | None = None
+    watch_proves: bool = True
+
+
+@define(eq=False)
 class PrefixWatcher:
-    """Delivers every change under a prefix in order; relists if history is missing.
+    """Delivers every change under a prefix, found by a watch or by a listing.
 
-    ``revision`` is the store's revision up to which changes are delivered; 0 means that
-    the prefix must be listed. ``known_revisions`` holds each key's revision as last
-    delivered.
+    After a failed watch the prefix is listed before the watch continues, as changes
+    that the watch left out before it failed may no longer be in the store's history.
 
-    :param wait_ms: how long a call may wait for a change.
-    :param on_change: called with each change; after a listing also for deleted keys.
-    :param on_confirmed: called when all changes so far have been delivered.
-    :param on_error: called with the error of a failed call.
+    :param on_change: called with each change; after a listing also for removed keys.
+    :param on_confirmed: called when the view's age was reduced.
     """
 
     store: Store
-    prefix: str
-    wait_ms: int
+    settings: WatchSettings
     on_change: Callable[[StoredChange], None]
     on_confirmed: Callable[[], None]
-    on_error: Callable[[PoplarlbError], None]
-    known_revisions: dict[str, int] = Factory(dict)
-    revision: int = 0
+    log: EventLog
+    view: PrefixView = Factory(PrefixView)
+    list_due: asyncio.Event = field(factory=asyncio.Event)
+    listed: asyncio.Event = field(factory=asyncio.Event)  # replaced at each listing
+    watch_may_continue: asyncio.Event = field(factory=asyncio.Event)
+    watch_failures: int = 0
+    listed_bytes: int = 0
 
-    def resume_from(self, listed: StoredList) -> None:
+    def resume_from(self, listed: StoredList, sent_ms: int) -> None:
         """Continue from a listing whose items have already been handled."""
-        self.known_revisions = {item.key: item.revision for item in listed.items}
-        self.revision = listed.revision
+        self.view.apply_list(listed, sent_ms)
+        self.watch_may_continue.set()
 
     async def run(self) -> None:
-        """Watch the prefix until cancelled."""
+        """Watch and list the prefix until cancelled."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self._list_repeatedly())
+            group.create_task(self._watch_repeatedly())
+
+    async def refresh(self, timeout_s: float) -> None:
+        """List now; return after the listing, or after ``timeout_s``."""
+        listed = self.listed
+        self.list_due.set()
+        try:
+            async with asyncio.timeout(timeout_s):
+                await listed.wait()
+        except TimeoutError:
+            self.log.write(
+                "refresh_unanswered", source=self.settings.source, timeout_s=timeout_s
+            )
+
+    # --- listings ---------------------------------------------------------------------
+
+    async def _list_repeatedly(self) -> None:
+        loop = asyncio.get_running_loop()
+        if self.view.listed_revision:
+            await self._wait_until_due(self.settings.list_period_s)
+        delay_s = RETRY_S
+        while True:
+            sent_s = loop.time()
+            self.list_due.clear()
+            try:
+                await self._list()
+            except PoplarlbError as error:
+                self._log_failure("list", error)
+                await asyncio.sleep(delay_s)
+                delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
+                continue
+            delay_s = RETRY_S
+            await self._wait_until_due(sent_s + self._list_period_s() - loop.time())
+
+    async def _list(self) -> None:
+        failures, sent_ms = self.watch_failures, boottime_ms()
+        listed = await self.store.list(
+            self.settings.prefix, self.settings.list_timeout_s
+        )
+        self.listed_bytes = sum(len(item.value) for item in listed.items)
+        self._deliver(self.view.apply_list(listed, sent_ms))
+        if failures == self.watch_failures:
+            self.watch_may_continue.set()
+        listed_event, self.listed = self.listed, asyncio.Event()
+        listed_event.set()
+        self.on_confirmed()
+
+    def _list_period_s(self) -> float:
+        settings = self.settings
+        if settings.list_bytes_per_s is None:
+            return settings.list_period_s
+        return max(
+            settings.list_period_s, self.listed_bytes / settings.list_bytes_per_s
+        )
+
+    async def _wait_until_due(self, timeout_s: float) -> None:
+        """Wait until a listing is due, or one was asked for."""
+        if timeout_s <= 0:
+            return
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self.list_due.wait()
+        except TimeoutError:
+            return
+
+    # --- watch ------------------------------------------------------------------------
+
+    async def _watch_repeatedly(self) -> None:
         delay_s = RETRY_S
         while True:
+            await self.watch_may_continue.wait()
             try:
-                if not self.revision:
-                    self._apply_list(await self.store.list(self.prefix))
-                else:
-                    await self._watch()
+                await self._watch()
                 delay_s = RETRY_S
-                self.on_confirmed()
-            except HistoryGoneError as error:
-                self.on_error(error)
-                self.revision = 0
             except PoplarlbError as error:
-                self.on_error(error)
+                self._log_failure("watch", error)
+                self.watch_failures += 1
+                self.watch_may_continue.clear()
+                self.list_due.set()
                 await asyncio.sleep(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _watch(self) -> None:
-        found = await self.store.watch(self.prefix, self.revision, self.wait_ms)
-        for change in found.changes:
-            self._deliver(change)
-        self.revision = max(self.revision, found.revision)
-
-    def _apply_list(self, listed: StoredList) -> None:
-        present = {item.key for item in listed.items}
-        for key in [key for key in self.known_revisions if key not in present]:
-            self._deliver(StoredChange(key, None, listed.revision))
-        for item in listed.items:
-            if self.known_revisions.get(item.key) != item.revision:
-                self._deliver(StoredChange(item.key, item.value, item.revision))
-        self.revision = listed.revision
-
-    def _deliver(self, change: StoredChange) -> None:
-        if change.value is None:
-            self.known_revisions.pop(change.key, None)
-        else:
-            self.known_revisions[change.key] = change.revision
-        self.on_change(change)
+        settings, sent_ms = self.settings, boottime_ms()
+        found = await self.store.watch(
+            settings.prefix, self.view.watched_revision, settings.wait_ms
+        )
+        self._deliver(self.view.apply_watch(found))
+        if settings.watch_proves:
+            # Without changes the store answered only when the wait was over.
+            waited_ms = 0 if found.changes else settings.wait_ms
+            self.view.prove(min(sent_ms + waited_ms, boottime_ms()))
+            self.on_confirmed()
+
+    # --- both -------------------------------------------------------------------------
+
+    def _deliver(self, update: ViewUpdate) -> None:
+        for change in update.missed:
+            self.log.write(
+                "change_missed",
+                source=self.settings.source,
+                key=change.key,
+                revision=change.revision,
+                view_revision=self.view.watched_revision,
+            )
+        for change in update.changes:
+            self.on_change(change)
+
+    def _log_failure(self, call: str, error: PoplarlbError) -> None:
+        self.log.write(
+            "watch_failed",
+            source=self.settings.source,
+            call=call,
+            error=error.detail,
+            view_age_ms=self.view.age_ms(boottime_ms()),
+        )
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -12,8 +12,8 @@
 from poplarlb.event_log import EventLog
 from poplarlb.platform.daemon import PlatformDaemon
 from poplarlb.platform.settings import load_settings
+from poplarlb.transport.clock import boottime_ms, utc_ms
 from poplarlb.transport.http_client import ClientResponse, HttpClient
-from poplarlb.transport.job_owner import boottime_ms, utc_ms
 from tests.coordination.jobs.fake_worker import FakeWorker
 from tests.soak.link import Link
 from tests.standins.users_platform import StoreService, WorkerService
