Job API: decide no request by a configuration that may be out of date

What callers saw: 'refused with N as an older version says': a 404 for a queue that a newer, acknowledged configuration has.

Cause: the configuration's age was compared with nothing when a request was routed. Only readiness looked at it, at 2.5 s where 2 s is the bound, and open connections and direct requests reach a daemon that isn't ready. Class: a decision that doesn't ask how old its inputs are.

Ruled out: refusing at once whenever the view is old; a daemon that was suspended for seconds would refuse although the store answers within 4 ms.

Change: each request is routed by a view proven less than the bound (configMs of the settings) minus 200 ms ago. An older one is listed first, for at most 0.25 s; if that fails, or the store is known to be down, the answer is 503 with Retry-After, and nothing was run. Readiness asks the same question.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -51,7 +51,10 @@
 # for the listing that finds the change.
 LIST_PERIOD_SHARE = 0.35
 LIST_TIMEOUT_SHARE = 0.4
-MAX_VIEW_AGE_MS = 2_500  # with an older configuration the daemon isn't ready
+# Requests are decided by a configuration that much younger than the time within which a
+# change must be in force.
+VIEW_AGE_MARGIN_MS = 200
+REFRESH_TIMEOUT_S = 0.25  # a request waits this long for a new listing; usually 4 ms
 SETTINGS_CHECK_PERIOD_S = 1.0  # the settings file may change without a signal
 LOG_FLUSH_PERIOD_S = 0.1
 STOP_MARGIN_MS = 1_500  # at the end of the grace period, for closing connections
@@ -98,7 +101,7 @@
             self.log,
         )
         gateway = JobGateway(self.store, self.log, utc_ms)
-        self.job_api = JobApi(gateway, self.log, self.stamp_config)
+        self.job_api = JobApi(gateway, self.log, self.confirm_config, self.stamp_config)
         self.ownership = OwnershipLoop(
             self.store,
             settings.daemon_id,
@@ -184,9 +187,24 @@
             not self.stopping
             and not self.store.is_down
             and self.operator.config is not None
-            and self.view_age_ms() <= MAX_VIEW_AGE_MS
+            and self.is_config_current()
         )
 
+    def is_config_current(self) -> bool:
+        """Return whether no change that must be in force can be missing here."""
+        max_age_ms = self.settings.bounds.config_ms - VIEW_AGE_MARGIN_MS
+        return self.view_age_ms() <= max_age_ms
+
+    async def confirm_config(self) -> bool:
+        """Return whether there is a configuration recent enough to decide by.
+
+        If it is older, the operator's entries are listed first, unless the store is
+        known to be down.
+        """
+        if not self.is_config_current() and not self.store.is_down:
+            await self.operator_watcher.refresh(REFRESH_TIMEOUT_S)
+        return self.operator.config is not None and self.is_config_current()
+
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         if request.path != READY_PATH:
             return HttpResponse(404)
@@ -276,7 +294,8 @@
     def _reload(self) -> None:
         """Read the settings again.
 
-        The store's address applies at once, bounds from the next ownership on.
+        The store's address and the bound on the configuration apply at once, other
+        bounds from the next ownership on.
         """
         try:
             settings = load_settings(self.path)
@@ -288,6 +307,7 @@
         self.log.write("settings_changed")
         self.settings = settings
         self.store.address = settings.store_address
+        self.operator_watcher.settings = operator_watch(settings)
 
     async def _watch_settings(self) -> None:
         known = read_file_version(self.path)
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -1,7 +1,7 @@
 """The HTTP API for submitters of jobs, in the platform's wire format."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 import orjson
 from attrs import define
@@ -30,21 +30,30 @@
 class JobApi:
     """Handles submissions and cancellations of jobs, and queries of states and counts.
 
-    Without a configuration every request is refused with 503.
+    Without a configuration, or if a newer one may be in force, every request is refused
+    with 503.
 
+    :param confirm_config: returns whether the configuration is recent enough to decide
+        by; may wait for the store.
     :param stamp_config: returns what is known of the configuration in force.
     """
 
     gateway: JobGateway
     log: EventLog
+    confirm_config: Callable[[], Awaitable[bool]]
     stamp_config: Callable[[], ConfigStamp]
     config: OperatorConfig | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request, count it in the metrics, and log an error status."""
         started_s = asyncio.get_running_loop().time()
+        is_current = await self.confirm_config()
         stamp = self.stamp_config()
-        response = await self._respond(request, stamp)
+        if is_current:
+            response = await self._respond(request, stamp)
+        else:
+            error = encode_error("the configuration may be out of date")
+            response = HttpResponse(503, error, RETRY_AFTER_S)
         took_s = asyncio.get_running_loop().time() - started_s
         self.log.metrics.count_request(request.method, response.status, took_s)
         self.log.metrics.view_ages.observe(stamp.age_ms / 1000)
@@ -79,8 +88,6 @@
             return HttpResponse(504, encode_error(error.detail))
 
     async def _route(self, request: HttpRequest, stamp: ConfigStamp) -> HttpResponse:
-        if self.config is None:
-            return HttpResponse(503, retry_after_s=RETRY_AFTER_S)
         path = request.path.partition("?")[0]
         host = request.headers.get("host", "").partition(":")[0]
         queue = self.config.find_queue(host, path)
