Dispatcher: start no run by a view that aged while its commit was in flight

What callers would see: a task that starts at a draining worker or in an evacuated zone.

Change: the run of a commit is released, and its task placed again, if the view is older than max_view_age_ms by then.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -287,6 +287,8 @@
             return "no longer wanted"
         if not committed_in_time:
             return "its commit took too long"
+        if not self._is_view_fresh():
+            return "view of the store is out of date"
         if not worker.listed or worker.listing.draining:
             return "worker is leaving"
         if worker.listing.zone in self.state.zones_out:
@@ -295,6 +297,12 @@
             return "worker restarted"
         return ""
 
+    def _is_view_fresh(self) -> bool:
+        """Return whether runs may be placed and started by what is known."""
+        state = self.state
+        age_ms = state.now_ms - self.view_confirmed_ms
+        return age_ms <= state.policy.max_view_age_ms
+
     def _issue_commands(self) -> None:
         state = self.state
         self.calls.poll_due()
@@ -302,11 +310,8 @@
             return
         if state.now_ms < self.committed_ms + state.policy.min_commit_interval_ms:
             return
-        view_fresh = (
-            state.now_ms - self.view_confirmed_ms <= state.policy.max_view_age_ms
-        )
         due = state.capacity_changed or state.now_ms >= self.next_schedule_ms
-        if due and state.unplaced and view_fresh and not self.stopping:
+        if due and state.unplaced and self._is_view_fresh() and not self.stopping:
             self.next_schedule_ms = state.now_ms + state.policy.schedule_period_ms
             self.scheduler.place_waiting()
         waiting = self.load_reporter.count_waiting()
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -67,6 +67,7 @@
     calls: list = Factory(list)  # (due, sequence, action)
     sequence: int = 0
     store_up: bool = True
+    views_confirmed: bool = True  # while the store is up
     partitioned: set[str] = Factory(set)  # workers that no owner can reach
     work_ms: float = 500.0
     failing: set[str] = Factory(set)  # tasks that fail
@@ -161,7 +162,7 @@
             for owner in [*self.former_owners, self.owner]:
                 if owner is None:
                     continue
-                if self.store_up and owner is self.owner:
+                if self.store_up and self.views_confirmed and owner is self.owner:
                     self.feed(events.ViewConfirmed(int(self.now_ms)))
                 self.feed(events.Tick(self.utc_ms()), owner)
 
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -54,6 +54,19 @@
         self.assertIs(self.world.state(JOB), JobState.FAILED)
         self.assertEqual(self.world.starts[f"{JOB}.0.0.0"], 3)
 
+    # A view may become too old while the commit of a placement is in flight.
+    def test_nothing_starts_by_a_view_that_aged_during_the_commit(self) -> None:
+        """The run isn't started; its task is placed again by a newer view."""
+        self.world.views_confirmed = False
+        self.world.run(1_200)
+        with mock.patch("tests.coordination.jobs.job_world.COMMIT_MS", 600):
+            self.world.submit(make_job())
+            self.world.run(1_000)
+        self.assertEqual(self.world.starts, {})
+        self.world.views_confirmed = True
+        self.world.run(3_000)
+        self.assertIs(self.world.state(JOB), JobState.DONE)
+
     def test_cancel_stops_what_runs(self) -> None:
         """All runs of a cancelled job are stopped."""
         self.world.work_ms = 60_000
