Owner: place runs only by a recent view of the operator's entries

What callers would see: tasks that start in a zone after its evacuation was acknowledged, or by queues and limits of an older configuration.

Cause: the dispatcher's view was as old as the jobs' and the workers' watch; the operator's entries, by which it places as well, had no age.

Ruled out: counting the jobs' view; a job that isn't known yet makes no decision wrong, and its watch would have to be as short as the others.

Change: the view is as old as the oldest of three: cancellations, workers, and the operator's entries. Each proof of any of them is passed on.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -97,7 +97,7 @@
             self.store,
             operator_watch(settings),
             self.operator.on_change,
-            lambda: None,
+            self._on_operator_view_confirmed,
             self.log,
         )
         gateway = JobGateway(self.store, self.log, utc_ms)
@@ -159,6 +159,7 @@
             PlatformWorkerDirectory(),
             committer,
             build_policy(self.settings),
+            self.operator_watcher.view,
             self.log,
         )
         if self.operator.config is not None:
@@ -166,6 +167,10 @@
         owner.feed(events.ZonesOut(frozenset(self.operator.zones_out)))
         return owner
 
+    def _on_operator_view_confirmed(self) -> None:
+        if self.ownership.owner is not None:
+            self.ownership.owner.handle_view_confirmed()
+
     def _on_operator_event(self, event: events.Event) -> None:
         if isinstance(event, events.ConfigChanged):
             self.job_api.config = event.config
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -12,6 +12,7 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
 from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.coordination.jobs.prefix_view import PrefixView
 from poplarlb.event_log import EventLog
 from poplarlb.exceptions import (
     BadAnswerError,
@@ -83,8 +84,9 @@
     """Executes the dispatcher's commands until this daemon is no longer the owner.
 
     ``watchers`` deliver submissions, cancellations, and the workers that register.
-    ``deposed`` is set when the ownership ends. ``calls`` counts the calls in flight by
-    kind.
+    ``views`` are those by which runs are placed: of cancellations, of workers, and of
+    the operator's entries, which the daemon watches. ``deposed`` is set when the
+    ownership ends. ``calls`` counts the calls in flight by kind.
     """
 
     store: Store
@@ -97,6 +99,7 @@
     asyncio_tasks: set[asyncio.Task] = Factory(set)
     deposed: asyncio.Event = field(factory=asyncio.Event)
     watchers: tuple[PrefixWatcher, ...] = ()
+    views: tuple[PrefixView, ...] = ()
     calls: Counter = field(factory=Counter)
     committing: bool = False
 
@@ -109,6 +112,7 @@
         directory: WorkerDirectory,
         committer: Committer,
         policy: JobPolicy,
+        operator_view: PrefixView,
         log: EventLog,
     ) -> "JobOwner":
         """Return an owner that resumes from the records in the store."""
@@ -135,17 +139,16 @@
             except BadAnswerError as error:
                 log.write("record_unreadable", key=LEARNED, error=error.detail)
         owner = cls(store, workers, advice, directory, committer, dispatcher, log)
-        owner.watchers = (
-            owner.watch(JOBS_WATCH, owner.handle_job_change),
-            owner.watch(CANCELS_WATCH, owner.handle_cancel_change),
-            owner.watch(
-                attrs.evolve(WORKERS_WATCH, prefix=directory.prefix),
-                owner.handle_registration_change,
-            ),
-        )
-        jobs_watcher, cancels_watcher, _ = owner.watchers
+        jobs_watcher = owner.watch(JOBS_WATCH, owner.handle_job_change)
         jobs_watcher.resume_from(stored_jobs, listed_ms)
+        cancels_watcher = owner.watch(CANCELS_WATCH, owner.handle_cancel_change)
         cancels_watcher.resume_from(cancels, listed_ms)
+        workers_watcher = owner.watch(
+            attrs.evolve(WORKERS_WATCH, prefix=directory.prefix),
+            owner.handle_registration_change,
+        )
+        owner.watchers = (jobs_watcher, cancels_watcher, workers_watcher)
+        owner.views = (cancels_watcher.view, workers_watcher.view, operator_view)
         for item in cancels.items:
             owner.feed(events.CancelStored(item.key.removeprefix(CANCELS)))
         log.write(
@@ -159,7 +162,7 @@
     def watch(
         self, settings: WatchSettings, on_change: Callable[[StoredChange], None]
     ) -> PrefixWatcher:
-        """Return a watcher whose proofs count for the dispatcher's view."""
+        """Return a watcher that tells of its proofs."""
         return PrefixWatcher(
             self.store, settings, on_change, self.handle_view_confirmed, self.log
         )
@@ -216,11 +219,8 @@
             self.feed(event)
 
     def handle_view_confirmed(self) -> None:
-        """Tell the dispatcher since when its view may lack a change.
-
-        That is as long as the oldest of the views that it consists of.
-        """
-        proven_ms = [watcher.view.proven_ms for watcher in self.watchers]
+        """Tell the dispatcher up to when every change is known in all views."""
+        proven_ms = [view.proven_ms for view in self.views]
         if None not in proven_ms:
             self.feed(events.ViewConfirmed(min(proven_ms)))
 
