Operator's view: a configuration that can't be decoded ends the one before

What callers would see: requests answered, and tasks placed, by an older configuration for as long as the newer one can't be decoded.

Cause: an unreadable or deleted configuration was logged and dropped, and the older one stayed in force. The store's newest value is in force from its acknowledgement; that a daemon can't read it doesn't make the older one valid. Only suspected as the users' case: the store accepts only valid configurations, and unknown fields are ignored.

Ruled out: keeping the older one until the bound has passed; nothing is gained by 2 s.

Change: until a readable configuration comes, requests get 503, the daemon isn't ready, and the owner places nothing; the event ConfigUnreadable tells the dispatcher.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -13,6 +13,7 @@
     Commit,
     Committed,
     ConfigChanged,
+    ConfigUnreadable,
     Event,
     JobStored,
     OwnershipConfirmed,
@@ -56,6 +57,7 @@
     :ivar in_commit_acknowledged: by worker, its incarnation and the number of the last
         run end that may be acknowledged after that commit.
     :ivar view_confirmed_ms: all changes in the store up to this time were received.
+    :ivar config_known: the configuration in the state is the newest one.
     :ivar next_schedule_ms: when tasks that fitted nowhere are tried again even if no
         capacity became free.
     :ivar next_learned_ms: when the learned interference is next stored.
@@ -76,6 +78,7 @@
     in_commit_starts: list[Run] = Factory(list)
     in_commit_acknowledged: dict[str, tuple[int, int]] = Factory(dict)
     view_confirmed_ms: int = 0
+    config_known: bool = False
     next_schedule_ms: int = 0
     next_learned_ms: int = 0
     stopping: bool = False
@@ -157,7 +160,10 @@
                 self._handle_unlisted(worker_id)
             case ConfigChanged(config=config):
                 state.config = config
+                self.config_known = True
                 state.capacity_changed = True
+            case ConfigUnreadable():
+                self.config_known = False
             case ZonesOut(zones=zones):
                 state.zones_out = zones
                 state.capacity_changed = True
@@ -301,7 +307,7 @@
         """Return whether runs may be placed and started by what is known."""
         state = self.state
         age_ms = state.now_ms - self.view_confirmed_ms
-        return age_ms <= state.policy.max_view_age_ms
+        return self.config_known and age_ms <= state.policy.max_view_age_ms
 
     def _issue_commands(self) -> None:
         state = self.state
--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -69,6 +69,11 @@
     config: OperatorConfig
 
 
+@frozen
+class ConfigUnreadable:
+    """The newest configuration was deleted or can't be decoded."""
+
+
 @frozen
 class ZonesOut:
     """The availability zones that operators have taken out of service changed."""
@@ -225,6 +230,7 @@
     | WorkerListed
     | WorkerUnlisted
     | ConfigChanged
+    | ConfigUnreadable
     | ZonesOut
     | PollAnswered
     | PollFailed
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -162,7 +162,7 @@
             self.operator_watcher.view,
             self.log,
         )
-        if self.operator.config is not None:
+        if self.operator.is_config_known:
             owner.feed(events.ConfigChanged(self.operator.config))
         owner.feed(events.ZonesOut(frozenset(self.operator.zones_out)))
         return owner
@@ -188,17 +188,12 @@
 
     def is_ready(self) -> bool:
         """Return whether this daemon is ready for new connections."""
-        return (
-            not self.stopping
-            and not self.store.is_down
-            and self.operator.config is not None
-            and self.is_config_current()
-        )
+        return not self.stopping and not self.store.is_down and self.is_config_current()
 
     def is_config_current(self) -> bool:
-        """Return whether no change that must be in force can be missing here."""
+        """Return whether every change that must be in force is known here."""
         max_age_ms = self.settings.bounds.config_ms - VIEW_AGE_MARGIN_MS
-        return self.view_age_ms() <= max_age_ms
+        return self.operator.is_config_known and self.view_age_ms() <= max_age_ms
 
     async def confirm_config(self) -> bool:
         """Return whether there is a configuration recent enough to decide by.
@@ -206,9 +201,11 @@
         If it is older, the operator's entries are listed first, unless the store is
         known to be down.
         """
+        if not self.operator.is_config_known:
+            return False
         if not self.is_config_current() and not self.store.is_down:
             await self.operator_watcher.refresh(REFRESH_TIMEOUT_S)
-        return self.operator.config is not None and self.is_config_current()
+        return self.is_config_current()
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         if request.path != READY_PATH:
--- a/poplarlb/platform/operator.py
+++ b/poplarlb/platform/operator.py
@@ -43,6 +43,8 @@
 
     A zone is out of service while its entry below ``op/evacuate/`` exists.
     ``config_revision`` is the store's revision of the configuration's last change.
+    ``unreadable_revision`` is that of a newer one that can't be decoded; 0 if there is
+    none.
 
     :param on_event: called with an event for each change.
     """
@@ -51,14 +53,16 @@
     on_event: Callable[[events.Event], None]
     config: OperatorConfig | None = None
     config_revision: int = 0
+    unreadable_revision: int = 0
     zones_out: set[str] = Factory(set)
 
     def on_change(self, change: StoredChange) -> None:
         """Apply a changed entry.
 
-        A configuration that was deleted, is malformed or isn't newer is ignored.
+        A configuration of a lower or the same version is ignored. One that was deleted
+        or can't be decoded ends the one before: nothing is decided by either.
         """
-        if change.key == CONFIG_KEY and change.value is not None:
+        if change.key == CONFIG_KEY:
             self._apply_config(change.value, change.revision)
         elif change.key.startswith(EVACUATIONS_PREFIX):
             zone = change.key.removeprefix(EVACUATIONS_PREFIX)
@@ -71,12 +75,22 @@
             )
             self.on_event(events.ZonesOut(frozenset(self.zones_out)))
 
-    def _apply_config(self, value: bytes, revision: int) -> None:
+    @property
+    def is_config_known(self) -> bool:
+        """Whether there is a configuration, and the newest one could be decoded."""
+        return self.config is not None and not self.unreadable_revision
+
+    def _apply_config(self, value: bytes | None, revision: int) -> None:
         try:
+            if value is None:
+                raise BadAnswerError("the configuration was deleted")
             config = decode_config(value)
         except BadAnswerError as error:
+            self.unreadable_revision = revision
             self.log.write("config_unreadable", error=error.detail, revision=revision)
+            self.on_event(events.ConfigUnreadable())
             return
+        was_unreadable, self.unreadable_revision = self.unreadable_revision, 0
         if self.config is not None and config.version <= self.config.version:
             self.log.write(
                 "config_ignored",
@@ -84,6 +98,8 @@
                 revision=revision,
                 version_in_force=self.config.version,
             )
+            if was_unreadable:
+                self.on_event(events.ConfigChanged(self.config))
             return
         self.config = config
         self.config_revision = revision
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -39,6 +39,12 @@
         """Return the status of a daemon's answer to a GET."""
         return (await self.system.call("GET", path, daemon=daemon)).status
 
+    def store_job(self) -> None:
+        """Store an accepted job, as a daemon does."""
+        body = json.dumps(JOB).encode()
+        spec = decode_job(body, ID, QueueConfig("orders", "", "/o/", "desk"), 1)
+        self.store.table.put(f"in/job/{ID}", encode_job(spec))
+
     def versions(self) -> set[int]:
         """Return the versions in force at the daemons."""
         return {daemon.config_version() for daemon in self.system.live()}
@@ -92,14 +98,18 @@
 
     # A configuration that can't be decoded must not leave the one before in force.
     async def test_unreadable_configuration_ends_the_one_before(self) -> None:
-        """Requests are refused until there is a readable configuration."""
+        """Requests are refused, and nothing starts, until there is a readable one."""
         self.system.configure({**NEWER, "version": "9"})
         await asyncio.sleep(CONFIG_BOUND_S)
+        self.store_job()
+        await asyncio.sleep(START_S)
+        self.assertEqual(self.system.workers.starts, [])
         for path in ("/n/", f"/o/{ID}"):
             self.assertEqual(await self.status(path, "d0"), 503)
         self.system.configure({**NEWER, "version": 10})
         await asyncio.sleep(CONFIG_BOUND_S)
         self.assertEqual(await self.status("/n/", "d0"), 200)
+        await self.system.wait_for_state(ID, "done")
 
     # One queue with a field of an unknown type must not keep out the other queues.
     async def test_unreadable_queue_is_refused_alone(self) -> None:
@@ -118,9 +128,7 @@
         await asyncio.sleep(IN_FLIGHT_S)
         self.store.table.put("op/evacuate/z1", b"{}")
         await asyncio.sleep(CONFIG_BOUND_S)
-        body = json.dumps(JOB).encode()
-        spec = decode_job(body, ID, QueueConfig("orders", "", "/o/", "desk"), 1)
-        self.store.table.put(f"in/job/{ID}", encode_job(spec))
+        self.store_job()
         await asyncio.sleep(START_S)
         self.assertEqual(self.system.workers.starts, [])
 
