Configuration: a queue with an unreadable limit is refused alone

What callers would see: 404 for added queues, or an older version for good, because one queue of the newer configuration has a field of another type.

Cause: one field that can't be decoded made the whole configuration unreadable.

Change: limits of a queue that can't be read have their defaults and are named in the queue's fault; config_changed lists the faults. Such a queue accepts no jobs (503); its stored jobs run on. A queue whose name, host, prefix or service can't be read still makes the configuration unreadable, as no request could be told apart from the others.

--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -93,6 +93,8 @@
         queue = self.config.find_queue(host, path)
         if queue is None:
             return HttpResponse(404)
+        if queue.fault:
+            return HttpResponse(503, encode_error(queue.fault), RETRY_AFTER_S)
         name = path[len(queue.prefix) :]
         match request.method:
             case "GET" if not name:
--- a/poplarlb/platform/operator.py
+++ b/poplarlb/platform/operator.py
@@ -108,5 +108,6 @@
             version=config.version,
             revision=revision,
             queues=len(config.queues),
+            faults=[item.fault for item in config.queues if item.fault],
         )
         self.on_event(events.ConfigChanged(config))
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -185,6 +185,15 @@
 
 # --- the operator's configuration -----------------------------------------------------
 
+# Limits of a queue: their names on the wire, and how they are read. Absent or 0: the
+# default.
+QUEUE_LIMITS = {
+    "priority": ("priority", Fields.integer),
+    "max_attempts": ("maxAttempts", Fields.integer),
+    "critical_path_factor": ("stretch", Fields.number),
+    "objective_ms": ("sloMs", Fields.integer),
+}
+
 
 def decode_config(value: bytes) -> OperatorConfig:
     """Return the operator's configuration.
@@ -204,18 +213,28 @@
 
 
 def decode_queue(row: object) -> QueueConfig:
-    """Return one queue; the wire format calls it a route."""
+    """Return one queue; the wire format calls it a route.
+
+    A limit that can't be read has its default, and is named in the queue's ``fault``.
+    """
     fields = Fields(row, "route")
+    limits, faults = {}, []
+    for attribute, (name, read) in QUEUE_LIMITS.items():
+        try:
+            value = read(fields, name)
+        except BadRequestError as error:
+            faults.append(error.detail)
+            continue
+        if value:
+            limits[attribute] = value
     return QueueConfig(
         fields.string("name", required=True),
         fields.string("host"),
         fields.string("prefix", required=True),
         fields.string("service", required=True),
-        priority=fields.integer("priority"),
-        max_attempts=fields.integer("maxAttempts") or 1,
-        critical_path_factor=fields.number("stretch") or 1.0,
-        objective_ms=fields.integer("sloMs"),
         needs_advice=bool(fields.row.get("advice")),
+        fault="; ".join(faults),
+        **limits,
     )
 
 
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -115,7 +115,8 @@
     times ``critical_path_factor``, plus ``objective_ms``. ``host`` and ``prefix`` are
     the host and the start of the path that submitters call. ``service`` names the pool
     of workers that run its jobs. With ``needs_advice`` the advice service must permit
-    each start.
+    each start. ``fault`` says which of the limits can't be read and has its default;
+    empty for none. Such a queue accepts no jobs.
     """
 
     name: str
@@ -127,6 +128,7 @@
     critical_path_factor: float = 1.0
     objective_ms: int = 0
     needs_advice: bool = False
+    fault: str = ""
 
 
 @frozen
