HTTP server: reject no request by a limit that may be out of date

Cause: the server rejects a request that exceeds a limit before the job API sees it, so neither the view's age nor a log line went with it.

Ruled out: reading the whole body first; its limit protects memory.

Change: the server asks the job API for the answer to such a request; with an outdated configuration that is 503 with Retry-After. It is logged as request_refused with the configuration's version, revision and age, which it was not at all before.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -116,6 +116,7 @@
         self.job_api_server = await self._serve(
             self.job_api.handle, settings.listen.front
         )
+        self.job_api_server.answer_rejection = self.job_api.reject
         await self._serve(self._answer_ready, settings.listen.ready)
         if settings.listen.metrics:
             await self._serve(self._answer_metrics, settings.listen.metrics)
@@ -195,17 +196,15 @@
         max_age_ms = self.settings.bounds.config_ms - VIEW_AGE_MARGIN_MS
         return self.operator.is_config_known and self.view_age_ms() <= max_age_ms
 
-    async def confirm_config(self) -> bool:
-        """Return whether there is a configuration recent enough to decide by.
+    async def confirm_config(self) -> None:
+        """List the operator's entries if the configuration is too old to decide by.
 
-        If it is older, the operator's entries are listed first, unless the store is
-        known to be down.
+        Does nothing if there is none, or if the store is known to be down.
         """
-        if not self.operator.is_config_known:
-            return False
-        if not self.is_config_current() and not self.store.is_down:
+        if not self.operator.is_config_known or self.store.is_down:
+            return
+        if not self.is_config_current():
             await self.operator_watcher.refresh(REFRESH_TIMEOUT_S)
-        return self.is_config_current()
 
     async def _answer_ready(self, request: HttpRequest) -> HttpResponse:
         if request.path != READY_PATH:
@@ -258,7 +257,10 @@
     def stamp_config(self) -> ConfigStamp:
         """Return what is known now of the configuration in force here."""
         return ConfigStamp(
-            self.config_version(), self.operator.config_revision, self.view_age_ms()
+            self.config_version(),
+            self.operator.config_revision,
+            self.view_age_ms(),
+            self.is_config_current(),
         )
 
     # --- shutdown and reload ----------------------------------------------------------
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -33,40 +33,30 @@
     Without a configuration, or if a newer one may be in force, every request is refused
     with 503.
 
-    :param confirm_config: returns whether the configuration is recent enough to decide
-        by; may wait for the store.
+    :param confirm_config: reads the configuration again if it is too old to decide by.
     :param stamp_config: returns what is known of the configuration in force.
     """
 
     gateway: JobGateway
     log: EventLog
-    confirm_config: Callable[[], Awaitable[bool]]
+    confirm_config: Callable[[], Awaitable[None]]
     stamp_config: Callable[[], ConfigStamp]
     config: OperatorConfig | None = None
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Answer one request, count it in the metrics, and log an error status."""
         started_s = asyncio.get_running_loop().time()
-        is_current = await self.confirm_config()
+        await self.confirm_config()
         stamp = self.stamp_config()
-        if is_current:
+        if stamp.is_current:
             response = await self._respond(request, stamp)
         else:
-            error = encode_error("the configuration may be out of date")
-            response = HttpResponse(503, error, RETRY_AFTER_S)
+            response = refuse_outdated()
         took_s = asyncio.get_running_loop().time() - started_s
         self.log.metrics.count_request(request.method, response.status, took_s)
         self.log.metrics.view_ages.observe(stamp.age_ms / 1000)
         if response.status in ERROR_STATUSES:
-            self.log.write(
-                "request_refused",
-                method=request.method,
-                path=request.path,
-                status=response.status,
-                held_ms=int(took_s * 1000),
-                error=response.body.decode("utf-8", "replace"),
-                **stamp.log_fields(),
-            )
+            self._log_refusal(response, stamp, request.method, request.path, took_s)
         elif response.status == 404:
             self.log.write(
                 "queue_unknown",
@@ -77,6 +67,36 @@
             )
         return response
 
+    def reject(self, status: int) -> HttpResponse:
+        """Return and log the answer to a request that the server doesn't read whole.
+
+        Its limits are the configuration's, so an outdated one rejects nothing.
+
+        :param status: that of the limit it exceeds, or 400 if it isn't HTTP.
+        """
+        stamp = self.stamp_config()
+        response = HttpResponse(status) if stamp.is_current else refuse_outdated()
+        self._log_refusal(response, stamp, "", "", 0.0)
+        return response
+
+    def _log_refusal(
+        self,
+        response: HttpResponse,
+        stamp: ConfigStamp,
+        method: str,
+        path: str,
+        took_s: float,
+    ) -> None:
+        self.log.write(
+            "request_refused",
+            method=method,
+            path=path,
+            status=response.status,
+            held_ms=int(took_s * 1000),
+            error=response.body.decode("utf-8", "replace"),
+            **stamp.log_fields(),
+        )
+
     async def _respond(self, request: HttpRequest, stamp: ConfigStamp) -> HttpResponse:
         try:
             return await self._route(request, stamp)
@@ -156,6 +176,12 @@
     return HttpResponse(504)
 
 
+def refuse_outdated() -> HttpResponse:
+    """Return the answer while a newer configuration may be in force."""
+    error = encode_error("the configuration may be out of date")
+    return HttpResponse(503, error, RETRY_AFTER_S)
+
+
 def encode_error(detail: str) -> bytes:
     """Return the body of an error response."""
     return orjson.dumps({"error": detail})
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -184,12 +184,13 @@
 
     ``version`` is 0 without a configuration, ``revision`` the store's revision of its
     last change. ``age_ms`` is the time since the store last confirmed that no change
-    is missing.
+    is missing; ``is_current`` tells whether that allows a decision.
     """
 
     version: int
     revision: int
     age_ms: int
+    is_current: bool
 
     def log_fields(self) -> dict[str, int]:
         """Return the fields of a log line."""
--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -67,10 +67,15 @@
 
 @define
 class HttpServer:
-    """Serves one address with ``handler``, which returns the response to a request."""
+    """Serves one address with ``handler``, which returns the response to a request.
+
+    ``answer_rejection`` returns the response to a request that is malformed or exceeds
+    a limit, from the status that this has by itself.
+    """
 
     handler: Handler
     limits: HttpLimits = Factory(HttpLimits)
+    answer_rejection: Callable[[int], HttpResponse] = HttpResponse
     draining: bool = False
     connections: set = Factory(set)
     listener: asyncio.Server | None = None
@@ -241,7 +246,7 @@
             return
         if self.task is None:
             self.transport.write(
-                format_response(HttpResponse(status), keep_alive=False)
+                format_response(self.server.answer_rejection(status), keep_alive=False)
             )
         self.transport.close()
 
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -96,6 +96,16 @@
         self.assertEqual(await self.status("/n/", "d0"), 200)
         self.assertEqual(self.system.workers.starts, [])
 
+    # A request must not be rejected by a size limit that may be out of date.
+    async def test_outdated_limit_rejects_nothing(self) -> None:
+        """A body above the old limit is refused as not run, not as too large."""
+        self.store.silent_prefixes = ("op/",)
+        await asyncio.sleep(IN_FLIGHT_S)
+        self.system.configure({**NEWER, "limits": {"maxBodyBytes": 100_000}})
+        await asyncio.sleep(CONFIG_BOUND_S)
+        answer = await self.system.call("POST", f"/o/{ID}", b"x" * 30_000)
+        self.assertEqual(answer.status, 503)
+
     # A configuration that can't be decoded must not leave the one before in force.
     async def test_unreadable_configuration_ends_the_one_before(self) -> None:
         """Requests are refused, and nothing starts, until there is a readable one."""
