Ownership: a lost claim doesn't forget the owner that was seen

What callers would see: nothing; a daemon that lost a claim could go on claiming for good, four store calls each time.

Cause: after a lost claim the known owner was reset to unknown, also when the watch had delivered it before the answer to the claim. A change is delivered once, so the daemon then took the ownership for free until the next change.

Ruled out: reading the key after a lost claim; the answer may be overtaken by a later change of the watch, and would then hide that one.

Change: what the watch delivered stays; a lost claim is logged as claim_lost.

--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -195,11 +195,8 @@
     async def _run_ownership(self) -> None:
         committer = await self._claim()
         if committer is None:
-            self.current_holder = None
+            self.log.write("claim_lost", holder=self.current_holder)
             await asyncio.sleep(RETRY_S)
-            self.current_holder = (
-                "" if self.current_holder is None else self.current_holder
-            )
             return
         self.takeovers += 1
         self.log.write("ownership_claimed", epoch=committer.epoch)
