Views: list the operator's entries as soon as the store answers again

What callers would see: 503 for up to 0.75 s after each outage of the store longer than 1.8 s, although it answers again.

Cause: the delay before a failed listing is repeated couldn't be cut short, neither by a request that finds the view too old nor by the store's return.

Change: both end the delay. While the store is known to be down requests still ask for nothing. change_missed and refresh_unanswered share the budget of lines about failures.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -48,6 +48,8 @@
         "waiting_recounted",
         "stray_run",
         "worker_paused",
+        "change_missed",
+        "refresh_unanswered",
         "watch_failed",
         "renewal_failed",
     )
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -90,7 +90,7 @@
             self.client,
             settings.store_address,
             on_lost=lambda error: self.log.write("store_lost", error=error),
-            on_regained=lambda: self.log.write("store_regained"),
+            on_regained=self._on_store_regained,
         )
         self.operator = OperatorView(self.log, self._on_operator_event)
         self.operator_watcher = PrefixWatcher(
@@ -168,6 +168,10 @@
         owner.feed(events.ZonesOut(frozenset(self.operator.zones_out)))
         return owner
 
+    def _on_store_regained(self) -> None:
+        self.log.write("store_regained")
+        self.operator_watcher.list_due.set()
+
     def _on_operator_view_confirmed(self) -> None:
         if self.ownership.owner is not None:
             self.ownership.owner.handle_view_confirmed()
--- a/poplarlb/transport/prefix_watcher.py
+++ b/poplarlb/transport/prefix_watcher.py
@@ -99,7 +99,7 @@
                 await self._list()
             except PoplarlbError as error:
                 self._log_failure("list", error)
-                await asyncio.sleep(delay_s)
+                await self._wait_until_due(delay_s)
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
                 continue
             delay_s = RETRY_S
--- a/tests/platform/test_views.py
+++ b/tests/platform/test_views.py
@@ -96,6 +96,19 @@
         self.assertEqual(await self.status("/n/", "d0"), 200)
         self.assertEqual(self.system.workers.starts, [])
 
+    # After an outage the views are old; the first request must not be refused for that.
+    async def test_first_request_after_an_outage_is_served(self) -> None:
+        """The operator's entries are listed as soon as the store answers again."""
+        self.store.refusing = True
+        await asyncio.sleep(CONFIG_BOUND_S + START_S)
+        self.store.refusing = False
+        daemons = self.system.live()
+        await self.system.wait_until(
+            lambda: not any(daemon.store.is_down for daemon in daemons)
+        )
+        for daemon in ("d0", "d1"):
+            self.assertEqual(await self.status(f"/o/{ID}", daemon), 410)
+
     # A request must not be rejected by a size limit that may be out of date.
     async def test_outdated_limit_rejects_nothing(self) -> None:
         """A body above the old limit is refused as not run, not as too large."""
