Soak: probe the configuration all the time, and break watches

Change: each daemon is asked for the changing queue ten times a second; an answer must be allowed by a version in force at some time from 2 s before the request to the answer, whatever faults there are. Watches get no answer, or leave out changes, at random times; their random numbers are separate, so that a seed's other faults stay. No other check is suspended meanwhile.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -13,6 +13,7 @@
 )
 EVACUATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
+CONFIG_LIMIT_S = 2.0
 
 
 @define
@@ -53,12 +54,38 @@
     last_fault_end_s: float = 0.0
     zones_out: dict[str, float] = Factory(dict)  # zone: when it was taken out
     draining: dict[str, float] = Factory(dict)  # worker: when it began to drain
+    configs: list[tuple[float, int]] = Factory(list)  # time, status by it
     violations: list[str] = Factory(list)
     started_runs: set[tuple] = Factory(set)
     done_tasks: set[str] = Factory(set)  # tasks with a run that ended as done
     # (task, run) that ended as done, not acknowledged: a later start of the task
     late_starts: dict[tuple[str, int], str] = Factory(dict)
 
+    def record_config(self, now_s: float, status: int) -> None:
+        """Record a configuration, and the status by it of the queue that changes."""
+        self.configs.append((now_s, status))
+
+    def check_config(
+        self, daemon: str, status: int, sent_s: float, answered_s: float
+    ) -> None:
+        """Check an answer against the versions that it may have been decided by.
+
+        Those are all from the one in force ``CONFIG_LIMIT_S`` before the request to the
+        one at its answer, whatever faults there are: a daemon that can't know refuses.
+        """
+        if status not in (200, 404):
+            return
+        replaced_s = [at_s for at_s, _ in self.configs[1:]] + [float("inf")]
+        allowed = {
+            expected
+            for (at_s, expected), until_s in zip(self.configs, replaced_s, strict=True)
+            if at_s <= answered_s and until_s >= sent_s - CONFIG_LIMIT_S
+        }
+        if status not in allowed:
+            self._record_violation(
+                f"CONFIG: {daemon} answers {status} to a request sent at {sent_s:.3f}"
+            )
+
     def check(self, now_s: float) -> None:
         """Check the invariants that hold at any time."""
         for worker in self.workers.workers.values():
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -25,6 +25,8 @@
 LINK_CLOSE_S = 0.6  # stalled and delayed forwarding ends within this time
 START_TIMEOUT_S = 20.0
 FAULT_COUNT = 14
+WATCH_FAULT_GAP_S = (0.5, 3.0)
+WATCH_FAULT_S = (0.5, 4.0)
 
 
 @define(eq=False)
@@ -53,9 +55,11 @@
             await self._start()
             checking = asyncio.ensure_future(self._check_invariants())
             submitting = asyncio.ensure_future(self.submitters.run(SUBMIT_PERIOD_S))
+            watch_faults = asyncio.ensure_future(self._inject_watch_faults())
             await self._inject_faults()
             submitting.cancel()
-            await asyncio.gather(submitting, return_exceptions=True)
+            watch_faults.cancel()
+            await asyncio.gather(submitting, watch_faults, return_exceptions=True)
             await self._wait_for_recovery()
         finally:
             if checking is not None:
@@ -111,6 +115,9 @@
             routes.append({**routes[0], "name": "new", "prefix": "/n/"})
         config = {**CONFIG, "version": self.version, "routes": routes}
         self.store.table.put("op/config", json.dumps(config).encode())
+        self.invariants.record_config(
+            asyncio.get_running_loop().time(), 200 if self.version % 2 else 404
+        )
 
     async def _check_invariants(self) -> None:
         while True:
@@ -145,6 +152,28 @@
             self.running_faults.add(task)
             task.add_done_callback(self.running_faults.discard)
 
+    async def _inject_watch_faults(self) -> None:
+        """Have watches get no answer, or answers that leave out changes.
+
+        Views must stay within their bounds meanwhile, so no check is suspended. The
+        random numbers are separate, so that a seed's other faults don't depend on them.
+        """
+        rng = random.Random(f"watches {self.seed}")
+        store = self.store
+        try:
+            while True:
+                await asyncio.sleep(rng.uniform(*WATCH_FAULT_GAP_S))
+                if rng.random() < 0.5:
+                    store.silent_watches = True
+                else:
+                    zones = {f"op/evacuate/{zone}" for zone in ZONES}
+                    workers = {f"servers/{name}" for name in self.workers.workers}
+                    store.hidden_keys = {"op/config", "holder"} | zones | workers
+                await asyncio.sleep(rng.uniform(*WATCH_FAULT_S))
+                store.silent_watches, store.hidden_keys = False, set()
+        finally:
+            store.silent_watches, store.hidden_keys = False, set()
+
     async def _run_fault(self, fault) -> None:
         try:
             await fault(self.rng.choice((0.2, 1.0, 3.0, 6.0)))
--- a/tests/soak/submitters.py
+++ b/tests/soak/submitters.py
@@ -18,6 +18,7 @@
 RETRY_DELAY_S = 0.2
 CANCEL_SHARE = 0.1
 CHECK_PERIOD_S = 0.25
+PROBE_PERIOD_S = 0.1
 HOST = ("Host: orders.example",)
 
 
@@ -101,10 +102,21 @@
         """Submit jobs and query their state until cancelled."""
         async with asyncio.TaskGroup() as group:
             group.create_task(self._check_periodically())
+            for daemon in self.daemons:
+                group.create_task(self._probe_periodically(daemon))
             while True:
                 group.create_task(self.submit_job())
                 await asyncio.sleep(self.rng.expovariate(1 / period_s))
 
+    async def _probe_periodically(self, daemon: DaemonProcess) -> None:
+        """Query the queue that comes and goes with the configuration's versions."""
+        loop = asyncio.get_running_loop()
+        while True:
+            sent_s = loop.time()
+            status, _ = await self.call(daemon, "GET", "/n/")
+            self.invariants.check_config(daemon.name, status, sent_s, loop.time())
+            await asyncio.sleep(PROBE_PERIOD_S)
+
     async def _check_periodically(self) -> None:
         while True:
             await self.check_open_jobs()
