HTTP client: an answer during an unanswered call proves little at its end

What callers would see: a configuration that is 1.9 s old or more after connections went silent.

Cause: after a timeout the connections were kept that had been answered since the call began. If the connections die while the call is in flight, just after others were answered, those are dead too, and the retry takes one of them.

The order above needs a listing in flight within milliseconds of the fault; it was found by reading.

Change: only connections answered in the last 0.2 s of the call are kept.

Figures: test_answer_during_an_unanswered_call_proves_nothing_later failed before (two connections kept instead of one) and passes.

--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -15,6 +15,7 @@
 # Above a round trip between zones, below the SYN retransmission time.
 CONNECT_TIMEOUT_S = 0.5
 MAX_IDLE_PER_ADDRESS = 4  # enough for a concurrent poll, start and stop
+PROVEN_S = 0.2  # an answer that is older may have come before a fault
 MAX_BODY_BYTES = 8 << 20  # above the store's largest page
 
 
@@ -202,12 +203,14 @@
             raise CallNotSentError(f"{address}: {error}") from None
         return connection
 
-    def _close_unproven(self, address: str, since_s: float) -> None:
-        """Close the idle connections without an answer since ``since_s``.
+    def _close_unproven(self, address: str, started_s: float) -> None:
+        """Close idle connections after a call that began at ``started_s`` timed out.
 
         A fault that silences one connection often silences all of them, and each would
-        cost its next call a timeout.
+        cost its next call a timeout. Kept are those that were answered since the call
+        began and in the last ``PROVEN_S``.
         """
+        since_s = max(started_s, asyncio.get_running_loop().time() - PROVEN_S)
         unproven = [item for item in self.idle[address] if item.answered_s < since_s]
         for connection in unproven:
             self.idle[address].remove(connection)
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -62,6 +62,21 @@
             await self.call("/slow", timeout_s=0.1)
         self.assertIsNone(self.client.find_idle(self.address))
 
+    # Connections may die while a call is in flight, just after others were answered.
+    async def test_answer_during_an_unanswered_call_proves_nothing_later(self) -> None:
+        """Only a connection answered at the end of the call's wait is kept."""
+        loop = asyncio.get_running_loop()
+        slow = asyncio.ensure_future(self.call("/slow", timeout_s=0.5))
+        await asyncio.sleep(0.05)
+        await asyncio.gather(self.call("/"), self.call("/"))
+        await asyncio.sleep(0.4)
+        await self.call("/")
+        with self.assertRaises(CallUnansweredError):
+            await slow
+        kept = self.client.idle[self.address]
+        self.assertEqual(len(kept), 1)
+        self.assertLess(loop.time() - kept[0].answered_s, 0.2)
+
     async def test_slow_response_is_unanswered(self) -> None:
         """A call that times out has an ambiguous outcome."""
         with self.assertRaises(CallUnansweredError):
