Views: only listings prove them, also for workers and cancellations

Cause: an empty answer to a watch counted as proof for workers and cancellations, though a watch may hear nothing for a second. What was said of a view was not true of every view, and at 1.5 s it could be 2.5 s old.

Ruled out: deducting that second from a watch's proof (no wait is short enough beside a slow store); the proof by watch with a rarer listing.

Change: the owner lists workers and cancellations each second, jobs each 2 s; watches only bring changes sooner, and may wait 2 s again.

--- a/poplarlb/coordination/jobs/prefix_view.py
+++ b/poplarlb/coordination/jobs/prefix_view.py
@@ -1,8 +1,8 @@
 """What a daemon knows of the keys under a prefix of the store, and as of when.
 
-Every decision by such keys rests on one :class:`PrefixView`. A listing is complete up
-to its revision. The answers of a watch bring changes sooner, but a change that one of
-them leaves out shows only in a later listing.
+Every decision by such keys rests on one :class:`PrefixView`. Only a listing proves that
+no change is missing. The answers of a watch bring changes sooner, but a change that one
+of them leaves out shows only in a later listing.
 """
 
 from attrs import Factory, define, frozen
@@ -71,7 +71,7 @@
             for key, revision in self.removed.items()
             if revision > listed.revision
         }
-        self.prove(sent_ms)
+        self.proven_ms = max(sent_ms, self.proven_ms or 0)
         return ViewUpdate(gone + written, missed)
 
     def apply_watch(self, found: StoredChanges) -> ViewUpdate:
@@ -95,10 +95,6 @@
         """Return the revision of a key's last known change; 0 if none is known."""
         return max(self.known.get(key, 0), self.removed.get(key, 0))
 
-    def prove(self, at_ms: int) -> None:
-        """Record that every change confirmed before ``at_ms`` is known."""
-        self.proven_ms = at_ms if self.proven_ms is None else max(self.proven_ms, at_ms)
-
     def age_ms(self, now_ms: int) -> int | None:
         """Return the time since ``proven_ms``; None before the first listing."""
         return None if self.proven_ms is None else now_ms - self.proven_ms
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -356,19 +356,14 @@
 
 
 def operator_watch(settings: DaemonSettings) -> WatchSettings:
-    """Return how the operator's entries are watched, within the deployment's bound.
-
-    Only listings prove that no change is missing: the store's watches may hear nothing
-    for a second, which is half of the bound.
-    """
+    """Return how the operator's entries are watched, within the deployment's bound."""
     bound_s = settings.bounds.config_ms / 1000
     return WatchSettings(
-        "operator",
-        OPERATOR_PREFIX,
-        OPERATOR_WATCH_WAIT_MS,
-        LIST_PERIOD_SHARE * bound_s,
-        LIST_TIMEOUT_SHARE * bound_s,
-        watch_proves=False,
+        source="operator",
+        prefix=OPERATOR_PREFIX,
+        wait_ms=OPERATOR_WATCH_WAIT_MS,
+        list_period_s=LIST_PERIOD_SHARE * bound_s,
+        list_timeout_s=LIST_TIMEOUT_SHARE * bound_s,
     )
 
 
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -35,13 +35,25 @@
 from poplarlb.transport.prefix_watcher import PrefixWatcher, WatchSettings
 
 TICK_S = 0.02  # the dispatcher's decisions are delayed by at most this
-LIST_BYTES_PER_S = 128 * 1024  # what listings of one prefix may take of a slow link
-# Jobs don't become invalid, so only the delay of a missed one counts.
-JOBS_WATCH = WatchSettings("jobs", JOBS, 1_000, 2.0, 1.0, LIST_BYTES_PER_S)
-# The view must be proven every 1.5 s (``JobPolicy.max_view_age_ms``), also when the
-# store takes 60 times as long as usual; cancels and drains apply within 2 s and more.
-CANCELS_WATCH = WatchSettings("cancels", CANCELS, 300, 1.0, 1.0, LIST_BYTES_PER_S)
-WORKERS_WATCH = WatchSettings("workers", "", 300, 1.5, 1.0, LIST_BYTES_PER_S)
+# Runs are placed by views proven less than ``JobPolicy.max_view_age_ms`` ago. This
+# leaves a third of that for the answer of a store 100 times slower than usual.
+PLACEMENT_LIST_PERIOD_S = 1.0
+CANCELS_WATCH = WatchSettings(
+    source="cancels",
+    prefix=CANCELS,
+    wait_ms=2_000,
+    list_period_s=PLACEMENT_LIST_PERIOD_S,
+    list_timeout_s=0.6,
+)
+WORKERS_WATCH = attrs.evolve(CANCELS_WATCH, source="workers", prefix="")
+# A job that isn't known yet makes no decision wrong, so its view needs no proof.
+JOBS_WATCH = WatchSettings(
+    source="jobs",
+    prefix=JOBS,
+    wait_ms=2_000,
+    list_period_s=2.0,
+    list_bytes_per_s=256 * 1024,  # leaves half of a link of 5 Mbit/s
+)
 
 
 class WorkerClient(Protocol):
@@ -162,7 +174,7 @@
     def watch(
         self, settings: WatchSettings, on_change: Callable[[StoredChange], None]
     ) -> PrefixWatcher:
-        """Return a watcher that tells of its proofs."""
+        """Return a watcher that reports its listings."""
         return PrefixWatcher(
             self.store, settings, on_change, self.handle_view_confirmed, self.log
         )
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -35,7 +35,9 @@
 LEASE_MS = 1_500  # a failed owner is replaced after this
 RENEW_PERIOD_S = 0.4  # three renewals are attempted before the lease expires
 # Claims and renewals are checked by the store, so an old view only delays a takeover.
-HOLDER_WATCH = WatchSettings("owner", HOLDER, 5_000, 2.0)
+HOLDER_WATCH = WatchSettings(
+    source="owner", prefix=HOLDER, wait_ms=5_000, list_period_s=2.0
+)
 CLAIM_JITTER_S = 0.1  # makes simultaneous claims of daemons unlikely
 FIRST_CLAIM_DELAY_S = 1.0  # until all daemons of a new deployment have started
 # Daemons with fewer than this share of the most processors of any daemon claim later.
--- a/poplarlb/transport/prefix_watcher.py
+++ b/poplarlb/transport/prefix_watcher.py
@@ -26,8 +26,6 @@
     :param list_timeout_s: how long each page of a listing may take.
     :param list_bytes_per_s: lists larger than this allows for are read less often;
         None for no limit.
-    :param watch_proves: whether answers of the watch count as proof that no change is
-        missing, besides listings.
     """
 
     source: str
@@ -36,7 +34,6 @@
     list_period_s: float
     list_timeout_s: float = 1.0
     list_bytes_per_s: int | None = None
-    watch_proves: bool = True
 
 
 @define(eq=False)
@@ -47,13 +44,13 @@
     that the watch left out before it failed may no longer be in the store's history.
 
     :param on_change: called with each change; after a listing also for removed keys.
-    :param on_confirmed: called when the view's age was reduced.
+    :param on_listed: called after each listing, which proves the view.
     """
 
     store: Store
     settings: WatchSettings
     on_change: Callable[[StoredChange], None]
-    on_confirmed: Callable[[], None]
+    on_listed: Callable[[], None]
     log: EventLog
     view: PrefixView = Factory(PrefixView)
     list_due: asyncio.Event = field(factory=asyncio.Event)
@@ -116,7 +113,7 @@
             self.watch_may_continue.set()
         listed_event, self.listed = self.listed, asyncio.Event()
         listed_event.set()
-        self.on_confirmed()
+        self.on_listed()
 
     def _list_period_s(self) -> float:
         settings = self.settings
@@ -154,16 +151,10 @@
                 delay_s = min(2 * delay_s, MAX_RETRY_DELAY_S)
 
     async def _watch(self) -> None:
-        settings, sent_ms = self.settings, boottime_ms()
         found = await self.store.watch(
-            settings.prefix, self.view.watched_revision, settings.wait_ms
+            self.settings.prefix, self.view.watched_revision, self.settings.wait_ms
         )
         self._deliver(self.view.apply_watch(found))
-        if settings.watch_proves:
-            # Without changes the store answered only when the wait was over.
-            waited_ms = 0 if found.changes else settings.wait_ms
-            self.view.prove(min(sent_ms + waited_ms, boottime_ms()))
-            self.on_confirmed()
 
     # --- both -------------------------------------------------------------------------
 
