Settings: refuse a bound on the configuration that no listing can keep

Cause: the period of listings is a share of configMs, so 0 would list without a pause.

Change: a bound below 500 ms is a fault of the settings file; by the deployments' 2 and 3 s nothing changes.

--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -10,6 +10,7 @@
 
 SETTINGS_VARIABLE = "POPLARLB_BOOT"
 DEFAULT_PATH = "/etc/poplarlb/local.json"
+MIN_CONFIG_MS = 500  # the operator's entries are listed three times within it
 METRICS_PORT_VARIABLE = "POPLARLB_METRICS_PORT"
 
 
@@ -120,6 +121,9 @@
         for name in ("front", "ready", "control", "store", "advice")
         if values[name] and not is_address(values[name])
     ]
+    config_ms = values["config_ms"]
+    if config_ms is not None and config_ms < MIN_CONFIG_MS:
+        faults.append(f"bounds.configMs: below {MIN_CONFIG_MS}")
     if faults:
         raise SettingsError("; ".join(faults))
     return build_settings(values)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -6,7 +6,7 @@
 import unittest
 
 from poplarlb.exceptions import SettingsError
-from poplarlb.platform.daemon import build_policy
+from poplarlb.platform.daemon import build_policy, operator_watch
 from poplarlb.platform.settings import load_settings
 
 VALID = {
@@ -45,6 +45,18 @@
         policy = build_policy(self.load({**VALID, "bounds": bounds}))
         self.assertLessEqual(policy.lease_ms, 3_000)
 
+    def test_configuration_is_listed_well_within_its_bound(self) -> None:
+        """A listing that times out leaves a fifth of the bound for the next one."""
+        for bound_ms in (500, 2_000, 3_000):
+            bounds = {**VALID["bounds"], "configMs": bound_ms}
+            watch = operator_watch(self.load({**VALID, "bounds": bounds}))
+            spent_s = watch.list_period_s + watch.list_timeout_s
+            self.assertLessEqual(spent_s, 0.8 * bound_ms / 1000)
+        bounds = {**VALID["bounds"], "configMs": 0}
+        with self.assertRaises(SettingsError) as caught:
+            self.load({**VALID, "bounds": bounds})
+        self.assertIn("configMs", caught.exception.detail)
+
     def test_all_faults_are_reported_at_once(self) -> None:
         """Three faults of a file are all reported."""
         bad = {**VALID, "node": 7, "zone": None, "platform": {"addr": "nowhere"}}
