Soak: print the longest stall of its own process

The logs show every daemon without an answer of the store at the same moments, also long after the last fault: the soak's process, which serves the store and the workers of four seeds, did nothing meanwhile. Nothing measured that.

Change: each seed's line ends with the longest stall. No check and no seed is changed.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -26,7 +26,9 @@
             violations = [f"the soak failed: {error!r}"]
         started = len(soak.invariants.started_runs) if soak.invariants else 0
         print(
-            f"seed {seed}: {started} starts, {len(violations)} violations", flush=True
+            f"seed {seed}: {started} starts, {len(violations)} violations, "
+            f"longest stall {soak.longest_stall_s:.2f} s",
+            flush=True,
         )
         for line in violations[:5]:
             print(f"  {line}", flush=True)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -31,7 +31,12 @@
 
 @define(eq=False)
 class Soak:
-    """Runs one seed and ends every process that it started, by process id."""
+    """Runs one seed and ends every process that it started, by process id.
+
+    ``longest_stall_s`` is the longest time for which this process, which serves the
+    store and the workers, did nothing: they are then slower than the daemons may
+    expect.
+    """
 
     seed: int
     folder: pathlib.Path
@@ -45,6 +50,7 @@
     submitters: Submitters = None
     rng: random.Random = None
     version: int = 3
+    longest_stall_s: float = 0.0
     running_faults: set[asyncio.Task] = Factory(set)
 
     async def run(self) -> list[str]:
@@ -120,9 +126,13 @@
         )
 
     async def _check_invariants(self) -> None:
+        loop = asyncio.get_running_loop()
         while True:
-            self.invariants.check(asyncio.get_running_loop().time())
+            began_s = loop.time()
+            self.invariants.check(began_s)
             await asyncio.sleep(CHECK_PERIOD_S)
+            stall_s = loop.time() - began_s - CHECK_PERIOD_S
+            self.longest_stall_s = max(self.longest_stall_s, stall_s)
 
     # --- faults -----------------------------------------------------------------------
 
