Owner: views may be as old as the deployment's bounds allow

At the grown sites the bound is 3 s, and listing 490 workers over a narrow link takes long enough that the view passes 1.5 s before the next listing is answered.

Change: the limit is the shorter bound, of drains (drainMs) or configurations, less 500 ms.

--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -8,9 +8,9 @@
     """Bounds that the deployment sets, and defaults of this package.
 
     The deployment sets ``lease_limit_ms`` (the longest lease that workers grant),
-    ``stop_ms`` (the longest time that a stop takes), ``retention_ms`` (how long a
-    job's final state can be queried), ``harm_ms`` (how long a serving task may be over
-    its target) and ``far_factor``.
+    ``stop_ms`` (the longest time that a stop takes), ``max_view_age_ms`` (see below),
+    ``retention_ms`` (how long a job's final state can be queried), ``harm_ms`` (how
+    long a serving task may be over its target) and ``far_factor``.
     """
 
     lease_limit_ms: int = 10_000
@@ -33,8 +33,8 @@
     min_commit_interval_ms: int = 12  # at most 80 commits a second
     # A commit that took longer starts none of its runs.
     max_commit_before_start_ms: int = 1_500
-    # Nothing is placed by older data; below the 2 s within which a drain must be
-    # obeyed.
+    # Nothing is placed by older data; below the time within which a drain must be
+    # obeyed, by default 2 s.
     max_view_age_ms: int = 1_500
     stop_retry_ms: int = 500  # until a stop is sent again
     refused_pause_ms: int = 700  # without new runs, after a worker refused a start
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -54,6 +54,7 @@
 # Requests are decided by a configuration that much younger than the time within which a
 # change must be in force.
 VIEW_AGE_MARGIN_MS = 200
+START_MARGIN_MS = 500  # the same for runs, whose start takes a call to a worker
 REFRESH_TIMEOUT_S = 0.25  # a request waits this long for a new listing; usually 4 ms
 SETTINGS_CHECK_PERIOD_S = 1.0  # the settings file may change without a signal
 LOG_FLUSH_PERIOD_S = 0.1
@@ -352,6 +353,9 @@
         retention_ms=bounds.status_ms,
         harm_ms=bounds.harm_ms,
         far_factor=bounds.far_factor,
+        max_view_age_ms=max(
+            0, min(bounds.drain_ms, bounds.config_ms) - START_MARGIN_MS
+        ),
     )
 
 
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -38,6 +38,7 @@
     :param status_ms: how long a job's final state can be queried.
     :param harm_ms: how long a serving task, one with a latency target, may be over it.
     :param config_ms: how soon a stored configuration must be in force.
+    :param drain_ms: how soon a stored drain must be obeyed.
     :param far_factor: the factor of a task's run time away from its data.
     """
 
@@ -47,6 +48,7 @@
     status_ms: int = 120_000
     harm_ms: int = 4_000
     config_ms: int = 2_000
+    drain_ms: int = 2_000
     far_factor: float = 1.5
 
 
@@ -94,6 +96,7 @@
     "status_s": FieldSpec(("bounds", "status_s"), NUMBER, False),
     "harm_ms": FieldSpec(("bounds", "harmMs"), NUMBER, False),
     "config_ms": FieldSpec(("bounds", "configMs"), NUMBER, False),
+    "drain_ms": FieldSpec(("bounds", "drainMs"), NUMBER, False),
     "far_factor": FieldSpec(("bounds", "farX"), NUMBER, False),
 }
 
@@ -166,6 +169,7 @@
         status_ms=to_ms(values["status_s"], 1_000, default.status_ms),
         harm_ms=to_ms(values["harm_ms"], 1, default.harm_ms),
         config_ms=to_ms(values["config_ms"], 1, default.config_ms),
+        drain_ms=to_ms(values["drain_ms"], 1, default.drain_ms),
         far_factor=float(values["far_factor"] or default.far_factor),
     )
     return DaemonSettings(
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,18 @@
         policy = build_policy(self.load({**VALID, "bounds": bounds}))
         self.assertLessEqual(policy.lease_ms, 3_000)
 
+    # A bound longer than the default must not stop placement at the default's age.
+    def test_views_may_be_as_old_as_the_bounds_allow(self) -> None:
+        """The shorter of the bounds on drains and configurations counts."""
+        for drain_ms, config_ms, age_ms in (
+            (2_000, 2_000, 1_500),
+            (3_000, 3_000, 2_500),
+            (3_000, 2_000, 1_500),
+        ):
+            bounds = {**VALID["bounds"], "drainMs": drain_ms, "configMs": config_ms}
+            policy = build_policy(self.load({**VALID, "bounds": bounds}))
+            self.assertEqual(policy.max_view_age_ms, age_ms)
+
     def test_configuration_is_listed_well_within_its_bound(self) -> None:
         """A listing that times out leaves a fifth of the bound for the next one."""
         for bound_ms in (500, 2_000, 3_000):
