Stand-in: workers' clocks follow the time, also after a stall

Cause: fake workers advanced by 20 ms for each tick, however long the tick had taken.

Change: workers advance by the time that has passed.

--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -297,10 +297,15 @@
         self.table.put(key, json.dumps(entry).encode())
 
     async def _tick(self) -> None:
+        """Advance the workers by the time that has passed, also after a stall."""
+        loop = asyncio.get_running_loop()
+        advanced_s = loop.time()
         while True:
             await asyncio.sleep(WORKER_TICK_S)
+            elapsed_s = loop.time() - advanced_s
+            advanced_s += elapsed_s
             for worker in self.workers.values():
-                worker.advance(WORKER_TICK_S * 1000)
+                worker.advance(elapsed_s * 1000)
 
     async def handle(self, worker: FakeWorker, request: HttpRequest) -> HttpResponse:
         """Handle one call to a worker."""
