Clarify the margins of views and the attributes of their watchers

Read as a newcomer: two margins shared a comment that only one of them fitted, and four attributes of PrefixWatcher had no description. No behaviour changes.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -51,10 +51,10 @@
 # for the listing that finds the change.
 LIST_PERIOD_SHARE = 0.35
 LIST_TIMEOUT_SHARE = 0.4
-# Requests are decided by a configuration that much younger than the time within which a
-# change must be in force.
+# How much younger than the time within which a change must be in force a view has to be
+# for a request to be answered, and for a run to be started by a call to a worker.
 VIEW_AGE_MARGIN_MS = 200
-START_MARGIN_MS = 500  # the same for runs, whose start takes a call to a worker
+START_MARGIN_MS = 500
 REFRESH_TIMEOUT_S = 0.25  # a request waits this long for a new listing; usually 4 ms
 SETTINGS_CHECK_PERIOD_S = 1.0  # the settings file may change without a signal
 LOG_FLUSH_PERIOD_S = 0.1
@@ -254,7 +254,10 @@
         return config.version if config else 0
 
     def view_age_ms(self) -> int:
-        """Return the time since no change of the operator's was missing here."""
+        """Return the age of the view of the operator's entries.
+
+        Before the first listing that is the time since the machine started.
+        """
         now_ms = boottime_ms()
         age_ms = self.operator_watcher.view.age_ms(now_ms)
         return now_ms if age_ms is None else age_ms
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -184,7 +184,7 @@
 
     ``version`` is 0 without a configuration, ``revision`` the store's revision of its
     last change. ``age_ms`` is the time since the store last confirmed that no change
-    is missing; ``is_current`` tells whether that allows a decision.
+    is missing; ``is_current`` tells whether requests may be answered by it.
     """
 
     version: int
--- a/poplarlb/transport/prefix_watcher.py
+++ b/poplarlb/transport/prefix_watcher.py
@@ -45,6 +45,10 @@
 
     :param on_change: called with each change; after a listing also for removed keys.
     :param on_listed: called after each listing, which proves the view.
+    :ivar list_due: set to have the prefix listed at once.
+    :ivar listed: set, and replaced, after each listing.
+    :ivar watch_may_continue: cleared from a failed watch until a later listing.
+    :ivar listed_bytes: the size of the values in the last listing.
     """
 
     store: Store
@@ -54,7 +58,7 @@
     log: EventLog
     view: PrefixView = Factory(PrefixView)
     list_due: asyncio.Event = field(factory=asyncio.Event)
-    listed: asyncio.Event = field(factory=asyncio.Event)  # replaced at each listing
+    listed: asyncio.Event = field(factory=asyncio.Event)
     watch_may_continue: asyncio.Event = field(factory=asyncio.Event)
     watch_failures: int = 0
     listed_bytes: int = 0
