Store: an answer to a call sent before a loss doesn't end the loss

What callers would see: during an outage requests that wait 0.25 s or more before they are refused, where they should be refused at once.

Cause: any answer counted as the store's return, also one to a watch that was sent before the outage.

Change: a loss ends with the answer to a call that was sent after it began.

--- a/poplarlb/platform/store.py
+++ b/poplarlb/platform/store.py
@@ -52,6 +52,7 @@
     on_regained: Callable[[], None] = lambda: None
     is_down: bool = False  # calls have failed for DOWN_AFTER_S and none was answered
     down_timer: asyncio.TimerHandle | None = None  # started by the first failure
+    down_since_s: float = 0.0  # on the event loop's clock
 
     def _record_failure(self, error: str) -> None:
         self.failures += 1
@@ -61,9 +62,13 @@
 
     def _mark_down(self, error: str) -> None:
         self.is_down = True
+        self.down_since_s = asyncio.get_running_loop().time()
         self.on_lost(error)
 
-    def _record_response(self) -> None:
+    def _record_response(self, sent_s: float) -> None:
+        """Note an answer; one to a call sent before a loss doesn't end the loss."""
+        if self.is_down and sent_s < self.down_since_s:
+            return
         if self.down_timer is not None:
             self.down_timer.cancel()
             self.down_timer = None
@@ -173,6 +178,7 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> ClientResponse:
         self.calls += 1
+        sent_s = asyncio.get_running_loop().time()
         try:
             response = await self.client.call(
                 self.address, method, path, body, timeout_s=timeout_s
@@ -187,7 +193,7 @@
             refusal = f"{method} {path.split('?')[0]}: {response.status}"
             self._record_failure(refusal)
             raise StoreRefusedError(refusal)
-        self._record_response()
+        self._record_response(sent_s)
         return response
 
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -58,6 +58,17 @@
         self.assertFalse(self.store.is_down)
         self.assertEqual(self.logged, ["lost", "regained"])
 
+    # A watch that was sent before an outage may be answered seconds after it began.
+    async def test_answer_to_an_earlier_call_does_not_end_a_loss(self) -> None:
+        """Only a call that was sent after the loss shows that the store is back."""
+        early = asyncio.get_running_loop().time()
+        await self.call(503)
+        await asyncio.sleep(DOWN_AFTER_S + TIMER_MARGIN_S)
+        self.store._record_response(early)
+        self.assertTrue(self.store.is_down)
+        await self.call(200)
+        self.assertFalse(self.store.is_down)
+
     async def test_short_failures_are_not_a_loss(self) -> None:
         """A failure that is soon followed by an answer is not reported."""
         for _ in range(4):
