--- a/tests/platform/test_large_config.py
+++ b/tests/platform/test_large_config.py
@@ -17,6 +17,14 @@
 # Of a daemon's link of 2 Mbit/s, what proofs of an unchanged view may take.
 IDLE_BYTES_PER_S = 5_000
 DAEMONS = 3
+GROWTHS = 3
+GROWTH_ROUTES = 1_400
+GROWTH_BOUND_S = 3.0
+# Three daemons with links of 5 Mbit/s.
+GROWTH_LINK_BYTES_PER_S = 1_875_000
+QUERIED_S = 3.0
+QUERY_PERIOD_S = 0.05
+ROUND_TRIP_S = 0.5
 
 
 def grown(version: int, routes: int) -> dict:
@@ -103,5 +111,48 @@
         self.assertEqual(self.versions(), {10})
 
 
+class RepeatedGrowthTest(unittest.IsolatedAsyncioTestCase):
+    """The configuration grows three times, to 1.5 MB, over links of 5 Mbit/s each."""
+
+    async def asyncSetUp(self) -> None:
+        """Start three daemons behind one link, which all of them share."""
+        self.system = Deployment(config_ms=int(GROWTH_BOUND_S * 1000))
+        await self.system.start(daemons=DAEMONS, linked=True)
+        self.system.link.bytes_per_s = GROWTH_LINK_BYTES_PER_S
+
+    async def asyncTearDown(self) -> None:
+        """Stop them."""
+        await self.system.stop()
+
+    async def refusals(self, duration_s: float) -> list[tuple[str, int]]:
+        """Ask each daemon for a job's state; return the refusals: daemon and status."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + duration_s
+        found = []
+        while loop.time() < until_s:
+            for name in self.system.daemons:
+                answer = await self.system.call("GET", f"/o/{ID}", daemon=name)
+                if answer.status != 200:
+                    found.append((name, answer.status))
+            await asyncio.sleep(QUERY_PERIOD_S)
+        return found
+
+    # Guards against daemons on slow links that refuse every request long after the
+    # configuration has grown, as their views are never proven in time.
+    async def test_states_are_answered_after_each_growth(self) -> None:
+        """Once a version must be in force, every daemon answers each query."""
+        await self.system.call("POST", f"/o/{ID}", JOB)
+        await self.system.wait_for_state(ID, "done")
+        for growth in range(1, GROWTHS + 1):
+            self.system.configure(grown(10 * growth, growth * GROWTH_ROUTES))
+            await asyncio.sleep(GROWTH_BOUND_S + ROUND_TRIP_S)
+            self.assertEqual(self.versions(), {10 * growth})
+            self.assertEqual(await self.refusals(QUERIED_S), [])
+
+    def versions(self) -> set[int]:
+        """Return the versions in force at the daemons."""
+        return {daemon.config_version() for daemon in self.system.live()}
+
+
 if __name__ == "__main__":
     unittest.main()
