Owner: log the loss of a worker with the runs that it had begun

The three places where the owner learns of a loss report it: leases over at a silent worker without an entry, a poll answered by a later incarnation, and a takeover that finds one.

No decision changes.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import (
     CallOutcome,
@@ -40,6 +41,7 @@
     """
 
     state: DispatcherState
+    crashes: CrashCounter
     ownership_confirmed_ms: int = 0
     next_stall_check_ms: int = 0
 
@@ -275,9 +277,12 @@
                 continue
             if not worker.lease_expired(state.policy, state.now_ms):
                 continue
-            for run in list(worker.runs.values()):
-                if self._may_still_start(run):
-                    continue
+            expired = [
+                run for run in worker.runs.values() if not self._may_still_start(run)
+            ]
+            if not worker.listed:
+                self.crashes.on_worker_lost(worker, expired, "silent and unlisted")
+            for run in expired:
                 state.release(worker, run, "lease is over at a silent worker")
 
     def _may_still_start(self, run: Run) -> bool:
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -4,6 +4,7 @@
 
 from poplarlb.coordination.jobs.advice import TicketCache
 from poplarlb.coordination.jobs.calls import WorkerCalls
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import (
     AdviceAnswered,
@@ -65,6 +66,7 @@
     """
 
     state: DispatcherState
+    crashes: CrashCounter = None
     calls: WorkerCalls = None
     poll_reader: PollReader = None
     advice: TicketCache = None
@@ -85,8 +87,9 @@
 
     def __attrs_post_init__(self) -> None:
         """Create the parts that share the state."""
-        self.calls = WorkerCalls(self.state)
-        self.poll_reader = PollReader(self.state)
+        self.crashes = CrashCounter(self.state)
+        self.calls = WorkerCalls(self.state, self.crashes)
+        self.poll_reader = PollReader(self.state, self.crashes)
         self.advice = TicketCache(self.state)
         self.scheduler = Scheduler(self.state, self.advice)
         self.throttler = Throttler(self.state)
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import EndedRow, PollAnswered, RunningRow
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
@@ -22,6 +23,7 @@
     """Applies the runs and ends that workers list to the dispatcher's state."""
 
     state: DispatcherState
+    crashes: CrashCounter
 
     def read(self, worker: WorkerState, poll: PollAnswered) -> None:
         """Apply one worker's answer; that of an earlier incarnation is ignored."""
@@ -66,10 +68,12 @@
         stopped there. Runs that the new incarnation lists are kept.
         """
         state = self.state
-        known = worker.incarnation
-        worker.begin_incarnation(poll.incarnation)
-        if not known:
+        if not worker.incarnation:
+            worker.begin_incarnation(poll.incarnation)
             return
+        lost = [run for run in worker.runs.values() if run.key not in listed]
+        self.crashes.on_worker_lost(worker, lost, "restarted")
+        worker.begin_incarnation(poll.incarnation)
         state.log("worker_restarted", worker=worker.worker_id, life=poll.incarnation)
         unanswered_starts = {
             key
@@ -104,15 +108,23 @@
         """
         ended = {(row.task, row.run) for row in poll.ended}
         complete = len(poll.ended) < MAX_ENDS_PER_POLL
-        for run in list(worker.runs.values()):
-            if run.phase is not RunPhase.INHERITED:
-                continue
+        inherited = [
+            run for run in worker.runs.values() if run.phase is RunPhase.INHERITED
+        ]
+        missing = [
+            run
+            for run in inherited
+            if complete and run.key not in listed and run.key not in ended
+        ]
+        # Runs of the worker's present incarnation are missing if their starts were
+        # never sent.
+        lost = [run for run in missing if run.task.incarnation != poll.incarnation]
+        self.crashes.on_worker_lost(worker, lost, "restarted before the takeover")
+        for run in inherited:
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = self.state.now_ms
-            if complete and run.key not in listed and run.key not in ended:
-                self.state.release(
-                    worker, run, "not found at its worker by the new owner"
-                )
+        for run in missing:
+            self.state.release(worker, run, "not found at its worker by the new owner")
 
     # --- ends -------------------------------------------------------------------------
 
--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -48,6 +48,7 @@
         "waiting_recounted",
         "stray_run",
         "worker_paused",
+        "worker_lost",
         "change_missed",
         "refresh_unanswered",
         "watch_failed",
