--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -90,6 +90,7 @@
             if confirmed and may_renew(state, worker):
                 lease_end_ms = worker.new_lease_end(policy, state.now_ms)
             watched = worker.serving_runs and worker.best_effort_cpu
+            watched = watched or worker.held_for or worker.isolated_run
             wait_ms = policy.watched_poll_wait_ms if watched else policy.poll_wait_ms
             if worker.applied_end > worker.stored_end:
                 wait_ms = 0
@@ -280,7 +281,9 @@
             expired = [
                 run for run in worker.runs.values() if not self._may_still_start(run)
             ]
-            if not worker.listed:
+            if worker.listed:
+                worker.expired_runs += expired
+            else:
                 self.crashes.on_worker_lost(worker, expired, "silent and unlisted")
             for run in expired:
                 state.release(worker, run, "lease is over at a silent worker")
--- a/poplarlb/coordination/jobs/crashes.py
+++ b/poplarlb/coordination/jobs/crashes.py
@@ -1,4 +1,10 @@
-"""Reports workers that were lost and the runs that were lost with them."""
+"""Counts the workers that crash under a task, and gives such tasks up.
+
+A crash takes all runs of a worker with it and doesn't tell which of them caused it. It
+therefore counts against each task that may have. Such tasks run isolated
+(:mod:`isolation`): a crash under an isolated run counts against its task alone. The
+counts are stored with the job, so they outlast the owner.
+"""
 
 from collections.abc import Iterable
 
@@ -6,9 +12,16 @@
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.state.jobs import CrashedRun, JobState, Task, TaskStatus
 
 # A run has settled once its worker has listed it this long after its start.
 SETTLED_MS = 300
+# A task is given up if this many workers crashed as soon as they had begun it, the last
+# of them in isolation, or if this many crashed at any time.
+SUDDEN_CRASH_LIMIT = 2
+CRASH_LIMIT = 5
+# A task with this many crashes runs isolated, no matter how long its runs had lasted.
+ISOLATED_FROM = 2
 MAX_LOGGED_RUNS = 20  # of one worker
 
 
@@ -21,23 +34,104 @@
     def on_worker_lost(
         self, worker: WorkerState, runs: Iterable[Run], reason: str
     ) -> None:
-        """Handle that a worker's process has ended, before its runs are released."""
+        """Count the crash of a worker, before its runs are released."""
         state = self.state
         lost = [run for run in runs if run.phase is not RunPhase.COMMITTING]
         if not lost:
             return
+        isolated = [run for run in lost if is_isolated(run)]
+        counted = isolated or [run for run in lost if may_be_cause(worker, run)]
+        if worker.listing is not None and worker.listing.draining:
+            counted = []  # it has left
         state.log(
             "worker_lost",
             worker=worker.worker_id,
             life=worker.incarnation,
             reason=reason,
             runs=len(lost),
+            counted=len(counted),
             answered_ms_ago=state.now_ms - worker.answered_ms,
             begun_ms={
                 f"{run.task.name} run {run.number}": listed_for_ms(worker, run)
                 for run in lost[:MAX_LOGGED_RUNS]
             },
         )
+        for run in counted:
+            self._count(worker, run)
+
+    def _count(self, worker: WorkerState, run: Run) -> None:
+        state, task = self.state, run.task
+        known = task.crashed_runs
+        if task.status is TaskStatus.DONE or task.job.final:
+            return
+        if any(crashed.number == run.number for crashed in known):
+            return
+        isolated = is_isolated(run)
+        sudden = is_sudden(worker, run)
+        task.crashed_runs = crashed_runs = (*known, CrashedRun(run.number, sudden))
+        task.suspected = not is_settled(worker, run)
+        if task not in task.job.crashed_tasks:
+            task.job.crashed_tasks.append(task)
+        if needs_isolation(task):
+            state.suspects[task] = None
+        state.mark_dirty(task.job)
+        crashes = len(crashed_runs)
+        state.log_task(
+            "crash_counted",
+            task,
+            run.number,
+            worker=worker.worker_id,
+            crashes=crashes,
+            sudden=sudden,
+            isolated=isolated,
+        )
+        sudden_crashes = sum(crashed.sudden for crashed in crashed_runs)
+        proven = isolated and sudden and sudden_crashes >= SUDDEN_CRASH_LIMIT
+        if run.phase is RunPhase.INHERITED:
+            proven = proven and crashes > SUDDEN_CRASH_LIMIT
+        if proven or crashes >= CRASH_LIMIT:
+            reason = f"{crashes} workers crashed under {task.name}"
+            state.finish(task.job, JobState.FAILED, reason)
+
+    def withdraw(self, task: Task, run: int) -> None:
+        """Take back a counted crash: the worker was only out of reach."""
+        remaining = tuple(item for item in task.crashed_runs if item.number != run)
+        if len(remaining) == len(task.crashed_runs):
+            return
+        task.crashed_runs = remaining
+        task.suspected = False
+        self.state.mark_dirty(task.job)
+        self.state.log_task("crash_withdrawn", task, run)
+
+
+def needs_isolation(task: Task) -> bool:
+    """Return whether a task is to run isolated; a gang's tasks can't."""
+    repeated = len(task.crashed_runs) >= ISOLATED_FROM
+    return (task.suspected or repeated) and not task.spec.gang
+
+
+def is_isolated(run: Run) -> bool:
+    """Return whether no other run at its worker can have crashed the worker."""
+    return run.task.isolated_run == run.number
+
+
+def is_sudden(worker: WorkerState, run: Run) -> bool:
+    """Return whether a worker crashed as soon as it had begun a run, as far as known.
+
+    After a takeover it isn't known how long a run was active; an isolated one had
+    probably just begun.
+    """
+    match run.phase:
+        case RunPhase.RUNNING:
+            return not is_settled(worker, run)
+        case RunPhase.INHERITED:
+            return is_isolated(run)
+    return False
+
+
+def may_be_cause(worker: WorkerState, run: Run) -> bool:
+    """Return whether a run may have crashed its worker by being started there."""
+    return not (run.task.spec.long_running and is_settled(worker, run))
 
 
 def listed_for_ms(worker: WorkerState, run: Run) -> int:
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -260,6 +260,9 @@
         # The worker may still run behind a network partition: its runs are released
         # only when their leases have expired.
         worker.listed = False
+        if worker.expired_runs and not worker.listing.draining:
+            self.crashes.on_worker_lost(worker, worker.expired_runs, "unlisted")
+        worker.expired_runs.clear()
 
     # --- commits ----------------------------------------------------------------------
 
@@ -360,6 +363,7 @@
         self._open_occurrences()
         self.calls.release_expired()
         self.calls.stop_stalled()
+        self.scheduler.isolation.tick()
         self.slow_workers.tick()
         self.calls.stop_due()
         self._drop_workers()
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -39,6 +39,7 @@
     :ivar runs_to_stop: the runs that are to be stopped and may not have ended yet, in
         the order in which that was decided.
     :ivar workers_to_poll: the workers that may be due for a poll.
+    :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
     :ivar now_ms: the time of the present event on the daemon's monotonic clock.
     :ivar utc_ms: the wall-clock time of the last tick.
     """
@@ -62,6 +63,7 @@
     freed_workers: dict[str, WorkerState] = Factory(dict)
     runs_to_stop: dict[Run, None] = Factory(dict)
     workers_to_poll: dict[str, WorkerState] = Factory(dict)
+    suspects: dict[Task, None] = Factory(dict)
     now_ms: int = 0
     utc_ms: int = 0
 
@@ -192,6 +194,10 @@
         self.jobs[job.spec.job_id] = job
         if not job.final:
             self.unplaced.add(job)
+            for task in job.crashed_tasks:
+                if task.crashed_runs and not task.spec.gang:
+                    task.suspected = True
+                    self.suspects[task] = None
         for occurrence in job.occurrences.values():
             for task in (task for tasks in occurrence.steps for task in tasks):
                 if task.status is not TaskStatus.PLACED:
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -33,6 +33,7 @@
         listed = {(row.task, row.run): row for row in poll.running}
         if poll.incarnation != worker.incarnation:
             self._handle_new_incarnation(worker, poll, listed)
+        worker.expired_runs.clear()
         first = not worker.fenced
         worker.update_clock(poll.clock_ms, state.now_ms)
         if first:
@@ -72,7 +73,7 @@
             worker.begin_incarnation(poll.incarnation)
             return
         lost = [run for run in worker.runs.values() if run.key not in listed]
-        self.crashes.on_worker_lost(worker, lost, "restarted")
+        self.crashes.on_worker_lost(worker, worker.expired_runs + lost, "restarted")
         worker.begin_incarnation(poll.incarnation)
         state.log("worker_restarted", worker=worker.worker_id, life=poll.incarnation)
         unanswered_starts = {
@@ -176,6 +177,8 @@
         )
         if was_current and row.checkpoint:
             task.checkpoint = row.checkpoint
+        if row.how is not RunEnd.STOPPED:
+            self.crashes.withdraw(task, row.run)
         match row.how:
             case RunEnd.DONE if not task.spec.long_running:
                 worker.failures = 0
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -7,6 +7,7 @@
 from poplarlb.coordination.jobs.advice import TicketCache
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.isolation import Isolation
 from poplarlb.coordination.jobs.placement import Demand, WorkerChooser
 from poplarlb.state.jobs import (
     Job,
@@ -35,6 +36,7 @@
 
     :ivar chooser: chooses from the usable workers.
     :ivar paused_chooser: chooses from the paused ones.
+    :ivar isolation: chooses for tasks that may crash their worker.
     :ivar next_full_round_ms: when all workers are next considered for every waiting
         task. Until then tasks that fitted nowhere are tried only at workers that
         released capacity.
@@ -45,6 +47,7 @@
     advice: TicketCache
     chooser: WorkerChooser = None
     paused_chooser: WorkerChooser = None
+    isolation: Isolation = None
     next_full_round_ms: int = 0
     keys: dict[Job, tuple] = Factory(dict)
 
@@ -53,12 +56,14 @@
         state = self.state
         self.chooser = WorkerChooser(state.policy, state.interference)
         self.paused_chooser = WorkerChooser(state.policy, state.interference)
+        self.isolation = Isolation(state, self.chooser)
 
     def place_waiting(self) -> None:
         """Run one scheduling round: place every ready task that fits."""
         state = self.state
         state.capacity_changed = False
         workers, paused_workers = self._split_workers()
+        self._place_suspects(workers)
         if state.now_ms >= self.next_full_round_ms:
             self.next_full_round_ms = state.now_ms + state.policy.schedule_period_ms
             state.freed_workers.clear()
@@ -84,10 +89,28 @@
         for worker in state.workers.values():
             if not worker.is_reachable or worker.listing.zone in state.zones_out:
                 continue
+            taken = worker.held_for or worker.isolated_run
+            if taken and self.isolation.keeps_alone(worker):
+                continue
             found = usable if state.now_ms >= worker.paused_until_ms else paused
             found.setdefault(worker.listing.service, []).append(worker)
         return usable, paused
 
+    def _place_suspects(self, workers: dict[str, list[WorkerState]]) -> None:
+        """Place the tasks that may crash their worker, each isolated from other runs.
+
+        The workers held for them are removed from ``workers``.
+        """
+        for task in self.isolation.list_waiting():
+            queue = self.state.queue_of(task.job)
+            usable = workers.setdefault(queue.service, [])
+            demand = self._demand(task, queue)
+            worker = self.isolation.choose(task, demand, usable)
+            if worker is not None:
+                run = self._reserve(task, worker, demand)
+                self.isolation.begin(worker, run)
+                self._commit_start(run)
+
     def urgency_key(self, job: Job) -> tuple:
         """Return a job's sort key; the most urgent job sorts first.
 
@@ -167,7 +190,11 @@
                     for task in occurrence.steps[step]
                     if task.status is TaskStatus.WAITING
                 ]
-                startable = [task for task in tasks if not task.reserved_runs]
+                startable = [
+                    task
+                    for task in tasks
+                    if not task.reserved_runs and task not in self.state.suspects
+                ]
                 waiting |= len(startable) < len(tasks)
                 if not startable:
                     continue
--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -35,6 +35,7 @@
         "run_paced",
         "run_stopped",
         "task_waits",
+        "worker_held",
     )
 )
 # Events of failures have their own token bucket, which successes can't empty.
@@ -49,6 +50,7 @@
         "stray_run",
         "worker_paused",
         "worker_lost",
+        "crash_counted",
         "change_missed",
         "refresh_unanswered",
         "watch_failed",
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -12,6 +12,7 @@
 
 from poplarlb.exceptions import BadAnswerError
 from poplarlb.state.jobs import (
+    CrashedRun,
     Job,
     JobSpec,
     JobState,
@@ -129,6 +130,8 @@
             str(number): encode_occurrence(occurrence)
             for number, occurrence in job.occurrences.items()
         }
+        if job.crashed_tasks:
+            row["crashes"] = [encode_crashes(task) for task in job.crashed_tasks]
     return orjson.dumps(row)
 
 
@@ -155,6 +158,22 @@
     ]
 
 
+def encode_crashes(task: Task) -> list:
+    """Return the row of the runs of one task under which their worker crashed."""
+    runs = [[run.number, run.sudden] for run in task.crashed_runs]
+    return [task.occurrence, task.step, task.index, runs, task.isolated_run]
+
+
+def restore_crashes(job: Job, row: list) -> None:
+    """Set what :func:`encode_crashes` stored of one task; a done task is left out."""
+    occurrence, step, index, runs, isolated_run = row
+    task = job.find_task(occurrence, step, index)
+    if task is not None and task.status is not TaskStatus.DONE:
+        task.crashed_runs = tuple(CrashedRun(*run) for run in runs)
+        task.isolated_run = isolated_run
+        job.crashed_tasks.append(task)
+
+
 def decode_job_state(value: bytes) -> JobState:
     """Return only the job's state from a progress record.
 
@@ -180,6 +199,8 @@
             occurrence = job.open_occurrence(int(number))
             restore_occurrence(occurrence, steps)
         job.next_occurrence = row["next"]
+        for crashes in row.get("crashes", ()):
+            restore_crashes(job, crashes)
     except (ValueError, TypeError, KeyError, IndexError) as error:
         raise BadAnswerError(f"progress record: {error}") from error
     job.stored = True
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -216,6 +216,14 @@
         }
 
 
+@frozen
+class CrashedRun:
+    """A run under which its worker crashed; ``sudden``: as soon as it had begun."""
+
+    number: int
+    sudden: bool
+
+
 @define(eq=False, slots=True)
 class Task:
     """One task of one occurrence of a job.
@@ -225,6 +233,10 @@
     one. ``worker_id`` and ``incarnation`` name the worker of a placed task and that
     worker's incarnation, its start time (UTC ms). ``reserved_runs`` are its runs
     that hold a reservation, as the owner of the jobs tracks them.
+
+    ``crashed_runs`` are the runs under which their worker crashed. ``isolated_run`` is
+    the number of the last run that no other one at its worker disturbed; 0: none. A
+    ``suspected`` task may have crashed its last worker by being started there.
     """
 
     job: "Job"
@@ -239,6 +251,9 @@
     incarnation: int = 0
     reserved_runs: tuple = ()
     waiting_since_ms: int = 0  # since when no worker had free capacity for it; 0: none
+    crashed_runs: tuple[CrashedRun, ...] = ()
+    isolated_run: int = 0
+    suspected: bool = False
 
     @property
     def name(self) -> str:
@@ -293,6 +308,7 @@
     stored: bool = False  # its progress record is in the store or in a commit
     critical_path_ms: int = 0  # the estimated time of the steps' critical path
     trail: list[str] = Factory(list)  # this owner's decisions on the job, for the log
+    crashed_tasks: list[Task] = Factory(list)  # that have or had ``crashed_runs``
 
     def __attrs_post_init__(self) -> None:
         """Compute the critical path, which never changes."""
