Walks: tasks that crash their workers, and checks of BUDGET

Change: JobWorld takes a set of deadly tasks. A worker that starts one crashes, before or after its answer, is unlisted after 3 s and is back after 2 to 8 s under its id or under another one at the same address. Workers record the tasks that ran when they crashed. Checks: a start by the present owner is the third one after three workers had crashed under its task; a job fails only if two workers had crashed under one of its tasks, or a run of one has failed.

--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -1,6 +1,6 @@
 """A fake worker that runs tasks under leases and fences, on a simulated clock."""
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from poplarlb.coordination.jobs.events import (
     CallOutcome,
@@ -35,12 +35,26 @@
         return min(int(100 * self.done_ms / self.work_ms), 100)
 
 
+@frozen
+class Crash:
+    """A crash of a worker, and the tasks that it was running.
+
+    ``cause`` is the name of the task that caused it; empty if none did.
+    """
+
+    incarnation: int
+    cause: str
+    tasks: frozenset[str]
+
+
 @define(eq=False)
 class FakeWorker:
-    """One worker, which records run ends for the checks.
+    """One worker, which records run ends and its crashes for the checks.
 
     ``acknowledged_ends`` holds ends as done that were acknowledged,
-    ``ends_at_lease_expiry`` ends that were listed while the lease ended.
+    ``ends_at_lease_expiry`` ends that were listed while the lease ended;
+    ``failed_tasks`` are the tasks of which a run ended as failed. A worker that
+    has been ``replaced`` by one with another id doesn't come back.
     """
 
     worker_id: str
@@ -63,13 +77,21 @@
     speed: float = 1.0
     acknowledged_ends: set[tuple[str, int]] = Factory(set)
     ends_at_lease_expiry: set[tuple[str, int]] = Factory(set)
+    failed_tasks: set[str] = Factory(set)
+    crashes: list[Crash] = Factory(list)
+    address: str = ""
+    replaced: bool = False
+
+    def __attrs_post_init__(self) -> None:
+        """Set the address unless it is given."""
+        self.address = self.address or f"{self.worker_id}:1"
 
     def listing(self) -> WorkerListing:
         """Return the worker's entry in the store."""
         return WorkerListing(
             self.worker_id,
             self.incarnation,
-            f"{self.worker_id}:1",
+            self.address,
             self.service,
             self.zone,
             self.draining,
@@ -99,12 +121,23 @@
         """End a run."""
         run = self.runs.pop(key)
         self.highest_run[run.task] = max(self.highest_run.get(run.task, 0), run.number)
+        if how is RunEnd.FAILED:
+            self.failed_tasks.add(run.task)
         checkpoint = "" if how in (RunEnd.DONE, RunEnd.FAILED) else f"s{run.number}"
         self.ends.append(EndedRow(self.next_end, run.task, run.number, how, checkpoint))
         self.next_end += 1
 
+    def crash(self, cause: str = "") -> None:
+        """Stop answering and lose all runs."""
+        if not self.alive:
+            return
+        tasks = frozenset(run.task for run in self.runs.values())
+        self.crashes.append(Crash(self.incarnation, cause, tasks))
+        self.alive = False
+
     def restart(self, incarnation: int) -> None:
-        """Crash and start a new incarnation without any state."""
+        """Crash, unless it is down, and start an incarnation without any state."""
+        self.crash()
         self.incarnation = incarnation
         self.clock_ms = 1_000.0
         self.fence = 0
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -20,12 +20,22 @@
     parse_task_name,
 )
 from poplarlb.state.models import Resources
-from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.coordination.jobs.fake_worker import Crash, FakeWorker
 
 STEP_MS = 20
 CALL_MS = 2
 COMMIT_MS = 8
 TICKET_MS = 3_000
+UNANSWERED_MS = 900  # from a call until it is given up
+# A deadly task: from its start to the worker's crash; from the crash until the worker's
+# entry is removed, and until the worker is back.
+CRASH_DELAY_MS = (10, 40)
+UNLISTED_AFTER_MS = 3_000
+BACK_AFTER_MS = (2_000, 8_000)
+EARLY_CRASH_RATE = 0.25  # of the crashes that come before the start's answer
+MAX_CRASHES = 3  # under one task
+MAX_FURTHER_STARTS = 2  # of a task under which that many workers crashed
+CRASHES_TO_GIVE_UP = 2  # a task under which this many workers crashed may be given up
 QUEUE = QueueConfig(
     "orders",
     "h",
@@ -51,6 +61,10 @@
 
     Calls take effect in the order of their delivery. ``loss_rate`` is the share of
     calls, and of answers, that are lost; ``delay_rate`` that of calls that are delayed.
+    A worker that starts a task in ``deadly`` crashes and is back some seconds later,
+    under its id, or under another one at the same address; ``keeps_id`` tells which,
+    with None it is drawn. ``further_starts`` counts the starts of deadly tasks under
+    which ``MAX_CRASHES`` workers had crashed.
     """
 
     workers: dict[str, FakeWorker] = Factory(dict)
@@ -71,6 +85,9 @@
     partitioned: set[str] = Factory(set)  # workers that no owner can reach
     work_ms: float = 500.0
     failing: set[str] = Factory(set)  # tasks that fail
+    deadly: set[str] = Factory(set)  # tasks that crash their workers
+    keeps_id: bool | None = None
+    further_starts: Counter = Factory(Counter)
     loss_rate: float = 0.0
     delay_rate: float = 0.0
     poll_limit_ms: int = 60  # upper bound of a poll's wait for an end
@@ -83,10 +100,12 @@
     starts: Counter = Factory(Counter)
     former_owners: list[Dispatcher] = Factory(list)  # not yet deposed
     rng: random.Random = None
+    crash_rng: random.Random = None
 
     def __attrs_post_init__(self) -> None:
         """Seed the random numbers."""
         self.rng = random.Random(self.seed)
+        self.crash_rng = random.Random(f"crashes {self.seed}")
 
     # --- set up -----------------------------------------------------------------------
 
@@ -148,6 +167,81 @@
         self.listed[worker_id] = listing
         self.feed(events.WorkerListed(listing))
 
+    # --- crashes ----------------------------------------------------------------------
+
+    def crash(self, worker: FakeWorker, cause: str = "") -> None:
+        """Crash a worker; it is unlisted, and is back some seconds later."""
+        if not worker.alive:
+            return
+        worker.crash(cause)
+        crashed = worker.incarnation
+        keeps_id = self.keeps_id
+        if keeps_id is None:
+            keeps_id = self.crash_rng.random() < 0.5
+
+        def still_down() -> bool:
+            return not worker.alive and worker.incarnation == crashed
+
+        def remove_entry() -> None:
+            if still_down():
+                self.unlist(worker.worker_id)
+
+        def come_back() -> None:
+            if not still_down():
+                return
+            if keeps_id:
+                worker.restart(crashed + 1_000)
+                self.relist(worker.worker_id)
+            else:
+                self.replace(worker)
+
+        self.later(UNLISTED_AFTER_MS, remove_entry)
+        self.later(self.crash_rng.uniform(*BACK_AFTER_MS), come_back)
+
+    def replace(self, worker: FakeWorker) -> None:
+        """Let a worker with another id take a crashed one's address."""
+        worker.replaced = True
+        self.unlist(worker.worker_id)
+        other = FakeWorker(
+            f"w{len(self.workers)}",
+            worker.incarnation + 1_000,
+            worker.zone,
+            worker.rack,
+            worker.capacity,
+            worker.service,
+            worker.clock_rate,
+            speed=worker.speed,
+            address=worker.address,
+        )
+        self.workers[other.worker_id] = other
+        self.relist(other.worker_id)
+
+    def remaining_workers(self) -> list[FakeWorker]:
+        """Return the workers that run or may come back."""
+        return [worker for worker in self.workers.values() if not worker.replaced]
+
+    def crashes_under(self, task: str) -> list[Crash]:
+        """Return the crashes of workers that were running a task."""
+        return [
+            crash
+            for worker in self.workers.values()
+            for crash in worker.crashes
+            if task in crash.tasks
+        ]
+
+    def _crash_soon(self, worker: FakeWorker, task: str) -> None:
+        """Crash a worker that has started a deadly task, at times before it answers."""
+        started = worker.incarnation
+
+        def crash() -> None:
+            if worker.incarnation == started:
+                self.crash(worker, task)
+
+        if self.crash_rng.random() < EARLY_CRASH_RATE:
+            crash()
+        else:
+            self.later(self.crash_rng.uniform(*CRASH_DELAY_MS), crash)
+
     # --- time -------------------------------------------------------------------------
 
     def run(self, duration_ms: float) -> None:
@@ -223,6 +317,7 @@
             self._depose(owner)
             return
         for record in command.records:
+            self._check_record(record)
             self.records[record.job_id] = record.value
         if command.lease_remainders is not None:
             self.lease_remainders = command.lease_remainders
@@ -247,7 +342,7 @@
         known = owner.state.worker(command.worker_id).incarnation
         reached = worker.alive and command.worker_id not in self.partitioned
         if not reached or self.rng.random() < self.loss_rate:
-            self.later(900, lambda: self._answer(owner, fail(command, sent_ms)))
+            self._fail_later(command, owner, sent_ms)
             return
         if self.rng.random() < self.delay_rate and not isinstance(
             command, events.PollWorker
@@ -272,6 +367,9 @@
                 # On a new connection the adapter first polls without renewing leases.
                 sent = attrs.evolve(command, acknowledged_end=None, lease_end_ms=None)
             answer = action(sent, worker, sent_ms)
+            if not worker.alive:  # the call has crashed it
+                self._fail_later(command, owner, sent_ms)
+                return
             if self.rng.random() < self.loss_rate:
                 answer = fail(command, sent_ms)
             self.later(CALL_MS, lambda: self._answer(owner, answer))
@@ -279,6 +377,10 @@
         wait_ms = getattr(command, "wait_ms", 0)
         self.later(CALL_MS + min(wait_ms, self.poll_limit_ms), execute)
 
+    def _fail_later(self, command, owner: Dispatcher, sent_ms: int) -> None:
+        answer = fail(command, sent_ms)
+        self.later(UNANSWERED_MS, lambda: self._answer(owner, answer))
+
     def _answer(self, owner, event) -> None:
         if event is None:
             self._depose(owner)
@@ -304,6 +406,8 @@
                 outcome = worker.start(command, self.work_ms, fails)
                 if outcome is events.CallOutcome.DONE and not known:
                     self._check_start(command, worker)
+                    if command.task in self.deadly:
+                        self._crash_soon(worker, command.task)
                 return events.StartAnswered(
                     worker.worker_id, name, command.run, sent_ms, outcome
                 )
@@ -347,6 +451,33 @@
             ]
             if len(same) > spec.steps[step].max_per_worker:
                 self.violations.append(f"{command.task} exceeds its spread limit")
+        if command.task in self.deadly and command.epoch == self.epoch:
+            self._count_further_start(command.task)
+
+    def _count_further_start(self, task: str) -> None:
+        """Count the present owner's starts of a task under which workers crashed."""
+        if len(self.crashes_under(task)) < MAX_CRASHES:
+            return
+        self.further_starts[task] += 1
+        if self.further_starts[task] == MAX_FURTHER_STARTS + 1:
+            self.violations.append(
+                f"BUDGET: {task} started three times more after three workers had"
+                " crashed under it"
+            )
+
+    def _check_record(self, record: events.ProgressRecord) -> None:
+        """Check that a job that fails has a task that may be given up."""
+        job_id = record.job_id
+        state = job_records.decode_job_state(record.value)
+        if state is not JobState.FAILED or self.state(job_id) is JobState.FAILED:
+            return
+        may_give_up = any(
+            len(self.crashes_under(task)) >= CRASHES_TO_GIVE_UP
+            or any(task in worker.failed_tasks for worker in self.workers.values())
+            for task in list_tasks(self.jobs[job_id])
+        )
+        if not may_give_up:
+            self.violations.append(f"{job_id} failed after too few crashes")
 
     def check(self) -> None:
         """Check the invariants that hold at any time."""
@@ -384,6 +515,16 @@
         return [note for note in self.logged if note.event == event]
 
 
+def list_tasks(spec: JobSpec) -> list[str]:
+    """Return the names of a job's tasks."""
+    return [
+        f"{spec.job_id}.{occurrence}.{step}.{index}"
+        for occurrence in range(max(spec.times, 1))
+        for step, step_spec in enumerate(spec.steps)
+        for index in range(step_spec.count)
+    ]
+
+
 def fail(command, sent_ms: int) -> events.Event:
     """Return the event of a call without an answer."""
     outcome = events.CallOutcome.UNANSWERED
--- a/tests/coordination/jobs/test_crashes.py
+++ b/tests/coordination/jobs/test_crashes.py
@@ -39,8 +39,7 @@
 
     def _crash(self, worker) -> None:
         self.crashed.append(worker.worker_id)
-        worker.alive = False
-        worker.runs.clear()
+        worker.crash(DEADLY)
         self.later(UNLISTED_MS, lambda: self.unlist(worker.worker_id))
         self.later(DOWN_MS, lambda: self.add_workers(1))
         if self.replace_owner:
--- a/tests/coordination/jobs/test_job_fuzz.py
+++ b/tests/coordination/jobs/test_job_fuzz.py
@@ -3,15 +3,29 @@
 import random
 import unittest
 
+from attrs import frozen
+
 from poplarlb.state.jobs import FINAL_STATES, JobState, StepSpec
 from poplarlb.state.models import Resources
-from tests.coordination.jobs.job_world import JobWorld, make_job
+from tests.coordination.jobs.job_world import JobWorld, list_tasks, make_job
 
 WALKS = 60  # ``python -m tests.coordination.jobs.test_job_fuzz FIRST COUNT`` runs more
+DEADLY_WALKS = 30
 FIRST_SEED = 1
 STEPS = 60
 RECOVERY_MS = 45_000  # leases, late starts and retries end within this
 MAX_WORK_MS = 300_000  # of one walk on its few workers
+DEADLY_SHARE = 0.15  # of the submitted jobs that have a task that crashes its workers
+
+
+@frozen
+class WalkKind:
+    """What happens in a walk besides the usual failures.
+
+    The usual events of a seed are drawn alike in walks of all kinds.
+    """
+
+    deadly_tasks: bool = False
 
 
 def make_steps(rng: random.Random) -> tuple[StepSpec, ...]:
@@ -33,12 +47,12 @@
 
 def inject_event(world: JobWorld, rng: random.Random, number: int) -> None:
     """Apply one random event to the world."""
-    worker = world.workers[rng.choice(list(world.workers))]
+    worker = rng.choice(world.remaining_workers())
     match rng.randrange(12):
         case 0 | 1 | 2:
             world.submit(make_job(f"{number:016x}", *make_steps(rng)))
         case 3:
-            worker.alive = False
+            worker.crash()
             world.unlist(worker.worker_id)
         case 4 if worker.worker_id not in world.listed:
             worker.restart(worker.incarnation + 1_000)
@@ -59,31 +73,46 @@
             world.cancel(rng.choice(list(world.jobs)))
 
 
+def make_task_deadly(world: JobWorld, rng: random.Random, number: int) -> None:
+    """Let a task of the job that the event submitted, if it did, crash its workers."""
+    spec = world.jobs.get(f"{number:016x}")
+    if spec is not None and rng.random() < DEADLY_SHARE:
+        world.deadly.add(rng.choice(list_tasks(spec)))
+
+
 def recover(world: JobWorld) -> None:
-    """End all failures and run until every job is final."""
+    """End all failures and run until every job is final.
+
+    Deadly tasks still crash the workers that start them.
+    """
     world.store_up = True
     world.partitioned.clear()
     world.delay_rate = world.loss_rate = 0.0
-    for worker in world.workers.values():
+    for worker in world.remaining_workers():
         if not worker.alive:
             worker.restart(worker.incarnation + 1_000)
         world.relist(worker.worker_id)
     until_ms = world.now_ms + RECOVERY_MS + MAX_WORK_MS
-    while world.now_ms < until_ms and not all(
-        world.state(job_id) in FINAL_STATES for job_id in world.jobs
+    while (
+        world.now_ms < until_ms
+        and not world.violations
+        and not all(world.state(job_id) in FINAL_STATES for job_id in world.jobs)
     ):
         world.run(1_000)
 
 
-def walk(seed: int) -> JobWorld:
+def walk(seed: int, kind: WalkKind = WalkKind()) -> JobWorld:
     """Return a world after one random walk and the recovery from it."""
     rng = random.Random(seed)
+    deadly_rng = random.Random(f"deadly {seed}")
     world = JobWorld(seed=seed, work_ms=rng.choice((300.0, 1_500.0, 4_000.0)))
     world.new_owner()
     world.add_workers(rng.randint(2, 5), clock_rate=rng.choice((1.0, 0.98)))
     for number in range(STEPS):
         world.run(rng.choice((20, 200, 1_000)))
         inject_event(world, rng, number)
+        if kind.deadly_tasks:
+            make_task_deadly(world, deadly_rng, number)
         if world.violations:
             return world
     recover(world)
@@ -91,20 +120,26 @@
 
 
 def find_failures(world: JobWorld) -> list[str]:
-    """Return the violations and unfinished or failed jobs of a walk."""
-    fits = max(worker.capacity.cpu_millis for worker in world.workers.values())
+    """Return the violations and unfinished or failed jobs of a walk.
+
+    Without deadly tasks no job may fail, though workers crash.
+    """
+    workers = world.remaining_workers()
+    fits = max(worker.capacity.cpu_millis for worker in workers)
     unfinished = [
         job_id
         for job_id, spec in world.jobs.items()
         if world.state(job_id) not in FINAL_STATES and can_finish(world, spec, fits)
     ]
     failed = [job_id for job_id in world.jobs if world.state(job_id) is JobState.FAILED]
+    if world.deadly:
+        failed = []  # by crashes; the world checks their number
     return world.violations + [f"{item} unfinished" for item in unfinished] + failed
 
 
 def can_finish(world: JobWorld, spec, fits: int) -> bool:
     """Return whether a job's gangs fit in the present workers."""
-    count = len(world.workers)
+    count = len(world.remaining_workers())
     return all(
         not step.gang
         or not step.max_per_worker
@@ -127,12 +162,20 @@
             with self.subTest(seed=seed):
                 self.assertEqual(find_failures(walk(seed)), [])
 
+    def test_walks_with_deadly_tasks(self) -> None:
+        """Besides, tasks that crash their workers are given up in time."""
+        for seed in range(FIRST_SEED, FIRST_SEED + DEADLY_WALKS):
+            with self.subTest(seed=seed):
+                world = walk(seed, WalkKind(deadly_tasks=True))
+                self.assertEqual(find_failures(world), [])
+
 
 if __name__ == "__main__":
     import sys
 
     first, count = int(sys.argv[1]), int(sys.argv[2])
     for seed in range(first, first + count):
-        found = find_failures(walk(seed))
-        if found:
-            print(seed, found[:3])
+        for kind in (WalkKind(), WalkKind(deadly_tasks=True)):
+            found = find_failures(walk(seed, kind))
+            if found:
+                print(seed, kind, found[:3], flush=True)
