Walks: workers whose capacity changes, and checks of LIMIT at each start

The check at any time can't stay for such workers, as what runs already may exceed a capacity that shrank.

Change: JobWorld.resize changes a worker's capacity; the worker writes it within a heartbeat, later if the store is down, and the owner may hear of it later. Each start at such a worker is checked: with all runs there, also those that are being stopped, it must fit in the largest capacity that still counts, in all that it adds to. A capacity that shrank counts 4.5 s after the change and at least 3 s after it was written. Other workers are checked at any time as before. Two kinds of excess are counted apart: a start carried out over 1 s late that would have fitted when it was sent, and a change that couldn't be written within 1.5 s.

--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -1,5 +1,6 @@
 """Drives the dispatcher against fake workers and a fake store, on a simulated clock."""
 
+import math
 import random
 from collections import Counter, defaultdict
 
@@ -36,6 +37,9 @@
 MAX_CRASHES = 3  # under one task
 MAX_FURTHER_STARTS = 2  # of a task under which that many workers crashed
 CRASHES_TO_GIVE_UP = 2  # a task under which this many workers crashed may be given up
+HEARTBEAT_MS = 1_500  # a worker writes a changed capacity within this
+SHRUNK_COUNTS_AFTER_MS = 3_000  # and this plus HEARTBEAT_MS after the change
+LATE_MS = 1_000  # a start carried out later than this after it was sent is late
 QUEUE = QueueConfig(
     "orders",
     "h",
@@ -55,6 +59,26 @@
     return JobSpec(job_id, "orders", "desk", START_UTC_MS, "payload", steps, **fields)
 
 
+@define
+class FormerCapacity:
+    """A capacity that a worker had until it changed, and wrote that to its entry."""
+
+    capacity: Resources
+    changed_ms: float
+    written_ms: float = math.inf
+
+    def counts(self, at_ms: float, unwritten: bool = True) -> bool:
+        """Return whether runs may still be started by it.
+
+        :param unwritten: also while the worker's entry doesn't have the next one.
+        """
+        counted_until_ms = self.changed_ms + HEARTBEAT_MS + SHRUNK_COUNTS_AFTER_MS
+        if unwritten:
+            written_until_ms = self.written_ms + SHRUNK_COUNTS_AFTER_MS
+            counted_until_ms = max(counted_until_ms, written_until_ms)
+        return at_ms < counted_until_ms
+
+
 @define(eq=False)
 class JobWorld:
     """A store, workers, and one owner after another.
@@ -65,6 +89,11 @@
     under its id, or under another one at the same address; ``keeps_id`` tells which,
     with None it is drawn. ``further_starts`` counts the starts of deadly tasks under
     which ``MAX_CRASHES`` workers had crashed.
+
+    ``view_lag_ms`` is how long a changed capacity takes from the store to the owner.
+    ``former_capacities`` are those of each worker whose capacity has changed.
+    ``excused_excesses`` counts starts that exceeded a shrunken capacity, but were
+    carried out late, or whose worker couldn't write the change for long.
     """
 
     workers: dict[str, FakeWorker] = Factory(dict)
@@ -88,6 +117,9 @@
     deadly: set[str] = Factory(set)  # tasks that crash their workers
     keeps_id: bool | None = None
     further_starts: Counter = Factory(Counter)
+    view_lag_ms: int = 0
+    former_capacities: dict[str, list[FormerCapacity]] = Factory(dict)
+    excused_excesses: Counter = Factory(Counter)
     loss_rate: float = 0.0
     delay_rate: float = 0.0
     poll_limit_ms: int = 60  # upper bound of a poll's wait for an end
@@ -163,10 +195,62 @@
 
     def relist(self, worker_id: str) -> None:
         """Write a worker's present listing."""
-        listing = self.workers[worker_id].listing()
-        self.listed[worker_id] = listing
+        listing = self._write_entry(self.workers[worker_id])
         self.feed(events.WorkerListed(listing))
 
+    # --- capacity ---------------------------------------------------------------------
+
+    def resize(self, worker_id: str, capacity: Resources, unwritten_ms: float) -> None:
+        """Change a worker's capacity; its entry in the store follows later."""
+        worker = self.workers[worker_id]
+        former = self.former_capacities.setdefault(worker_id, [])
+        former.append(FormerCapacity(worker.capacity, self.now_ms))
+        worker.capacity = capacity
+
+        def write() -> None:
+            if not worker.alive or worker_id not in self.listed:
+                return  # its next entry will have the capacity
+            if not self.store_up:
+                self.later(100, write)
+                return
+            self._write_entry(worker)
+            self.later(self.view_lag_ms, tell)
+
+        def tell() -> None:
+            if worker_id in self.listed:
+                self.feed(events.WorkerListed(self.listed[worker_id]))
+
+        self.later(unwritten_ms, write)
+
+    def _write_entry(self, worker: FakeWorker) -> events.WorkerListing:
+        listing = worker.listing()
+        self.listed[worker.worker_id] = listing
+        for former in self.former_capacities.get(worker.worker_id, ()):
+            former.written_ms = min(former.written_ms, self.now_ms)
+        return listing
+
+    def counted_capacity(
+        self, worker: FakeWorker, at_ms: float, unwritten: bool = True
+    ) -> Resources:
+        """Return the largest of the capacities that counted at a time."""
+        capacities = [worker.capacity] + [
+            former.capacity
+            for former in self.former_capacities.get(worker.worker_id, ())
+            if former.counts(at_ms, unwritten)
+        ]
+        return Resources(*map(max, zip(*map(attrs.astuple, capacities), strict=True)))
+
+    def used_capacity(self, worker: FakeWorker) -> Resources:
+        """Return what all runs of a worker reserve, until they have ended."""
+        used = Resources()
+        for run in worker.runs.values():
+            used = used.plus(self._reserved(run.task))
+        return used
+
+    def _reserved(self, task: str) -> Resources:
+        job_id, _, step, _ = parse_task_name(task)
+        return self.jobs[job_id].steps[step].reserved
+
     # --- crashes ----------------------------------------------------------------------
 
     def crash(self, worker: FakeWorker, cause: str = "") -> None:
@@ -257,7 +341,8 @@
                 if owner is None:
                     continue
                 if self.store_up and self.views_confirmed and owner is self.owner:
-                    self.feed(events.ViewConfirmed(int(self.now_ms)))
+                    confirmed_ms = int(self.now_ms) - self.view_lag_ms
+                    self.feed(events.ViewConfirmed(confirmed_ms))
                 self.feed(events.Tick(self.utc_ms()), owner)
 
     def utc_ms(self) -> int:
@@ -406,6 +491,7 @@
                 outcome = worker.start(command, self.work_ms, fails)
                 if outcome is events.CallOutcome.DONE and not known:
                     self._check_start(command, worker)
+                    self._check_capacity(command, worker, sent_ms)
                     if command.task in self.deadly:
                         self._crash_soon(worker, command.task)
                 return events.StartAnswered(
@@ -454,6 +540,31 @@
         if command.task in self.deadly and command.epoch == self.epoch:
             self._count_further_start(command.task)
 
+    def _check_capacity(
+        self, command: events.StartRun, worker: FakeWorker, sent_ms: int
+    ) -> None:
+        """Check that a start doesn't bring a worker over its capacity.
+
+        Runs that began before the capacity shrank may exceed it.
+        """
+        if worker.worker_id not in self.former_capacities:
+            return  # checked at any time
+        used, added = self.used_capacity(worker), self._reserved(command.task)
+
+        def fits(at_ms: float, unwritten: bool = True) -> bool:
+            capacity = self.counted_capacity(worker, at_ms, unwritten)
+            return fits_added(used, added, capacity)
+
+        if fits(self.now_ms):
+            if not fits(self.now_ms, unwritten=False):
+                self.excused_excesses["capacity not written"] += 1
+        elif self.now_ms - sent_ms > LATE_MS and fits(sent_ms):
+            self.excused_excesses["carried out late"] += 1
+        else:
+            self.violations.append(
+                f"LIMIT: {command.task} brings {worker.worker_id} over its capacity"
+            )
+
     def _count_further_start(self, task: str) -> None:
         """Count the present owner's starts of a task under which workers crashed."""
         if len(self.crashes_under(task)) < MAX_CRASHES:
@@ -485,12 +596,11 @@
         for worker in self.workers.values():
             if not worker.alive:
                 continue
-            used = Resources()
             for task, _ in worker.runs:
                 places[task].append(worker.worker_id)
-                job_id, _, step, _ = parse_task_name(task)
-                used = used.plus(self.jobs[job_id].steps[step].reserved)
-            if not used.fits_in(worker.capacity):
+            if worker.worker_id in self.former_capacities:
+                continue  # checked at each start
+            if not self.used_capacity(worker).fits_in(worker.capacity):
                 self.violations.append(f"{worker.worker_id} exceeds its capacity")
         for task, where in places.items():
             if len(where) > 1:
@@ -515,6 +625,12 @@
         return [note for note in self.logged if note.event == event]
 
 
+def fits_added(used: Resources, added: Resources, capacity: Resources) -> bool:
+    """Return whether the use fits in a capacity, of all that was added to."""
+    rows = zip(*map(attrs.astuple, (used, added, capacity)), strict=True)
+    return all(not more or total <= limit for total, more, limit in rows)
+
+
 def list_tasks(spec: JobSpec) -> list[str]:
     """Return the names of a job's tasks."""
     return [
--- a/tests/coordination/jobs/test_injected_faults.py
+++ b/tests/coordination/jobs/test_injected_faults.py
@@ -4,17 +4,19 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from poplarlb.coordination.jobs import calls
 from poplarlb.coordination.jobs.calls import WorkerCalls
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
-from poplarlb.coordination.jobs.events import CallOutcome
+from poplarlb.coordination.jobs.events import CallOutcome, WorkerListed
 from poplarlb.coordination.jobs.fleet import WorkerState
 from poplarlb.coordination.jobs.poll_reader import PollReader
 from poplarlb.state.jobs import StepSpec
 from poplarlb.state.models import Resources
 from tests.coordination.jobs import fake_worker
 from tests.coordination.jobs.job_world import JobWorld, make_job
-from tests.coordination.jobs.test_job_fuzz import find_failures, walk
+from tests.coordination.jobs.test_job_fuzz import WalkKind, find_failures, walk
 
 SEEDS_TRIED = 150
 SLOW_STOP_MS = 600
@@ -112,20 +114,36 @@
     return mock.patch.object(WorkerState, "begin_incarnation", begin_incarnation)
 
 
+def keep_first_capacity():
+    """Ignore that the capacity in a worker's entry has changed."""
+    original = Dispatcher._handle_listed
+
+    def handle_listed(self, event) -> None:
+        before = self.state.worker(event.listing.worker_id).listing
+        if before is not None:
+            listing = attrs.evolve(event.listing, capacity=before.capacity)
+            event = WorkerListed(listing)
+        original(self, event)
+
+    return mock.patch.object(Dispatcher, "_handle_listed", handle_listed)
+
+
+USUAL, RESIZING = WalkKind(), WalkKind(resizes=True)
 INJECTED_FAULTS = {
-    acknowledge_early: 11,
-    ignore_unanswered_start: 1,
-    halve_lease: 27,
-    skip_inherited_leases: 27,
-    release_at_stop: 14,
-    mix_incarnations: 1,
-}  # the seed whose walk finds the fault
+    acknowledge_early: (11, USUAL),
+    ignore_unanswered_start: (1, USUAL),
+    halve_lease: (27, USUAL),
+    skip_inherited_leases: (27, USUAL),
+    release_at_stop: (14, USUAL),
+    mix_incarnations: (1, USUAL),
+    keep_first_capacity: (4, RESIZING),
+}  # the seed and kind of the walk that finds the fault
 
 
-def is_found(inject, seed: int) -> bool:
+def is_found(inject, seed: int, kind: WalkKind) -> bool:
     """Return whether a walk violates an invariant with an injected fault."""
     with inject():
-        return bool(find_failures(walk(seed)))
+        return bool(find_failures(walk(seed, kind)))
 
 
 class InjectedFaultTest(unittest.TestCase):
@@ -133,10 +151,10 @@
 
     def test_each_fault_is_found(self) -> None:
         """The walk of the fault's seed fails with the fault, and only with it."""
-        for inject, seed in INJECTED_FAULTS.items():
+        for inject, (seed, kind) in INJECTED_FAULTS.items():
             with self.subTest(fault=inject.__name__, seed=seed):
-                self.assertTrue(is_found(inject, seed))
-                self.assertFalse(is_found(contextlib.nullcontext, seed))
+                self.assertTrue(is_found(inject, seed, kind))
+                self.assertFalse(is_found(contextlib.nullcontext, seed, kind))
 
 
 class StrayRunTest(unittest.TestCase):
@@ -197,6 +215,7 @@
 
 
 if __name__ == "__main__":
-    for injected in INJECTED_FAULTS:
-        found = (seed for seed in range(1, SEEDS_TRIED) if is_found(injected, seed))
+    for injected, (_, kind) in INJECTED_FAULTS.items():
+        seeds = range(1, SEEDS_TRIED)
+        found = (seed for seed in seeds if is_found(injected, seed, kind))
         print(injected.__name__, next(found, None), flush=True)
--- a/tests/coordination/jobs/test_job_fuzz.py
+++ b/tests/coordination/jobs/test_job_fuzz.py
@@ -1,21 +1,34 @@
 """Random walks with failing owners and workers; the checks use the workers' records."""
 
+import itertools
 import random
 import unittest
+from collections import Counter
 
 from attrs import frozen
 
 from poplarlb.state.jobs import FINAL_STATES, JobState, StepSpec
 from poplarlb.state.models import Resources
-from tests.coordination.jobs.job_world import JobWorld, list_tasks, make_job
+from tests.coordination.jobs.job_world import (
+    HEARTBEAT_MS,
+    JobWorld,
+    list_tasks,
+    make_job,
+)
 
 WALKS = 60  # ``python -m tests.coordination.jobs.test_job_fuzz FIRST COUNT`` runs more
 DEADLY_WALKS = 30
+RESIZE_WALKS = 30
 FIRST_SEED = 1
 STEPS = 60
 RECOVERY_MS = 45_000  # leases, late starts and retries end within this
 MAX_WORK_MS = 300_000  # of one walk on its few workers
 DEADLY_SHARE = 0.15  # of the submitted jobs that have a task that crashes its workers
+RESIZE_SHARE = 0.3  # of the events after which a worker's capacity changes
+RESIZED_CPU_MILLIS = (2_000, 4_000, 8_000, 12_000, 24_000)
+RESIZED_MEMORY_MB = (2_000, 6_000, 64_000)
+FULL_CAPACITY = Resources(16_000, 64_000, 0)
+VIEW_LAGS_MS = (0, 700, 1_400)  # below the age at which the owner stops placing
 
 
 @frozen
@@ -26,6 +39,7 @@
     """
 
     deadly_tasks: bool = False
+    resizes: bool = False
 
 
 def make_steps(rng: random.Random) -> tuple[StepSpec, ...]:
@@ -80,6 +94,16 @@
         world.deadly.add(rng.choice(list_tasks(spec)))
 
 
+def resize_worker(world: JobWorld, rng: random.Random) -> None:
+    """Let a worker's capacity shrink or grow, at times."""
+    if rng.random() < RESIZE_SHARE:
+        worker = rng.choice(world.remaining_workers())
+        capacity = Resources(
+            rng.choice(RESIZED_CPU_MILLIS), rng.choice(RESIZED_MEMORY_MB)
+        )
+        world.resize(worker.worker_id, capacity, rng.uniform(0, HEARTBEAT_MS))
+
+
 def recover(world: JobWorld) -> None:
     """End all failures and run until every job is final.
 
@@ -88,9 +112,12 @@
     world.store_up = True
     world.partitioned.clear()
     world.delay_rate = world.loss_rate = 0.0
+    world.view_lag_ms = 0
     for worker in world.remaining_workers():
         if not worker.alive:
             worker.restart(worker.incarnation + 1_000)
+        if worker.capacity != FULL_CAPACITY:
+            world.resize(worker.worker_id, FULL_CAPACITY, 0)
         world.relist(worker.worker_id)
     until_ms = world.now_ms + RECOVERY_MS + MAX_WORK_MS
     while (
@@ -106,6 +133,9 @@
     rng = random.Random(seed)
     deadly_rng = random.Random(f"deadly {seed}")
     world = JobWorld(seed=seed, work_ms=rng.choice((300.0, 1_500.0, 4_000.0)))
+    resize_rng = random.Random(f"resizes {seed}")
+    if kind.resizes:
+        world.view_lag_ms = resize_rng.choice(VIEW_LAGS_MS)
     world.new_owner()
     world.add_workers(rng.randint(2, 5), clock_rate=rng.choice((1.0, 0.98)))
     for number in range(STEPS):
@@ -113,6 +143,8 @@
         inject_event(world, rng, number)
         if kind.deadly_tasks:
             make_task_deadly(world, deadly_rng, number)
+        if kind.resizes:
+            resize_worker(world, resize_rng)
         if world.violations:
             return world
     recover(world)
@@ -169,13 +201,24 @@
                 world = walk(seed, WalkKind(deadly_tasks=True))
                 self.assertEqual(find_failures(world), [])
 
+    def test_walks_with_changing_capacity(self) -> None:
+        """No start exceeds a capacity that shrank; grown ones are used."""
+        for seed in range(FIRST_SEED, FIRST_SEED + RESIZE_WALKS):
+            with self.subTest(seed=seed):
+                world = walk(seed, WalkKind(resizes=True))
+                self.assertEqual(find_failures(world), [])
+
 
 if __name__ == "__main__":
     import sys
 
     first, count = int(sys.argv[1]), int(sys.argv[2])
-    for seed in range(first, first + count):
-        for kind in (WalkKind(), WalkKind(deadly_tasks=True)):
-            found = find_failures(walk(seed, kind))
-            if found:
-                print(seed, kind, found[:3], flush=True)
+    excused = Counter()
+    kinds = [WalkKind(*row) for row in itertools.product((False, True), repeat=2)]
+    for seed, kind in itertools.product(range(first, first + count), kinds):
+        world = walk(seed, kind)
+        excused.update(world.excused_excesses)
+        found = find_failures(world)
+        if found:
+            print(seed, kind, found[:3], flush=True)
+    print("starts above a shrunken capacity that are excused:", dict(excused))
