LIMIT: an unanswered start is sent again only if it would be sent now

Cause: the reasons not to start were checked once, between commit and first send.

Ruled out: placement by an old capacity.

Change: the same reasons are checked before each send, and a worker whose reservations exceed its present capacity gets no start. Otherwise the run is stopped, as after the last send. The class is a decision that is carried out again without its conditions; stops and throttles need none, and polls check theirs each time.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -1,5 +1,7 @@
 """Decides when workers are polled and runs started and stopped; handles outcomes."""
 
+from collections.abc import Callable
+
 from attrs import define
 
 from poplarlb.coordination.jobs.crashes import CrashCounter
@@ -36,12 +38,14 @@
 class WorkerCalls:
     """Sends polls, starts and stops to workers and handles the outcomes.
 
+    :param reason_not_to_start: tells why a start may not be sent; empty if it may.
     :ivar ownership_confirmed_ms: when the last store call was sent whose answer showed
         that this daemon owns the jobs.
     """
 
     state: DispatcherState
     crashes: CrashCounter
+    reason_not_to_start: Callable[[WorkerState, Run], str]
     ownership_confirmed_ms: int = 0
     next_stall_check_ms: int = 0
 
@@ -181,11 +185,13 @@
             return
         # Starts are idempotent, so an unanswered one is sent again. If that isn't
         # allowed, its run is stopped.
-        resend = event.outcome is CallOutcome.UNANSWERED and not run.stopping
-        resend = resend and may_renew(state, worker)
-        if resend and run.times_sent < MAX_START_SENDS and worker.listed:
-            self.start(run)
-            return
+        resend = event.outcome is CallOutcome.UNANSWERED and may_renew(state, worker)
+        if resend and run.times_sent < MAX_START_SENDS:
+            reason = self.reason_not_to_start(worker, run)
+            if not reason:
+                self.start(run)
+                return
+            state.log_task("start_not_repeated", run.task, run.number, reason=reason)
         run.phase = RunPhase.AMBIGUOUS
         state.stop(run, "start unanswered")
 
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -88,7 +88,7 @@
     def __attrs_post_init__(self) -> None:
         """Create the parts that share the state."""
         self.crashes = CrashCounter(self.state)
-        self.calls = WorkerCalls(self.state, self.crashes)
+        self.calls = WorkerCalls(self.state, self.crashes, self._reason_not_to_start)
         self.poll_reader = PollReader(self.state, self.crashes)
         self.advice = TicketCache(self.state)
         self.scheduler = Scheduler(self.state, self.advice)
@@ -287,19 +287,18 @@
         )
         for run in starts:
             worker = state.workers[run.worker_id]
-            reason = self._reason_not_to_start(worker, run, committed_in_time)
+            reason = self._reason_not_to_start(worker, run)
+            if not committed_in_time:
+                reason = reason or "its commit took too long"
             if not reason:
                 self.calls.start(run)
                 continue
             state.release(worker, run, reason)
 
-    def _reason_not_to_start(
-        self, worker: WorkerState, run: Run, committed_in_time: bool
-    ) -> str:
+    def _reason_not_to_start(self, worker: WorkerState, run: Run) -> str:
+        """Return why a start may not be sent now, also not again; empty if it may."""
         if run.stopping or run.task.job.final:
             return "no longer wanted"
-        if not committed_in_time:
-            return "its commit took too long"
         if not self._is_view_fresh():
             return "view of the store is out of date"
         if not worker.listed or worker.listing.draining:
@@ -308,6 +307,8 @@
             return "availability zone is out"
         if worker.incarnation != run.task.incarnation:
             return "worker restarted"
+        if not worker.reserved.fits_in(worker.listing.capacity):
+            return "capacity has shrunk"
         return ""
 
     def _is_view_fresh(self) -> bool:
