BUDGET: blame a task only for crashes that its worker's answers show

Cause: a start without an answer, or one sent by an earlier owner, counted like one that the worker had confirmed, though it may never have arrived; and a crash of many workers at once counted as if each task had caused its own.

Change: a crash is sudden only if the worker had confirmed the start. The confirmation of an isolated run is stored, for the next owner. Four workers or more that fall silent within a second have a common cause.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -166,6 +166,7 @@
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
                 run.phase = RunPhase.RUNNING
                 run.confirmed_ms = state.now_ms
+                self.crashes.on_start_confirmed(run)
             return
         state.log_task(
             "start_failed",
--- a/poplarlb/coordination/jobs/crashes.py
+++ b/poplarlb/coordination/jobs/crashes.py
@@ -8,7 +8,7 @@
 
 from collections.abc import Iterable
 
-from attrs import define
+from attrs import Factory, define
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
@@ -17,19 +17,27 @@
 # A run has settled once its worker has listed it this long after its start.
 SETTLED_MS = 300
 # A task is given up if this many workers crashed as soon as they had begun it, the last
-# of them in isolation, or if this many crashed at any time.
+# of them in isolation, or if this many were lost at any time.
 SUDDEN_CRASH_LIMIT = 2
 CRASH_LIMIT = 5
+# So many workers that fall silent within this time have a common cause, not a task.
+COMMON_CAUSE_WORKERS = 4
+COMMON_CAUSE_MS = 1_000
 # A task with this many crashes runs isolated, no matter how long its runs had lasted.
 ISOLATED_FROM = 2
+RECENT_MS = 30_000  # losses are compared for this long
 MAX_LOGGED_RUNS = 20  # of one worker
 
 
 @define(eq=False)
 class CrashCounter:
-    """Decides what follows from the loss of a worker for the tasks that it ran."""
+    """Decides what follows from the loss of a worker for the tasks that it ran.
+
+    :ivar recent_losses: when workers that were lost had last answered, by id.
+    """
 
     state: DispatcherState
+    recent_losses: dict[str, int] = Factory(dict)
 
     def on_worker_lost(
         self, worker: WorkerState, runs: Iterable[Run], reason: str
@@ -56,10 +64,37 @@
                 for run in lost[:MAX_LOGGED_RUNS]
             },
         )
+        self.recent_losses[worker.worker_id] = worker.answered_ms
+        alone = self._count_lost_with(worker) < COMMON_CAUSE_WORKERS
         for run in counted:
-            self._count(worker, run)
+            self._count(worker, run, alone)
+
+    def on_start_confirmed(self, run: Run) -> None:
+        """Have it stored that an isolated run has begun, for the next owner."""
+        if is_isolated(run):
+            run.task.isolated_begun = True
+            self.state.mark_dirty(run.task.job)
+
+    def _count_lost_with(self, worker: WorkerState) -> int:
+        """Return the number of workers that fell silent at about the same time."""
+        state = self.state
+        oldest_ms = state.now_ms - RECENT_MS
+        self.recent_losses = {
+            name: answered_ms
+            for name, answered_ms in self.recent_losses.items()
+            if answered_ms >= oldest_ms
+        }
+        silent = {
+            other.worker_id: other.answered_ms
+            for other in state.workers.values()
+            if other.missed_polls and other.answered_ms
+        }
+        return sum(
+            abs(answered_ms - worker.answered_ms) <= COMMON_CAUSE_MS
+            for answered_ms in (self.recent_losses | silent).values()
+        )
 
-    def _count(self, worker: WorkerState, run: Run) -> None:
+    def _count(self, worker: WorkerState, run: Run, alone: bool) -> None:
         state, task = self.state, run.task
         known = task.crashed_runs
         if task.status is TaskStatus.DONE or task.job.final:
@@ -67,7 +102,7 @@
         if any(crashed.number == run.number for crashed in known):
             return
         isolated = is_isolated(run)
-        sudden = is_sudden(worker, run)
+        sudden = alone and is_sudden(worker, run)
         task.crashed_runs = crashed_runs = (*known, CrashedRun(run.number, sudden))
         task.suspected = not is_settled(worker, run)
         if task not in task.job.crashed_tasks:
@@ -87,8 +122,6 @@
         )
         sudden_crashes = sum(crashed.sudden for crashed in crashed_runs)
         proven = isolated and sudden and sudden_crashes >= SUDDEN_CRASH_LIMIT
-        if run.phase is RunPhase.INHERITED:
-            proven = proven and crashes > SUDDEN_CRASH_LIMIT
         if proven or crashes >= CRASH_LIMIT:
             reason = f"{crashes} workers crashed under {task.name}"
             state.finish(task.job, JobState.FAILED, reason)
@@ -116,16 +149,12 @@
 
 
 def is_sudden(worker: WorkerState, run: Run) -> bool:
-    """Return whether a worker crashed as soon as it had begun a run, as far as known.
-
-    After a takeover it isn't known how long a run was active; an isolated one had
-    probably just begun.
-    """
+    """Return whether a worker is known to have crashed as soon as it began a run."""
     match run.phase:
         case RunPhase.RUNNING:
             return not is_settled(worker, run)
         case RunPhase.INHERITED:
-            return is_isolated(run)
+            return is_isolated(run) and run.task.isolated_begun
     return False
 
 
--- a/poplarlb/coordination/jobs/isolation.py
+++ b/poplarlb/coordination/jobs/isolation.py
@@ -91,7 +91,7 @@
     def begin(self, worker: WorkerState, run: Run) -> None:
         """Isolate a run that has been placed at the worker held for its task."""
         self._forget(run.task)
-        run.task.isolated_run = run.number
+        run.task.isolated_run, run.task.isolated_begun = run.number, False
         worker.isolated_run = run
         self.isolating.add(worker)
 
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -242,6 +242,7 @@
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = state.now_ms
+            self.crashes.on_start_confirmed(run)
         if row.percent != run.percent_done or run.throttle_percent < 100:
             run.percent_done = row.percent
             run.progress_ms = state.now_ms
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -161,16 +161,17 @@
 def encode_crashes(task: Task) -> list:
     """Return the row of the runs of one task under which their worker crashed."""
     runs = [[run.number, run.sudden] for run in task.crashed_runs]
-    return [task.occurrence, task.step, task.index, runs, task.isolated_run]
+    isolated = [task.isolated_run, task.isolated_begun]
+    return [task.occurrence, task.step, task.index, runs, *isolated]
 
 
 def restore_crashes(job: Job, row: list) -> None:
     """Set what :func:`encode_crashes` stored of one task; a done task is left out."""
-    occurrence, step, index, runs, isolated_run = row
+    occurrence, step, index, runs, isolated_run, isolated_begun = row
     task = job.find_task(occurrence, step, index)
     if task is not None and task.status is not TaskStatus.DONE:
         task.crashed_runs = tuple(CrashedRun(*run) for run in runs)
-        task.isolated_run = isolated_run
+        task.isolated_run, task.isolated_begun = isolated_run, isolated_begun
         job.crashed_tasks.append(task)
 
 
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -235,8 +235,9 @@
     that hold a reservation, as the owner of the jobs tracks them.
 
     ``crashed_runs`` are the runs under which their worker crashed. ``isolated_run`` is
-    the number of the last run that no other one at its worker disturbed; 0: none. A
-    ``suspected`` task may have crashed its last worker by being started there.
+    the number of the run that no other one at its worker disturbs; 0: none.
+    ``isolated_begun`` tells that its worker confirmed the start. A ``suspected`` task
+    may have crashed its last worker by being started there.
     """
 
     job: "Job"
@@ -253,6 +254,7 @@
     waiting_since_ms: int = 0  # since when no worker had free capacity for it; 0: none
     crashed_runs: tuple[CrashedRun, ...] = ()
     isolated_run: int = 0
+    isolated_begun: bool = False
     suspected: bool = False
 
     @property
