Test that fails: a gang is started without one of its members

Each run of a commit is started or released by itself. If a member's worker has shrunk, drains or is gone by then, the others are started and wait alone.

--- /dev/null
+++ b/tests/coordination/jobs/test_review_gang_start.py
@@ -0,0 +1,36 @@
+"""Gangs of which a member can't be started after all."""
+
+import unittest
+
+from poplarlb.state.jobs import StepSpec
+from poplarlb.state.models import Resources
+from tests.coordination.jobs.job_world import JobWorld, make_job
+
+GANG = "a" * 16
+SIZE = Resources(8_000, 1_000)
+SMALL = Resources(4_000, 64_000)
+
+
+class GangStartTest(unittest.TestCase):
+    """A gang's members are started together or not at all."""
+
+    # Guards against a member that waits alone, as another one's worker has shrunk.
+    def test_worker_shrinks_before_the_start(self) -> None:
+        """One of two workers shrinks between the placement and the start."""
+        world = JobWorld()
+        world.new_owner()
+        world.add_workers(2, capacity=Resources(8_000, 64_000))
+        world.run(200)
+        world.submit(make_job(GANG, StepSpec(2, SIZE, estimate_ms=500, gang=True)))
+        while not any(worker.runs for worker in world.owner.state.workers.values()):
+            world.run(20)
+        self.assertEqual(sum(world.starts.values()), 0)
+        worker = world.workers["w1"]
+        worker.capacity = SMALL
+        world.relist("w1")
+        world.run(1_000)
+        self.assertEqual(dict(world.starts), {})
+
+
+if __name__ == "__main__":
+    unittest.main()
