--- a/tests/state/test_review_job_records.py
+++ b/tests/state/test_review_job_records.py
@@ -6,7 +6,7 @@
 
 from poplarlb.exceptions import BadAnswerError
 from poplarlb.state import job_records
-from poplarlb.state.jobs import Job, JobSpec, JobState, StepSpec, TaskStatus
+from poplarlb.state.jobs import CrashedRun, Job, JobSpec, JobState, StepSpec, TaskStatus
 from poplarlb.state.models import Resources
 
 STEP = StepSpec(2, Resources(1_000, 1_000), estimate_ms=500)
@@ -34,8 +34,10 @@
         job = make_job()
         tasks = job.open_occurrence(0).steps[0]
         tasks[0].status, tasks[0].run = TaskStatus.DONE, 1
+        tasks[1].crashed_runs = (CrashedRun(1, True),)
+        job.crashed_tasks.append(tasks[1])
         row = orjson.loads(job_records.encode_progress(job))
-        row["crashes"] = [[0, 0, 1, [[1, True, "added by a later version"]], 0]]
+        row["crashes"][0].append("added by a later version")
         restored = make_job()
         job_records.restore_progress(restored, orjson.dumps(row))
         self.assertIs(restored.find_task(0, 0, 0).status, TaskStatus.DONE)
