Store: an answer that is arriving isn't given up, also one to a transaction

Cause: a comparison that finds a change carries the value, 2 MB over 5 Mbit/s, and had a limit of 1.2 s in all. It was given up while the value arrived and repeated for ever; the watch waits for it. Ruled out: memory (each daemon started once) and the store's rates (no refusals by 429).

Change: all answers of the store have the limit that listings and watches had: until the body arrives, then 1 s for each pause.

Why it works: a value crosses the link once, however long that takes, and the next comparison proves the view.

--- a/poplarlb/platform/store.py
+++ b/poplarlb/platform/store.py
@@ -31,8 +31,8 @@
 
 CALL_TIMEOUT_S = 1.0  # usually 4 ms; the slowest specified call takes sixty times that
 WATCH_GRACE_S = 1.0  # added to the time that a watch may wait for a change
-# How long the answer to a read may pause once its body arrives: what is read may take
-# seconds on a slow link.
+# How long an answer may pause once its body arrives: a large value takes seconds on a
+# slow link, also that of a key whose revision a transaction didn't expect.
 STALL_TIMEOUT_S = 1.0
 # The store is down this long after a failure if it answered no call since; a lost
 # connection fails once and is replaced.
@@ -103,9 +103,7 @@
             path = f"/v1/kv-range?prefix={quote(prefix, safe='')}"
             if after:
                 path += f"&after={quote(after, safe='')}"
-            response = await self._call(
-                "GET", path, timeout_s=timeout_s, stall_timeout_s=STALL_TIMEOUT_S
-            )
+            response = await self._call("GET", path, timeout_s=timeout_s)
             with decoding("a listing"):
                 page = parse_response(response)
                 rows = [decode_item(row) for row in page["items"]]
@@ -139,11 +137,7 @@
         )
         timeout_s = wait_ms / 1000 + WATCH_GRACE_S
         response = await self._call(
-            "GET",
-            path,
-            timeout_s=timeout_s,
-            stall_timeout_s=STALL_TIMEOUT_S,
-            on_progress=on_progress,
+            "GET", path, timeout_s=timeout_s, on_progress=on_progress
         )
         if response.status == 410:
             raise HistoryGoneError(f"{prefix} after {after}")
@@ -157,6 +151,8 @@
     ) -> TransactionResult:
         """Execute a transaction; it is applied only if all expected revisions match.
 
+        :param timeout_s: until the answer's body arrives.
+
         Returns a conflict if one doesn't match, ``LeaseGone`` if a put's lease is gone.
         """
         body = orjson.dumps(
@@ -204,7 +200,6 @@
         path: str,
         body: bytes = b"",
         timeout_s: float = CALL_TIMEOUT_S,
-        stall_timeout_s: float = 0.0,
         on_progress: Callable[[], None] | None = None,
     ) -> ClientResponse:
         self.calls += 1
@@ -216,7 +211,7 @@
                 path,
                 body,
                 timeout_s=timeout_s,
-                stall_timeout_s=stall_timeout_s,
+                stall_timeout_s=STALL_TIMEOUT_S,
                 on_progress=on_progress,
             )
         except CallNotSentError as error:
--- a/poplarlb/protocol/store.py
+++ b/poplarlb/protocol/store.py
@@ -134,7 +134,11 @@
     async def transact(
         self, transaction: Transaction, timeout_s: float = 1.0
     ) -> TransactionResult:
-        """Execute a transaction."""
+        """Execute a transaction.
+
+        :param timeout_s: until the answer's body arrives; it holds the values of keys
+            whose revision was not the expected one.
+        """
 
     async def grant_lease(self, ttl_ms: int) -> int:
         """Return the id of a new lease."""
