GANG: start all runs of a gang in a commit, or none

A member whose worker had begun to drain, or whose capacity had shrunk, between the choice and the commit was released alone; the others started and waited for it in vain (test_review_gang_start: 1 of 2 started). If one run of a gang's step can't start, all of them are released and placed again.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -285,15 +285,23 @@
         committed_in_time = (
             state.now_ms - event.sent_ms <= state.policy.max_commit_before_start_ms
         )
-        for run in starts:
-            worker = state.workers[run.worker_id]
-            reason = self._reason_not_to_start(worker, run)
-            if not committed_in_time:
-                reason = reason or "its commit took too long"
-            if not reason:
+        reasons = {
+            run: self._reason_not_to_start(state.workers[run.worker_id], run)
+            or ("" if committed_in_time else "its commit took too long")
+            for run in starts
+        }
+        incomplete_gangs = {
+            run.task.step_key
+            for run, reason in reasons.items()
+            if reason and run.task.spec.gang
+        }
+        for run, reason in reasons.items():
+            if not reason and run.task.step_key in incomplete_gangs:
+                reason = "another member of its gang isn't started"
+            if reason:
+                state.release(state.workers[run.worker_id], run, reason)
+            else:
                 self.calls.start(run)
-                continue
-            state.release(worker, run, reason)
 
     def _reason_not_to_start(self, worker: WorkerState, run: Run) -> str:
         """Return why a start may not be sent now, also not again; empty if it may."""
