Task names: some texts of digits ended the ownership

A worker that lists a run whose name has other digits than 0 to 9, or thousands of them, raised an error in int(); each owner that polled it lost the ownership in turn. Numbers of tasks have one to nine decimal digits. test_review_task_names failed and passes.

--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -7,6 +7,7 @@
 """
 
 import enum
+import re
 from collections.abc import Iterator, Sequence
 from functools import cached_property
 from itertools import chain
@@ -15,6 +16,8 @@
 
 from poplarlb.state.models import Resources
 
+TASK_NUMBER = re.compile(r"[0-9]{1,9}")
+
 
 class JobState(enum.StrEnum):
     """The state of a job, as its submitter sees it."""
@@ -366,7 +369,7 @@
     Returns None if the text is not a task's name.
     """
     parts = name.split(".")
-    if len(parts) != 4 or not all(part.isdigit() for part in parts[1:]):
+    if len(parts) != 4 or not all(TASK_NUMBER.fullmatch(part) for part in parts[1:]):
         return None
     return parts[0], int(parts[1]), int(parts[2]), int(parts[3])
 
