--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -288,10 +288,7 @@
             expired = [
                 run for run in worker.runs.values() if not self._may_still_start(run)
             ]
-            if worker.listed:
-                worker.expired_runs += expired
-            else:
-                self.crashes.on_worker_lost(worker, expired, "silent and unlisted")
+            self.crashes.on_worker_lost(worker, expired, restarted=False)
             for run in expired:
                 state.release(worker, run, "lease is over at a silent worker")
 
--- a/poplarlb/coordination/jobs/crashes.py
+++ b/poplarlb/coordination/jobs/crashes.py
@@ -17,8 +17,10 @@
 # A run has settled once its worker has listed it this long after its start.
 SETTLED_MS = 300
 # A task is given up if this many workers crashed as soon as they had begun it, the last
-# of them in isolation, or if this many were lost at any time.
-SUDDEN_CRASH_LIMIT = 2
+# of them in isolation; more if some of them may only have been out of reach; and more
+# still without isolation.
+CERTAIN_CRASH_LIMIT = 2
+SUDDEN_CRASH_LIMIT = 3
 CRASH_LIMIT = 5
 # So many workers that fall silent within this time have a common cause, not a task.
 COMMON_CAUSE_WORKERS = 4
@@ -40,22 +42,31 @@
     recent_losses: dict[str, int] = Factory(dict)
 
     def on_worker_lost(
-        self, worker: WorkerState, runs: Iterable[Run], reason: str
+        self, worker: WorkerState, runs: Iterable[Run], restarted: bool
     ) -> None:
-        """Count the crash of a worker, before its runs are released."""
+        """Count the loss of a worker, before its runs are released.
+
+        :param restarted: a later incarnation answers, so it has crashed. Otherwise it
+            was silent until its leases were over, and may be only out of reach.
+        """
         state = self.state
         lost = [run for run in runs if run.phase is not RunPhase.COMMITTING]
         if not lost:
             return
-        isolated = [run for run in lost if is_isolated(run)]
-        counted = isolated or [run for run in lost if may_be_cause(worker, run)]
+        suspects = [run for run in lost if may_be_cause(worker, run)]
+        isolated = [run for run in suspects if is_isolated(run)]
+        others_settled = all(
+            is_settled(worker, run) for run in suspects if not is_isolated(run)
+        )
+        counted = isolated if isolated and others_settled else suspects
         if worker.listing is not None and worker.listing.draining:
             counted = []  # it has left
         state.log(
             "worker_lost",
             worker=worker.worker_id,
             life=worker.incarnation,
-            reason=reason,
+            restarted=restarted,
+            listed=worker.listed,
             runs=len(lost),
             counted=len(counted),
             answered_ms_ago=state.now_ms - worker.answered_ms,
@@ -66,8 +77,10 @@
         )
         self.recent_losses[worker.worker_id] = worker.answered_ms
         alone = self._count_lost_with(worker) < COMMON_CAUSE_WORKERS
+        certain = restarted or self._is_replaced(worker)
+        crashed = certain or not worker.listed
         for run in counted:
-            self._count(worker, run, alone)
+            self._count(worker, run, alone and crashed, certain)
 
     def on_start_confirmed(self, run: Run) -> None:
         """Have it stored that an isolated run has begun, for the next owner."""
@@ -94,7 +107,22 @@
             for answered_ms in (self.recent_losses | silent).values()
         )
 
-    def _count(self, worker: WorkerState, run: Run, alone: bool) -> None:
+    def _is_replaced(self, worker: WorkerState) -> bool:
+        """Return whether another worker is listed at a lost worker's address."""
+        return worker.listing is not None and any(
+            other.listed and other.listing.address == worker.listing.address
+            for other in self.state.workers.values()
+            if other is not worker
+        )
+
+    def _count(
+        self, worker: WorkerState, run: Run, crashed_alone: bool, certain: bool
+    ) -> None:
+        """Count a loss against one run.
+
+        :param crashed_alone: the worker has crashed, as far as known, and few others at
+            about the same time.
+        """
         state, task = self.state, run.task
         known = task.crashed_runs
         if task.status is TaskStatus.DONE or task.job.final:
@@ -102,8 +130,9 @@
         if any(crashed.number == run.number for crashed in known):
             return
         isolated = is_isolated(run)
-        sudden = alone and is_sudden(worker, run)
-        task.crashed_runs = crashed_runs = (*known, CrashedRun(run.number, sudden))
+        sudden = crashed_alone and is_sudden(worker, run)
+        crashed_run = CrashedRun(run.number, sudden, sudden and certain)
+        task.crashed_runs = crashed_runs = (*known, crashed_run)
         task.suspected = not is_settled(worker, run)
         if task not in task.job.crashed_tasks:
             task.job.crashed_tasks.append(task)
@@ -118,11 +147,14 @@
             worker=worker.worker_id,
             crashes=crashes,
             sudden=sudden,
+            certain=certain,
             isolated=isolated,
         )
-        sudden_crashes = sum(crashed.sudden for crashed in crashed_runs)
-        proven = isolated and sudden and sudden_crashes >= SUDDEN_CRASH_LIMIT
-        if proven or crashes >= CRASH_LIMIT:
+        proven = (
+            sum(item.certain for item in crashed_runs) >= CERTAIN_CRASH_LIMIT
+            or sum(item.sudden for item in crashed_runs) >= SUDDEN_CRASH_LIMIT
+        )
+        if (isolated and sudden and proven) or crashes >= CRASH_LIMIT:
             reason = f"{crashes} workers crashed under {task.name}"
             state.finish(task.job, JobState.FAILED, reason)
 
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -260,9 +260,6 @@
         # The worker may still run behind a network partition: its runs are released
         # only when their leases have expired.
         worker.listed = False
-        if worker.expired_runs and not worker.listing.draining:
-            self.crashes.on_worker_lost(worker, worker.expired_runs, "unlisted")
-        worker.expired_runs.clear()
 
     # --- commits ----------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -40,6 +40,7 @@
         the order in which that was decided.
     :ivar workers_to_poll: the workers that may be due for a poll.
     :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
+    :ivar isolating: the workers with an isolated run.
     :ivar now_ms: the time of the present event on the daemon's monotonic clock.
     :ivar utc_ms: the wall-clock time of the last tick.
     """
@@ -64,6 +65,7 @@
     runs_to_stop: dict[Run, None] = Factory(dict)
     workers_to_poll: dict[str, WorkerState] = Factory(dict)
     suspects: dict[Task, None] = Factory(dict)
+    isolating: set[WorkerState] = Factory(set)
     now_ms: int = 0
     utc_ms: int = 0
 
@@ -212,6 +214,9 @@
                     progress_ms=self.now_ms,
                 )
                 worker.add(run)
+                if task.isolated_run == run.number:
+                    worker.isolated_run = run
+                    self.isolating.add(worker)
                 if job.final:
                     self.stop(run, f"job {job.state}")
 
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -106,9 +106,6 @@
     failures: int = 0  # failed or stalled runs since the last run that was done
     held_for: Task | None = None  # gets no new runs, as this task is to run isolated
     isolated_run: Run | None = None
-    # Runs released when their lease was over at the silent worker, which was still
-    # listed: it may have crashed.
-    expired_runs: list[Run] = Factory(list)
     # Runs to stop that hold no reservation: when the stop was last sent; 0: not yet.
     orphan_stops: dict[tuple[str, int], int] = Factory(dict)
     # By run key: until when the worker may still carry out a start that got no answer.
--- a/poplarlb/coordination/jobs/isolation.py
+++ b/poplarlb/coordination/jobs/isolation.py
@@ -9,9 +9,8 @@
 
 from poplarlb.coordination.jobs.crashes import (
     ISOLATED_FROM,
-    SETTLED_MS,
     is_settled,
-    listed_for_ms,
+    needs_isolation,
 )
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, WorkerState
@@ -22,11 +21,9 @@
 # like any other.
 FIRST_WAIT_MS = 1_000
 WAIT_MS = 2_500
-# Tasks with one crash hold one in so many of the usable workers at most: when many
-# workers are lost at once, many tasks have a crash without being its cause.
-USABLE_PER_HELD = 8
-# A run of a task with several crashes stays isolated this long, or until its end.
-ISOLATED_MS = 3_000
+# Suspects hold or keep to themselves one in so many of the usable workers at most: when
+# many workers are lost at once, many tasks have a crash without being its cause.
+USABLE_PER_ISOLATED = 8
 
 
 @define(eq=False)
@@ -35,14 +32,12 @@
 
     :ivar holds: the worker that is held for a task.
     :ivar waits: since when a task has waited to be started.
-    :ivar isolating: the workers with an isolated run.
     """
 
     state: DispatcherState
     chooser: WorkerChooser
     holds: dict[Task, WorkerState] = Factory(dict)
     waits: dict[Task, int] = Factory(dict)
-    isolating: set[WorkerState] = Factory(set)
 
     def list_waiting(self) -> list[Task]:
         """Return the suspects to be started now, those with most crashes first."""
@@ -79,7 +74,8 @@
             self._release(task)
             worker = None
         if worker is None:
-            if not repeated and len(self.holds) * USABLE_PER_HELD > len(usable):
+            taken = len(self.holds) + len(self.state.isolating)
+            if taken and taken * USABLE_PER_ISOLATED >= len(usable):
                 return None
             worker = self._hold(task, demand, usable)
         if worker is None or not all(
@@ -93,11 +89,11 @@
         self._forget(run.task)
         run.task.isolated_run, run.task.isolated_begun = run.number, False
         worker.isolated_run = run
-        self.isolating.add(worker)
+        self.state.isolating.add(worker)
 
     def tick(self) -> None:
         """End the isolation of runs that have settled or ended."""
-        for worker in list(self.isolating):
+        for worker in list(self.state.isolating):
             self._end_if_passed(worker)
 
     def keeps_alone(self, worker: WorkerState) -> bool:
@@ -115,18 +111,17 @@
             run.task.isolated_run = 0
             self.state.mark_dirty(run.task.job)
         worker.isolated_run = None
-        self.isolating.discard(worker)
+        self.state.isolating.discard(worker)
         self.state.note_freed(worker)
 
     def _has_passed(self, worker: WorkerState, run: Run) -> bool:
-        """Return whether a run was active long enough not to be isolated any more."""
-        task = run.task
-        if len(task.crashed_runs) >= ISOLATED_FROM:
-            return listed_for_ms(worker, run) >= ISOLATED_MS
-        if listed_for_ms(worker, run) < SETTLED_MS:
+        """Return whether a run has settled, so isn't isolated any more."""
+        if not is_settled(worker, run):
             return False
+        task = run.task
         task.suspected = False
-        self.state.suspects.pop(task, None)
+        if not needs_isolation(task):
+            self.state.suspects.pop(task, None)
         return True
 
     def _hold(
@@ -149,6 +144,8 @@
     def _can_run(self, worker: WorkerState, demand: Demand) -> bool:
         if not worker.is_usable(self.state.now_ms):
             return False
+        if worker.listing.service != demand.service:
+            return False
         if worker.listing.zone in self.state.zones_out:
             return False
         return bool(WorkerRanking(self.chooser, demand, (worker,)).heap)
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -33,7 +33,6 @@
         listed = {(row.task, row.run): row for row in poll.running}
         if poll.incarnation != worker.incarnation:
             self._handle_new_incarnation(worker, poll, listed)
-        worker.expired_runs.clear()
         first = not worker.fenced
         worker.update_clock(poll.clock_ms, state.now_ms)
         if first:
@@ -73,7 +72,7 @@
             worker.begin_incarnation(poll.incarnation)
             return
         lost = [run for run in worker.runs.values() if run.key not in listed]
-        self.crashes.on_worker_lost(worker, worker.expired_runs + lost, "restarted")
+        self.crashes.on_worker_lost(worker, lost, restarted=True)
         worker.begin_incarnation(poll.incarnation)
         state.log("worker_restarted", worker=worker.worker_id, life=poll.incarnation)
         unanswered_starts = {
@@ -120,7 +119,7 @@
         # Runs of the worker's present incarnation are missing if their starts were
         # never sent.
         lost = [run for run in missing if run.task.incarnation != poll.incarnation]
-        self.crashes.on_worker_lost(worker, lost, "restarted before the takeover")
+        self.crashes.on_worker_lost(worker, lost, restarted=True)
         for run in inherited:
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = self.state.now_ms
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -26,6 +26,8 @@
 # A task's row in the progress record is one of these or a list.
 NEVER_RUN = 0  # the task waits and has had no run
 DONE = 2  # the task is done
+# Raised by reading a record that isn't in the format.
+UNREADABLE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
 
 
 @frozen
@@ -160,17 +162,17 @@
 
 def encode_crashes(task: Task) -> list:
     """Return the row of the runs of one task under which their worker crashed."""
-    runs = [[run.number, run.sudden] for run in task.crashed_runs]
+    runs = [attrs.astuple(run) for run in task.crashed_runs]
     isolated = [task.isolated_run, task.isolated_begun]
     return [task.occurrence, task.step, task.index, runs, *isolated]
 
 
 def restore_crashes(job: Job, row: list) -> None:
     """Set what :func:`encode_crashes` stored of one task; a done task is left out."""
-    occurrence, step, index, runs, isolated_run, isolated_begun = row
+    occurrence, step, index, runs, isolated_run, isolated_begun = row[:6]
     task = job.find_task(occurrence, step, index)
     if task is not None and task.status is not TaskStatus.DONE:
-        task.crashed_runs = tuple(CrashedRun(*run) for run in runs)
+        task.crashed_runs = tuple(CrashedRun(*run[:3]) for run in runs)
         task.isolated_run, task.isolated_begun = isolated_run, isolated_begun
         job.crashed_tasks.append(task)
 
@@ -189,7 +191,8 @@
 def restore_progress(job: Job, value: bytes) -> None:
     """Restore a job's state and occurrences from its progress record.
 
-    :raises BadAnswerError: the record is not in this format.
+    :raises BadAnswerError: the record is not in this format; all of it but its crashes
+        has been restored if only these aren't.
     """
     try:
         row = orjson.loads(value)
@@ -200,11 +203,14 @@
             occurrence = job.open_occurrence(int(number))
             restore_occurrence(occurrence, steps)
         job.next_occurrence = row["next"]
-        for crashes in row.get("crashes", ()):
-            restore_crashes(job, crashes)
-    except (ValueError, TypeError, KeyError, IndexError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"progress record: {error}") from error
     job.stored = True
+    try:
+        for crashes in row.get("crashes", ()):
+            restore_crashes(job, crashes)
+    except UNREADABLE_ERRORS as error:
+        raise BadAnswerError(f"crashes in a progress record: {error}") from error
 
 
 def restore_occurrence(occurrence: Occurrence, steps: list | None) -> None:
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -221,10 +221,15 @@
 
 @frozen
 class CrashedRun:
-    """A run under which its worker crashed; ``sudden``: as soon as it had begun."""
+    """A run under which its worker crashed or was lost.
+
+    ``sudden``: as soon as the run had begun. ``certain``: suddenly, and the worker was
+    not only out of reach.
+    """
 
     number: int
-    sudden: bool
+    sudden: bool = False
+    certain: bool = False
 
 
 @define(eq=False, slots=True)
--- a/tests/coordination/jobs/test_crashes.py
+++ b/tests/coordination/jobs/test_crashes.py
@@ -8,7 +8,7 @@
 
 CRASH_DELAY_MS = 40  # from a start to the worker's crash
 UNLISTED_MS = 3_000  # from a crash until the worker's entry is removed
-DOWN_MS = 6_000  # from a crash until another worker takes the lost one's place
+DOWN_MS = 6_000  # from a crash until a worker with another id takes the address
 MAX_CRASHES = 3
 DEADLY, INNOCENT = "d" * 16, "a" * 16
 STEP = StepSpec(1, Resources(4_000, 1_000), estimate_ms=500)
@@ -41,7 +41,7 @@
         self.crashed.append(worker.worker_id)
         worker.crash(DEADLY)
         self.later(UNLISTED_MS, lambda: self.unlist(worker.worker_id))
-        self.later(DOWN_MS, lambda: self.add_workers(1))
+        self.later(DOWN_MS, lambda: self.replace(worker))
         if self.replace_owner:
             self.later(CRASH_DELAY_MS, self.new_owner)
 
