Walks: faults in the count of crashes, and takeovers with several deadly tasks

No script had several deadly tasks with a takeover after each crash.

Change: four injected faults: crashes forgotten at a takeover, counted only if the worker is back under its id, counted only under confirmed runs, and blamed on each run without isolation. Walks find two of them, a script of two deadly tasks finds all. A new scenario replaces the owner after each crash under two, four or six deadly tasks. The scenarios report the jobs that didn't end as they should.

--- a/tests/coordination/jobs/test_deadly_tasks.py
+++ b/tests/coordination/jobs/test_deadly_tasks.py
@@ -64,36 +64,33 @@
         ):
             self.run(200)
 
-    def states(self, deadly: bool) -> set[JobState]:
-        """Return the states of the jobs with, or of those without, deadly tasks."""
-        deadly_jobs = {task.split(".")[0] for task in self.deadly}
-        return {
-            self.state(item) for item in self.jobs if (item in deadly_jobs) == deadly
-        }
-
-
-class DeadlyTaskTest(unittest.TestCase):
-    """Jobs with deadly tasks fail in time; the jobs beside them are done."""
-
     def submit_beside_innocents(
-        self, world: CrashWorld, deadly: list[str], innocent: int, step: StepSpec = STEP
+        self, deadly: list[str], innocent: int, step: StepSpec = STEP
     ) -> None:
         """Submit jobs with a deadly task among innocent ones."""
         every = innocent // len(deadly)
         for number in range(innocent):
             if number % every == 0 and number // every < len(deadly):
                 name = deadly[number // every]
-                world.deadly.add(f"{name}.0.0.0")
-                world.submit(make_job(name, step))
-            world.submit(make_job(job_id(number), STEP))
-            world.run(40)
+                self.deadly.add(f"{name}.0.0.0")
+                self.submit(make_job(name, step))
+            self.submit(make_job(job_id(number), STEP))
+            self.run(40)
+
+    def find_failures(self) -> list[str]:
+        """Return the violations, and the jobs that didn't end as they should."""
+        self.run_until_final()
+        deadly_jobs = {task.split(".")[0] for task in self.deadly}
+        states = {item: self.state(item) for item in self.jobs}
+        return self.violations + [
+            f"{item} is {state}"
+            for item, state in states.items()
+            if state is not (JobState.FAILED if item in deadly_jobs else JobState.DONE)
+        ]
+
 
-    def check(self, world: CrashWorld) -> None:
-        """Run on; check that the jobs with deadly tasks fail, and only these."""
-        world.run_until_final()
-        self.assertEqual(world.violations, [])
-        self.assertEqual(world.states(deadly=True), {JobState.FAILED})
-        self.assertEqual(world.states(deadly=False), {JobState.DONE})
+class DeadlyTaskTest(unittest.TestCase):
+    """Jobs with deadly tasks fail in time; the jobs beside them are done."""
 
     def check_clusters(self, *deadly: str, step: StepSpec = STEP, **fields) -> None:
         """Check a small and a large cluster whose workers keep or change their ids."""
@@ -103,8 +100,8 @@
             with self.subTest(workers=workers, keeps_id=keeps_id):
                 world = CrashWorld(work_ms=800, keeps_id=keeps_id, **fields)
                 world.start(workers)
-                self.submit_beside_innocents(world, list(deadly), innocent, step)
-                self.check(world)
+                world.submit_beside_innocents(list(deadly), innocent, step)
+                self.assertEqual(world.find_failures(), [])
 
     # Guards against a task that is started for ever, each time at another worker, as
     # only failed runs count as attempts.
@@ -133,6 +130,24 @@
         """Some of them share workers."""
         self.check_clusters(*("d" * 15 + letter for letter in "abcd"))
 
+    # Guards against innocent tasks that are blamed with a deadly one, as the next owner
+    # doesn't know that a run is isolated.
+    def test_owner_is_replaced_while_several_deadly_tasks_run(self) -> None:
+        """The owner is replaced after each of the crashes under several tasks."""
+        for workers, deadly, keeps_id, seed in itertools.product(
+            (3, 4, 6), (2, 4, 6), (True, False), (1, 2, 3)
+        ):
+            with self.subTest(
+                workers=workers, deadly=deadly, keeps_id=keeps_id, seed=seed
+            ):
+                world = CrashWorld(
+                    work_ms=800, keeps_id=keeps_id, seed=seed, replaces_owner=True
+                )
+                world.start(workers)
+                names = ["d" * 15 + letter for letter in "abcdef"[:deadly]]
+                world.submit_beside_innocents(names, 4 * workers)
+                self.assertEqual(world.find_failures(), [])
+
     # Guards against a budget that holds only for tasks that end by themselves.
     def test_long_running_deadly_task(self) -> None:
         """It has no limit of failed runs, but one of crashes."""
@@ -149,7 +164,7 @@
                 world.deadly.add(f"{DEADLY_JOB}.0.0.7")
                 world.submit(make_job(DEADLY_JOB, wide))
                 world.submit(make_job(job_id(0), wide))
-                self.check(world)
+                self.assertEqual(world.find_failures(), [])
                 name = f"{DEADLY_JOB}.0.0.7"
                 self.assertGreaterEqual(len(world.crashes_under(name)), 2)
 
@@ -157,12 +172,6 @@
 class InnocentTaskTest(unittest.TestCase):
     """Workers that are lost for other causes are no reason to give up a task."""
 
-    def check_done(self, world: CrashWorld) -> None:
-        """Run on; check that every job is done."""
-        world.run_until_final()
-        self.assertEqual(world.violations, [])
-        self.assertEqual(world.states(deadly=False), {JobState.DONE})
-
     def check_partitions(self, unlisted: bool) -> None:
         """Check that all jobs are done though each worker is cut off three times.
 
@@ -183,7 +192,7 @@
             for name in cut:
                 world.relist(name)
             world.run(PAUSE_MS)
-        self.check_done(world)
+        self.assertEqual(world.find_failures(), [])
         self.assertEqual([item.crashes for item in world.workers.values()], 6 * [[]])
 
     # Guards against silence that counts as a crash though the worker never crashed.
@@ -245,7 +254,7 @@
                     work_ms=4_000, keeps_id=keeps_id, replaces_owner=replaces_owner
                 )
                 self.crash_racks(world, age_ms)
-                self.check_done(world)
+                self.assertEqual(world.find_failures(), [])
 
     # Guards against crashes that add up over a long life until the task is given up.
     def test_long_running_task_that_loses_workers(self) -> None:
--- a/tests/coordination/jobs/test_injected_faults.py
+++ b/tests/coordination/jobs/test_injected_faults.py
@@ -6,16 +6,19 @@
 
 import attrs
 
-from poplarlb.coordination.jobs import calls
+from poplarlb.coordination.jobs import calls, crashes
 from poplarlb.coordination.jobs.calls import WorkerCalls
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
 from poplarlb.coordination.jobs.events import CallOutcome, WorkerListed
-from poplarlb.coordination.jobs.fleet import WorkerState
+from poplarlb.coordination.jobs.fleet import RunPhase, WorkerState
 from poplarlb.coordination.jobs.poll_reader import PollReader
+from poplarlb.state import job_records
 from poplarlb.state.jobs import StepSpec
 from poplarlb.state.models import Resources
-from tests.coordination.jobs import fake_worker
+from tests.coordination.jobs import fake_worker, job_world
 from tests.coordination.jobs.job_world import JobWorld, make_job
+from tests.coordination.jobs.test_deadly_tasks import CrashWorld
 from tests.coordination.jobs.test_job_fuzz import WalkKind, find_failures, walk
 
 SEEDS_TRIED = 150
@@ -128,7 +131,42 @@
     return mock.patch.object(Dispatcher, "_handle_listed", handle_listed)
 
 
+def forget_crashes():
+    """Restore jobs without the crashes that earlier owners have counted."""
+    return mock.patch.object(job_records, "restore_crashes", lambda job, row: None)
+
+
+def count_restarts_only():
+    """Count the crash of a worker only if it is back under its id."""
+    original = CrashCounter.on_worker_lost
+
+    def on_worker_lost(self, worker, runs, reason: str) -> None:
+        if "restarted" in reason:
+            original(self, worker, runs, reason)
+
+    return mock.patch.object(CrashCounter, "on_worker_lost", on_worker_lost)
+
+
+def count_confirmed_runs_only():
+    """Count a crash only under runs whose start was answered."""
+    original = CrashCounter.on_worker_lost
+
+    def on_worker_lost(self, worker, runs, reason: str) -> None:
+        confirmed = [run for run in runs if run.phase is RunPhase.RUNNING]
+        original(self, worker, confirmed, reason)
+
+    return mock.patch.object(CrashCounter, "on_worker_lost", on_worker_lost)
+
+
+def blame_without_isolation():
+    """Blame each run that a worker lost, and isolate none."""
+    return mock.patch.multiple(
+        crashes, is_isolated=lambda run: True, needs_isolation=lambda task: False
+    )
+
+
 USUAL, RESIZING = WalkKind(), WalkKind(resizes=True)
+DEADLY = WalkKind(deadly_tasks=True)
 INJECTED_FAULTS = {
     acknowledge_early: (11, USUAL),
     ignore_unanswered_start: (1, USUAL),
@@ -137,6 +175,8 @@
     release_at_stop: (14, USUAL),
     mix_incarnations: (1, USUAL),
     keep_first_capacity: (4, RESIZING),
+    count_restarts_only: (1, DEADLY),
+    count_confirmed_runs_only: (9, DEADLY),
 }  # the seed and kind of the walk that finds the fault
 
 
@@ -214,6 +254,35 @@
             self.assertNotEqual(self.reconnect_unresponsive_worker(), [])
 
 
+class DeadlyTaskTest(unittest.TestCase):
+    """Faults in the count of crashes, found by tasks that crash their workers."""
+
+    def find_failures(self, early_crash_rate: float, **fields) -> list[str]:
+        """Return what goes wrong with two deadly tasks among innocent ones.
+
+        :param early_crash_rate: share of the crashes that come before the answer.
+        """
+        world = CrashWorld(work_ms=800, **fields)
+        with mock.patch.object(job_world, "EARLY_CRASH_RATE", early_crash_rate):
+            world.start(2)
+            world.submit_beside_innocents(["d" * 16, "e" * 16], 16)
+            return world.find_failures()
+
+    def test_each_fault_is_found(self) -> None:
+        """The scenario fails with the fault, and only with it."""
+        for inject, early_crash_rate, fields in (
+            (forget_crashes, 0.0, {"replaces_owner": True}),
+            (count_restarts_only, 0.0, {"keeps_id": False}),
+            (count_confirmed_runs_only, 1.0, {"keeps_id": True}),
+            (blame_without_isolation, 0.0, {"keeps_id": True}),
+        ):
+            with self.subTest(fault=inject.__name__):
+                self.assertEqual(self.find_failures(early_crash_rate, **fields), [])
+                with inject():
+                    found = self.find_failures(early_crash_rate, **fields)
+                self.assertNotEqual(found, [])
+
+
 if __name__ == "__main__":
     for injected, (_, kind) in INJECTED_FAULTS.items():
         seeds = range(1, SEEDS_TRIED)
