--- a/poplarlb/coordination/jobs/isolation.py
+++ b/poplarlb/coordination/jobs/isolation.py
@@ -18,12 +18,15 @@
 from poplarlb.state.jobs import Task, TaskStatus
 
 # Waits for an isolated start, after one crash and after more; then the task is started
-# like any other.
+# like any other. A long-running one is missed sooner.
 FIRST_WAIT_MS = 1_000
-WAIT_MS = 2_500
-# Suspects hold or keep to themselves one in so many of the usable workers at most: when
-# many workers are lost at once, many tasks have a crash without being its cause.
-USABLE_PER_ISOLATED = 8
+REPEATED_WAIT_MS = 10_000
+LONG_RUNNING_WAIT_MS = 2_500
+# Suspects take at most one in so many of the usable workers, after
+# one crash and after more: when many workers are lost at once, many tasks have a crash
+# without being its cause.
+USABLE_PER_FIRST = 8
+USABLE_PER_REPEATED = 2
 
 
 @define(eq=False)
@@ -65,7 +68,7 @@
         if task.spec.long_running:
             task.waiting_since_ms = task.waiting_since_ms or now_ms
         repeated = len(task.crashed_runs) >= ISOLATED_FROM
-        if now_ms - since_ms > (WAIT_MS if repeated else FIRST_WAIT_MS):
+        if now_ms - since_ms > longest_wait_ms(task, repeated):
             del self.state.suspects[task]
             self._forget(task)
             return None
@@ -75,7 +78,8 @@
             worker = None
         if worker is None:
             taken = len(self.holds) + len(self.state.isolating)
-            if taken and taken * USABLE_PER_ISOLATED >= len(usable):
+            usable_per_taken = USABLE_PER_REPEATED if repeated else USABLE_PER_FIRST
+            if taken and taken * usable_per_taken >= len(usable) + taken:
                 return None
             worker = self._hold(task, demand, usable)
         if worker is None or not all(
@@ -166,6 +170,13 @@
     return task.status is TaskStatus.DONE or task.job.final
 
 
+def longest_wait_ms(task: Task, repeated: bool) -> int:
+    """Return how long a suspect waits for an isolated start."""
+    if not repeated:
+        return FIRST_WAIT_MS
+    return LONG_RUNNING_WAIT_MS if task.spec.long_running else REPEATED_WAIT_MS
+
+
 def count_unsettled(worker: WorkerState) -> int:
     """Return the number of a worker's runs that haven't settled."""
     return sum(not is_settled(worker, run) for run in worker.runs.values())
