--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -8,9 +8,10 @@
 import base64
 import itertools
 import json
+from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
-from attrs import Factory, define, field
+from attrs import Factory, define, field, frozen
 
 from poplarlb.coordination.jobs import events
 from poplarlb.transport.http_server import HttpRequest, HttpResponse, HttpServer
@@ -19,6 +20,7 @@
 MAX_PAGE_ITEMS = 500
 MAX_TRANSACTION_ENTRIES = 32
 WORKER_TICK_S = 0.02
+RESTART_STEP = 1_000  # between the incarnations of a worker
 
 
 @define
@@ -248,31 +250,76 @@
                 table.expire(loop.time())
 
 
+@frozen
+class CrashSettings:
+    """How a worker crashes under a deadly task, and how it comes back.
+
+    :param silent: its connections get no answers instead of being reset.
+    :param renamed: it comes back as a new worker at its address, instead of under its
+        id as a later incarnation.
+    :param delay_s: from the answered start to the crash.
+    :param listed_s: for how long its entry stays in the store.
+    :param absent_s: from the removal of its entry until it is back.
+    """
+
+    silent: bool = False
+    renamed: bool = False
+    delay_s: float = 0.01
+    listed_s: float = 3.0
+    absent_s: float = 3.0
+
+
+@frozen
+class WorkerCrash:
+    """A crash of a worker, and the tasks that ran there."""
+
+    worker_id: str
+    incarnation: int
+    tasks: frozenset[str]
+
+
 @define(eq=False)
 class WorkerService:
     """Serves fake workers over HTTP, each at its own port, and lists them in the store.
 
-    ``work_ms`` is the run time of every run; ``starts`` holds the started tasks.
+    ``workers`` holds every worker by its id, also those that are gone; ``hosts`` the
+    latest worker of each host, which is named after its first one. ``addresses`` are
+    those in the workers' entries, ``listen_addresses`` those of their servers.
+    ``work_ms`` is the run time of every run; ``starts`` holds the started tasks. A
+    worker that starts one of ``deadly_tasks`` crashes as ``next_crash`` tells.
+    ``on_started`` is called after each start of a run.
     """
 
     table: KvTable
     workers: dict[str, FakeWorker] = Factory(dict)
+    hosts: dict[str, FakeWorker] = Factory(dict)
     servers: dict[str, HttpServer] = Factory(dict)
     addresses: dict[str, str] = Factory(dict)
+    listen_addresses: dict[str, str] = Factory(dict)
     work_ms: float = 100.0
     starts: list[str] = Factory(list)
     tick_task: asyncio.Task | None = None
+    deadly_tasks: set[str] = Factory(set)
+    next_crash: Callable[[], CrashSettings] = CrashSettings
+    crashes: list[WorkerCrash] = Factory(list)
+    crash_tasks: set[asyncio.Task] = Factory(set)
+    on_started: Callable[[], None] = lambda: None
 
     async def add(self, worker: FakeWorker, address: str) -> None:
         """Start a worker's server and list the worker in the store."""
+        self.hosts[worker.worker_id] = worker
+        await self._serve(worker, address, address)
+        if self.tick_task is None:
+            self.tick_task = asyncio.ensure_future(self._tick())
+
+    async def _serve(self, worker: FakeWorker, listen: str, listed: str) -> None:
         self.workers[worker.worker_id] = worker
-        self.addresses[worker.worker_id] = address
+        self.listen_addresses[worker.worker_id] = listen
+        self.addresses[worker.worker_id] = listed
         server = HttpServer(lambda request: self.handle(worker, request))
         self.servers[worker.worker_id] = server
-        await server.start(address)
+        await server.start(listen)
         self.list(worker)
-        if self.tick_task is None:
-            self.tick_task = asyncio.ensure_future(self._tick())
 
     def list(self, worker: FakeWorker) -> None:
         """Write a worker's entry into the store."""
@@ -296,6 +343,71 @@
         key = f"servers/{worker.worker_id}"
         self.table.put(key, json.dumps(entry).encode())
 
+    def unlist(self, worker: FakeWorker) -> None:
+        """Remove a worker's entry from the store."""
+        self.table.delete(f"servers/{worker.worker_id}")
+
+    # --- crashes ----------------------------------------------------------------------
+
+    def record_crash(self, worker: FakeWorker) -> None:
+        """End a worker's process and record what ran there."""
+        worker.alive = False
+        tasks = frozenset(task for task, _ in worker.runs)
+        crash = WorkerCrash(worker.worker_id, worker.incarnation, tasks)
+        self.crashes.append(crash)
+
+    def crashes_under(self, task: str) -> int:
+        """Return how many workers have crashed while they ran a task."""
+        return sum(task in crash.tasks for crash in self.crashes)
+
+    async def _crash(self, worker: FakeWorker, settings: CrashSettings) -> None:
+        """Crash a worker some time after a start, and bring it back."""
+        incarnation = worker.incarnation
+        await asyncio.sleep(settings.delay_s)
+        if not worker.alive or worker.incarnation != incarnation:
+            return
+        self.record_crash(worker)
+        if not settings.silent:
+            self._disconnect(worker)
+        await asyncio.sleep(settings.listed_s)
+        self.unlist(worker)
+        await asyncio.sleep(settings.absent_s)
+        # Data that the crashed process received must not reach the next one.
+        self._disconnect(worker)
+        await self._bring_back(worker, settings.renamed)
+
+    async def _bring_back(self, worker: FakeWorker, renamed: bool) -> None:
+        host = next(name for name, item in self.hosts.items() if item is worker)
+        listen = self.listen_addresses[worker.worker_id]
+        listed = self.addresses[worker.worker_id]
+        incarnation = worker.incarnation + RESTART_STEP
+        if renamed:
+            worker = FakeWorker(
+                f"{host}-{incarnation}",
+                incarnation,
+                zone=worker.zone,
+                rack=worker.rack,
+                capacity=worker.capacity,
+                service=worker.service,
+                clock_rate=worker.clock_rate,
+            )
+            self.hosts[host] = worker
+        else:
+            worker.restart(incarnation)
+        await self._serve(worker, listen, listed)
+
+    def _disconnect(self, worker: FakeWorker) -> None:
+        """Stop listening, abort every connection and drop the calls in progress."""
+        server = self.servers[worker.worker_id]
+        server.listener.close()
+        for connection in list(server.connections):
+            if connection.task is not None:
+                connection.task.cancel()
+            if connection.transport is not None:
+                connection.transport.abort()
+
+    # --- calls ------------------------------------------------------------------------
+
     async def _tick(self) -> None:
         """Advance the workers by the time that has passed, also after a stall."""
         loop = asyncio.get_running_loop()
@@ -308,7 +420,12 @@
                 worker.advance(elapsed_s * 1000)
 
     async def handle(self, worker: FakeWorker, request: HttpRequest) -> HttpResponse:
-        """Handle one call to a worker."""
+        """Handle one call to a worker; a crashed one doesn't answer."""
+        if not worker.alive:
+            await asyncio.sleep(3_600)
+        called = request.headers.get("x-poplarlb-expect-instance", worker.worker_id)
+        if called != worker.worker_id:
+            return HttpResponse(421)
         body = json.loads(request.body)
         match request.path:
             case "/v1/run-start":
@@ -322,9 +439,12 @@
                     body["fence"],
                     body.get("saved", ""),
                 )
+                repeated = (command.task, command.run) in worker.runs
                 outcome = worker.start(command, self.work_ms, fails=False)
                 if outcome is events.CallOutcome.DONE:
                     self.starts.append(command.task)
+                    if not repeated:
+                        self._handle_started(worker, command.task)
                 return self._outcome(worker, outcome)
             case "/v1/run-stop":
                 command = events.StopRun(
@@ -335,6 +455,13 @@
                 return await self._handle_hold(worker, body)
         return self._outcome(worker, events.CallOutcome.DONE)
 
+    def _handle_started(self, worker: FakeWorker, task: str) -> None:
+        self.on_started()
+        if task in self.deadly_tasks:
+            crash = asyncio.ensure_future(self._crash(worker, self.next_crash()))
+            self.crash_tasks.add(crash)
+            crash.add_done_callback(self.crash_tasks.discard)
+
     async def _handle_hold(self, worker: FakeWorker, body: dict) -> HttpResponse:
         command = events.PollWorker(
             worker.worker_id,
@@ -351,6 +478,8 @@
             if asyncio.get_running_loop().time() >= deadline_s:
                 break
             await asyncio.sleep(WORKER_TICK_S)
+            if not worker.alive:
+                await asyncio.sleep(3_600)
             if worker.incarnation != incarnation:
                 return HttpResponse(503)  # a restarted process has lost its calls
             lists = worker.poll(command)
@@ -383,9 +512,11 @@
         return json_response(409, {"clockMs": clock_ms, "reason": reasons[outcome]})
 
     def close(self) -> None:
-        """Stop the workers' clock and the servers."""
+        """Stop the workers' clock and the servers; no crashed worker comes back."""
         if self.tick_task is not None:
             self.tick_task.cancel()
+        for crash in self.crash_tasks:
+            crash.cancel()
         for server in self.servers.values():
             server.close()
 
