Soak: jobs with a task that crashes its workers, and the invariant BUDGET

Cause: the soak crashed workers at random only, and knew no task that is to blame.

BUDGET: such a task is started three times more after three workers have crashed under it. A job may be reported as failed only if two workers have crashed under one of its tasks; a worker that leaves after it drained has not crashed. At the end every accepted job must be done, failed or cancelled, also a deadly one.

--- /dev/null
+++ b/tests/soak/test_invariants.py
@@ -0,0 +1,90 @@
+"""Tests that the soak's checker detects each kind of violation that is driven here."""
+
+import unittest
+
+from tests.coordination.jobs.fake_worker import FakeWorker, LiveRun
+from tests.soak.invariants import InvariantChecker, SubmittedJob
+from tests.standins.users_platform import KvTable, WorkerService
+
+JOB_ID = "0" * 16
+TASK = f"{JOB_ID}.0.0.0"
+
+
+class CheckerTest(unittest.TestCase):
+    """One accepted job of one task, and two workers without servers."""
+
+    def setUp(self) -> None:
+        """Create them."""
+        self.workers = WorkerService(KvTable())
+        for number in range(2):
+            worker = FakeWorker(f"w{number}", incarnation=1_000)
+            self.workers.workers[worker.worker_id] = worker
+        self.checker = InvariantChecker(self.workers)
+        step = {"count": 1, "cpu": 2_000, "memMb": 256}
+        self.job = SubmittedJob(JOB_ID, [step], statuses=[200])
+        self.checker.jobs[JOB_ID] = self.job
+
+    def start(self, run: int, worker_id: str = "w0", now_s: float = 0.0) -> None:
+        """Start a run of the task and have the checker look."""
+        worker = self.workers.workers[worker_id]
+        worker.runs[TASK, run] = LiveRun(TASK, run, worker.clock_ms, work_ms=1_000)
+        self.checker.check(now_s)
+
+    def crash(self, worker_id: str = "w0") -> None:
+        """Crash a worker and start its next incarnation."""
+        worker = self.workers.workers[worker_id]
+        self.workers.record_crash(worker)
+        worker.restart(worker.incarnation + 1_000)
+
+    def crash_repeatedly(self, count: int) -> None:
+        """Start the task and crash its worker a number of times."""
+        for run in range(1, count + 1):
+            self.start(run, f"w{run % 2}")
+            self.crash(f"w{run % 2}")
+
+    def report(self, state: str) -> list[str]:
+        """Report a state of the job and return all violations."""
+        self.checker.check_reported_state(self.job, state, 0.0)
+        return self.checker.violations
+
+
+class BudgetTest(CheckerTest):
+    """Tasks that crash the workers that start them."""
+
+    def test_third_start_after_three_crashes_is_found(self) -> None:
+        """Two starts after three crashes are allowed, the next one is not."""
+        self.workers.deadly_tasks.add(TASK)
+        self.crash_repeatedly(5)
+        self.assertEqual(self.checker.violations, [])
+        self.start(6)
+        self.assertEqual([line[:6] for line in self.checker.violations], ["BUDGET"])
+
+    def test_other_tasks_may_start_after_crashes(self) -> None:
+        """A task that doesn't crash its workers has no such limit."""
+        self.crash_repeatedly(8)
+        self.assertEqual(self.checker.violations, [])
+
+    def test_job_failed_after_one_crash_is_found(self) -> None:
+        """One crash under a task doesn't show that the task caused it."""
+        self.crash_repeatedly(1)
+        self.crash("w1")
+        self.assertIn("failed", self.report("failed")[0])
+
+    def test_job_may_be_failed_after_two_crashes(self) -> None:
+        """Two crashes under a task are enough, whatever caused them."""
+        self.crash_repeatedly(2)
+        self.assertEqual(self.report("failed"), [])
+        self.checker.check_final_state()
+        self.assertEqual(self.checker.violations, [])
+
+    def test_deadly_job_that_does_not_end_is_found(self) -> None:
+        """A deadly job must end as well."""
+        self.workers.deadly_tasks.add(TASK)
+        self.crash_repeatedly(3)
+        self.report("active")
+        self.checker.check_final_state()
+        self.assertEqual([line[:4] for line in self.checker.violations], ["LOST"])
+
+
+if __name__ == "__main__":
+    unittest.main()
