Soak and tests: workers whose capacity shrinks and grows (LIMIT)

Cause: every worker of the fake platform kept its first capacity, so neither the tests over sockets nor the soak noticed an owner that goes by an outdated one.

LIMIT is checked at each start: what a worker runs must fit a capacity that was in force in the last 4.5 s (the bound for stable machines and one heartbeat). What runs already may exceed a smaller capacity. A start that a disrupted link to its worker delays goes by the capacities at the start of the disruption. Workers whose capacity never changed are checked at any time, as before.

--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from poplarlb.state.models import Resources
 from tests.coordination.jobs.fake_worker import FakeWorker, LiveRun
 from tests.soak.invariants import InvariantChecker, SubmittedJob
 from tests.standins.users_platform import KvTable, WorkerService
@@ -86,5 +87,52 @@
         self.assertEqual([line[:4] for line in self.checker.violations], ["LOST"])
 
 
+class CapacityTest(CheckerTest):
+    """Workers whose capacity changes while they run."""
+
+    def setUp(self) -> None:
+        """Create a worker whose capacity shrank below the task's size at 10 s."""
+        super().setUp()
+        self.worker = self.workers.workers["w0"]
+        self.workers.addresses["w0"] = "address"
+        self.workers.record_capacity(self.worker, 1.0)
+        self.resize(1_000, 10.0)
+
+    def resize(self, cpu_millis: int, now_s: float) -> None:
+        """Change the worker's capacity."""
+        self.worker.capacity = Resources(cpu_millis, 64_000)
+        self.workers.record_capacity(self.worker, now_s)
+
+    def test_start_after_the_limit_is_found(self) -> None:
+        """The smaller capacity must be kept 4.5 s after it was written."""
+        self.start(1, now_s=14.6)
+        self.assertEqual(len(self.checker.violations), 1)
+
+    def test_start_before_the_limit_and_its_run_are_allowed(self) -> None:
+        """Until then the larger one counts; what runs may stay."""
+        self.start(1, now_s=14.4)
+        self.checker.check(20.0)
+        self.assertEqual(self.checker.violations, [])
+
+    def test_delayed_start_is_allowed(self) -> None:
+        """A start that a link has delayed goes by the time when it was sent."""
+        self.checker.delayed_since["address"] = 14.0
+        self.start(1, now_s=16.0)
+        self.assertEqual(self.checker.violations, [])
+
+    def test_start_after_growth_is_allowed(self) -> None:
+        """A larger capacity counts at once, however short the smaller one was."""
+        self.resize(2_000, 16.0)
+        self.start(1, now_s=16.1)
+        self.assertEqual(self.checker.violations, [])
+
+    def test_fixed_capacity_is_checked_at_any_time(self) -> None:
+        """Without a change, what runs must fit also when nothing starts."""
+        self.start(1, "w1")
+        self.workers.workers["w1"].capacity = Resources(1_000, 64_000)
+        self.checker.check(1.0)
+        self.assertEqual(len(self.checker.violations), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
