--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -2,6 +2,7 @@
 
 from attrs import define
 
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import (
     CallOutcome,
@@ -40,6 +41,7 @@
     """
 
     state: DispatcherState
+    crashes: CrashCounter
     ownership_confirmed_ms: int = 0
     next_stall_check_ms: int = 0
 
@@ -88,6 +90,7 @@
             if confirmed and may_renew(state, worker):
                 lease_end_ms = worker.new_lease_end(policy, state.now_ms)
             watched = worker.serving_runs and worker.best_effort_cpu
+            watched = watched or worker.held_for or worker.isolated_run
             wait_ms = policy.watched_poll_wait_ms if watched else policy.poll_wait_ms
             if worker.applied_end > worker.stored_end:
                 wait_ms = 0
@@ -275,9 +278,14 @@
                 continue
             if not worker.lease_expired(state.policy, state.now_ms):
                 continue
-            for run in list(worker.runs.values()):
-                if self._may_still_start(run):
-                    continue
+            expired = [
+                run for run in worker.runs.values() if not self._may_still_start(run)
+            ]
+            if worker.listed:
+                worker.expired_runs += expired
+            else:
+                self.crashes.on_worker_lost(worker, expired, "silent and unlisted")
+            for run in expired:
                 state.release(worker, run, "lease is over at a silent worker")
 
     def _may_still_start(self, run: Run) -> bool:
