Tests: an owner that counts no crashes is detected (BUDGET)

Cause: no test over sockets showed that the soak's checker finds an owner that goes on starting a deadly task.

Change: test_deadly_tasks runs the checker at each start, and one test runs an owner whose CrashCounter counts nothing.

--- a/tests/platform/test_deadly_tasks.py
+++ b/tests/platform/test_deadly_tasks.py
@@ -2,8 +2,11 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
+from poplarlb.coordination.jobs.crashes import CrashCounter
 from tests.platform.deployment import JOB, Deployment
+from tests.soak.invariants import InvariantChecker, SubmittedJob
 from tests.standins.users_platform import CrashSettings
 
 DEADLY_ID = "d" * 16
@@ -28,11 +31,17 @@
         self.workers.work_ms = WORK_MS
         self.workers.deadly_tasks.add(DEADLY_TASK)
         self.workers.next_crash = lambda: settings
-        for job_id in INNOCENT_IDS[:3]:
-            await self.system.call("POST", f"/o/{job_id}", JOB)
-        await self.system.call("POST", f"/o/{DEADLY_ID}", DEADLY_JOB)
-        for job_id in INNOCENT_IDS[3:]:
-            await self.system.call("POST", f"/o/{job_id}", JOB)
+        self.checker = InvariantChecker(self.workers)
+        loop = asyncio.get_running_loop()
+        self.workers.on_started = lambda: self.checker.check(loop.time())
+        jobs = {
+            **dict.fromkeys(INNOCENT_IDS[:3], JOB),
+            DEADLY_ID: DEADLY_JOB,
+            **dict.fromkeys(INNOCENT_IDS[3:], JOB),
+        }
+        for job_id, body in jobs.items():
+            self.checker.jobs[job_id] = SubmittedJob(job_id, body["steps"])
+            await self.system.call("POST", f"/o/{job_id}", body)
 
     async def replace_owner(self) -> None:
         """Kill the owner, and start a daemon of its name again."""
@@ -59,6 +68,7 @@
         for job_id in INNOCENT_IDS:
             await self.system.wait_for_state(job_id, "done", timeout_s=TIMEOUT_S)
         self.assertLessEqual(len(self.workers.crashes), MAX_CRASHES)
+        self.assertEqual(self.checker.violations, [])
 
     # Nothing counted the workers lost under a task: it crashed one after another.
     async def test_workers_that_restart_under_their_ids(self) -> None:
@@ -86,6 +96,13 @@
         await self.start(CrashSettings(renamed=True, listed_s=0.5, absent_s=0.5))
         await self.check_jobs(kill_owners=True)
 
+    async def test_owner_that_counts_no_crashes_is_detected(self) -> None:
+        """With an injected fault, the soak's checker finds that BUDGET is violated."""
+        with mock.patch.object(CrashCounter, "_count"):
+            await self.start(CrashSettings(listed_s=0.2, absent_s=0.2))
+            await self.system.wait_until(lambda: self.checker.violations, TIMEOUT_S)
+        self.assertIn("BUDGET", self.checker.violations[0])
+
 
 if __name__ == "__main__":
     unittest.main()
