Tests: no address is handed out twice before a server listens on it

Cause: free_address closes its socket, so the system may choose the port again before the daemon listens on it.

Change: an address that was returned is not returned again in the same process.

Run: test_deployment fails without the change and passes with it (one run each). Two processes can still get the same port.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -45,11 +45,18 @@
 JOB = {"spec": "text", "steps": [{"count": 2, "cpu": 500, "memMb": 256}]}
 
 
+issued_addresses: set[str] = set()
+
+
 def free_address() -> str:
-    """Return an unused loopback address."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return f"127.0.0.1:{probe.getsockname()[1]}"
+    """Return an unused loopback address that was not returned before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind(("127.0.0.1", 0))
+            address = f"127.0.0.1:{probe.getsockname()[1]}"
+        if address not in issued_addresses:
+            issued_addresses.add(address)
+            return address
 
 
 @define(eq=False)
