Soak: a start counts as delayed only if its link has just held it (LIMIT)

Cause: after a disrupted link to a worker the checker took every start within a second for a delayed one, also one that the owner had sent after the disruption.

Change: a link notes what it held for more than 0.1 s. Only starts that reach the worker within 0.1 s after such data go by the capacities at the time when it was received.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -7,6 +7,7 @@
 from poplarlb.state.jobs import RunEnd, parse_task_name
 from poplarlb.state.models import Resources
 from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.soak.link import Link
 from tests.standins.users_platform import WorkerService
 
 RECOVERY_S = (
@@ -63,8 +64,7 @@
     configs: list[tuple[float, int]] = Factory(list)  # time, status by it
     violations: list[str] = Factory(list)
     started_runs: set[tuple] = Factory(set)
-    # Address of a worker: since when calls to it may be delayed.
-    delayed_since: dict[str, float] = Factory(dict)
+    links: dict[str, Link] = Factory(dict)  # to workers, by their address
     starts_after_crashes: Counter[str] = Factory(Counter)  # of deadly tasks
     done_tasks: set[str] = Factory(set)  # tasks with a run that ended as done
     # (task, run) that ended as done, not acknowledged: a later start of the task
@@ -137,8 +137,8 @@
         What runs already may exceed a capacity that has shrunk. Starts that were
         delayed on their way go by the capacities at the time when they were sent.
         """
-        address = self.workers.addresses.get(worker.worker_id, "")
-        sent_s = self.delayed_since.get(address, now_s)
+        link = self.links.get(self.workers.addresses.get(worker.worker_id, ""))
+        sent_s = link.oldest_receipt_s(now_s) if link is not None else now_s
         is_fixed = len(self.workers.capacities_since(worker, 0.0)) == 1
         allowed = self.workers.capacities_since(worker, sent_s - SHRINK_LIMIT_S)
         if (has_started or is_fixed) and not any(map(used.fits_in, allowed)):
--- a/tests/soak/link.py
+++ b/tests/soak/link.py
@@ -6,6 +6,7 @@
 
 CHUNK_BYTES = 8_192
 STALL_POLL_S = 0.02
+LATE_S = 0.1  # data that the link has held for longer is late
 
 
 @define(eq=False)
@@ -26,6 +27,7 @@
     :ivar busy_until_s: when the responses so far have passed, on the loop's clock.
     :ivar stalled: nothing is forwarded; data sent meanwhile is delivered afterwards,
         even if its sender has given up.
+    :ivar late_chunks: when late data to the target was received, and when forwarded.
     :ivar one_way: only what clients send is forwarded; responses wait as if stalled.
     """
 
@@ -37,6 +39,7 @@
     one_way: bool = False
     pairs: set[ConnectionPair] = Factory(set)
     server: asyncio.Server | None = None
+    late_chunks: list[tuple[float, float]] = Factory(list)
     sent_bytes: int = 0
     busy_until_s: float = 0.0
 
@@ -56,6 +59,15 @@
         for pair in self.pairs:
             pair.blackholed = True
 
+    def oldest_receipt_s(self, now_s: float) -> float:
+        """Return when the oldest data that was forwarded just now was received."""
+        recent = (
+            received_s
+            for received_s, forwarded_s in self.late_chunks
+            if now_s - forwarded_s < LATE_S
+        )
+        return min(recent, default=now_s)
+
     def close(self) -> None:
         """Stop listening and abort all connections; stalled ones end soon after."""
         self.server.close()
@@ -95,13 +107,17 @@
     async def _forward(
         self, pair: ConnectionPair, reader, writer, *, from_target: bool
     ) -> None:
+        loop = asyncio.get_running_loop()
         try:
             while data := await reader.read(CHUNK_BYTES):
+                received_s = loop.time()
                 await asyncio.sleep(self.delay_s)
                 if from_target:
                     await self._pace(len(data))
                 while self.stalled or pair.blackholed or (self.one_way and from_target):
                     await asyncio.sleep(STALL_POLL_S)
+                if not from_target and loop.time() - received_s > LATE_S:
+                    self.late_chunks.append((received_s, loop.time()))
                 writer.write(data)
                 await writer.drain()
         except ConnectionError:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -35,7 +35,6 @@
 WATCH_FAULT_S = (0.5, 4.0)
 RESIZE_GAP_S = (0.3, 2.5)
 CAPACITY_SHARES = (0.1, 0.3, 0.6, 1.0)
-LATE_DELIVERY_S = 1.0  # calls delayed by a link are delivered within this after it
 
 
 @define(eq=False)
@@ -110,6 +109,7 @@
             link = Link(free_address(), free_address())
             await link.start()
             self.worker_links[worker.worker_id] = link
+            self.invariants.links[link.listen] = link
             await self.workers.add(worker, link.target)
             self.workers.addresses[worker.worker_id] = link.listen
             self.workers.list(worker)
@@ -255,10 +255,7 @@
 
     async def _disrupt_worker_link(self, duration_s: float) -> None:
         link = self.worker_links[self.rng.choice(list(self.worker_links))]
-        delayed, loop = self.invariants.delayed_since, asyncio.get_running_loop()
-        delayed.setdefault(link.listen, loop.time())
         await self._disrupt_link(link, duration_s)
-        loop.call_later(LATE_DELIVERY_S, delayed.pop, link.listen, None)
 
     async def _disrupt_link(self, link: Link, duration_s: float) -> None:
         match self.rng.randrange(5):
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -5,6 +5,7 @@
 from poplarlb.state.models import Resources
 from tests.coordination.jobs.fake_worker import FakeWorker, LiveRun
 from tests.soak.invariants import InvariantChecker, SubmittedJob
+from tests.soak.link import Link
 from tests.standins.users_platform import KvTable, WorkerService
 
 JOB_ID = "0" * 16
@@ -95,6 +96,7 @@
         super().setUp()
         self.worker = self.workers.workers["w0"]
         self.workers.addresses["w0"] = "address"
+        self.link = self.checker.links["address"] = Link("address", "target")
         self.workers.record_capacity(self.worker, 1.0)
         self.resize(1_000, 10.0)
 
@@ -116,10 +118,16 @@
 
     def test_delayed_start_is_allowed(self) -> None:
         """A start that a link has delayed goes by the time when it was sent."""
-        self.checker.delayed_since["address"] = 14.0
+        self.link.late_chunks.append((14.0, 16.0))
         self.start(1, now_s=16.0)
         self.assertEqual(self.checker.violations, [])
 
+    def test_start_sent_after_a_delayed_call_is_found(self) -> None:
+        """Only what a link has just forwarded may have been sent earlier."""
+        self.link.late_chunks.append((14.0, 16.0))
+        self.start(1, now_s=16.2)
+        self.assertEqual(len(self.checker.violations), 1)
+
     def test_start_after_growth_is_allowed(self) -> None:
         """A larger capacity counts at once, however short the smaller one was."""
         self.resize(2_000, 16.0)
