Client: an answer with the code "internal" is the daemon's error

to_error raised AttributeError instead, as RefusedError, which is built from a fault, inherits that code.

--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -34,6 +34,7 @@
     kind.code: kind
     for kind in vars(exceptions).values()
     if isinstance(kind, type) and issubclass(kind, PoplarlbError)
+    if "code" in vars(kind)  # one without its own can't be named by a response
 }
 
 
