--- a/poplarlb/coordination/jobs/crashes.py
+++ b/poplarlb/coordination/jobs/crashes.py
@@ -22,8 +22,8 @@
 CERTAIN_CRASH_LIMIT = 2
 SUDDEN_CRASH_LIMIT = 3
 CRASH_LIMIT = 5
-# So many workers, and so large a share, that fall silent within this time have a common
-# cause, not a task.
+# If so many workers, and so large a share of all, fall silent within this time, no single
+# task is the cause.
 COMMON_CAUSE_WORKERS = 4
 COMMON_CAUSE_SHARE = 1 / 8
 COMMON_CAUSE_MS = 1_000
@@ -136,6 +136,7 @@
             return
         if any(crashed.number == run.number for crashed in known):
             return
+
         isolated = is_isolated(run)
         sudden = crashed_alone and is_sudden(worker, run)
         crashed_run = CrashedRun(run.number, sudden, sudden and certain)
@@ -146,6 +147,7 @@
         if needs_isolation(task):
             state.suspects[task] = None
         state.mark_dirty(task.job)
+
         crashes = len(crashed_runs)
         state.log_task(
             "crash_counted",
--- a/poplarlb/coordination/jobs/isolation.py
+++ b/poplarlb/coordination/jobs/isolation.py
@@ -22,9 +22,8 @@
 FIRST_WAIT_MS = 1_000
 REPEATED_WAIT_MS = 10_000
 LONG_RUNNING_WAIT_MS = 2_500
-# Suspects take at most one in so many of the usable workers, after
-# one crash and after more: when many workers are lost at once, many tasks have a crash
-# without being its cause.
+# Suspects take at most one in so many of the usable workers, after one crash and after
+# more: when many workers are lost at once, many tasks have a crash without causing it.
 USABLE_PER_FIRST = 8
 USABLE_PER_REPEATED = 2
 
