--- a/poplarlb/coordination/jobs/crashes.py
+++ b/poplarlb/coordination/jobs/crashes.py
@@ -22,8 +22,8 @@
 CERTAIN_CRASH_LIMIT = 2
 SUDDEN_CRASH_LIMIT = 3
 CRASH_LIMIT = 5
-# If so many workers, and so large a share of all, fall silent within this time, no single
-# task is the cause.
+# If so many workers, and so large a share of all, fall silent within this time, no
+# single task is the cause.
 COMMON_CAUSE_WORKERS = 4
 COMMON_CAUSE_SHARE = 1 / 8
 COMMON_CAUSE_MS = 1_000
