--- a/poplarlb/cli.py
+++ b/poplarlb/cli.py
@@ -20,6 +20,7 @@
 from poplarlb.client import ATTEMPT_HEADER, Client, quote, to_error
 from poplarlb.commands import JobCommands, Session, TemplateCommands, ZoneCommands
 from poplarlb.exceptions import BadRequestError, PoplarlbError
+from poplarlb.log_losses import losses_text, sum_losses
 from poplarlb.log_trace import read_lines, trace_job
 
 EXIT_CODES = {
@@ -54,6 +55,7 @@
   explain job TEAM ID | worker ID | request ID
                           show what was decided, when and why
   trace ID FILE...        show a job's timeline and causes from saved logs
+  losses FILE...          show what late jobs lost their time to, from saved logs
   status                  members, zones, shards, queues, and what waits and why
 
 Flags for every command, after it:
@@ -70,15 +72,15 @@
 was accepted but is not in force at every daemon in time."""
 
 
-def trace_files(job_id: str, files: tuple[str, ...]) -> str:
-    """Return the text of a job's timeline, and the causes of its outcome, from logs.
+def read_log_files(files: tuple[str, ...]) -> list[dict]:
+    """Return the events of log files in order of time.
 
     :raises BadRequestError: a file can't be read.
     """
     try:
         with contextlib.ExitStack() as stack:
             opened = [stack.enter_context(open(str(name))) for name in files]
-            return trace_job(read_lines(opened), job_id).text()
+            return read_lines(opened)
     except (OSError, UnicodeDecodeError) as error:
         raise BadRequestError(str(error)) from error
 
@@ -118,7 +120,15 @@
             job_id: the job's id.
             files: logs of one or more daemons, in any order.
         """
-        return trace_files(str(job_id), files)
+        return trace_job(read_log_files(files), str(job_id)).text()
+
+    def losses(self, *files: str) -> str:
+        """Show from saved logs what late jobs lost their time to, by queue.
+
+        Args:
+            files: logs of all daemons, in any order.
+        """
+        return losses_text(*sum_losses(read_log_files(files)))
 
     def request(
         self,
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -111,7 +111,7 @@
         :param lease_remainders: the workers that the last owner could not reach, and
             how long their leases may last.
         """
-        state = DispatcherState(policy, epoch, now_ms=now_ms)
+        state = DispatcherState(policy, epoch, now_ms=now_ms, owned_since_ms=now_ms)
         for job in jobs:
             state.restore(job)
         max_lease_ms = policy.lease_ms / (1 - policy.max_clock_drift)
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -1,7 +1,10 @@
 """State that the parts of the dispatcher share: jobs, workers, and records to store."""
 
+from collections import Counter
+
 from attrs import Factory, define
 
+from poplarlb.coordination.jobs.delays import divide_duration
 from poplarlb.coordination.jobs.events import Command, LogEvent, ProgressRecord
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.coordination.jobs.interference import InterferenceModel
@@ -41,6 +44,9 @@
     :ivar workers_to_poll: the workers that may be due for a poll.
     :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
     :ivar isolating: the workers with an isolated run.
+    :ivar refused_workers: how many workers best-effort tasks were not placed at, by
+        reason, since the load was last logged.
+    :ivar owned_since_ms: when this ownership began.
     :ivar now_ms: the time of the present event on the daemon's monotonic clock.
     :ivar utc_ms: the wall-clock time of the last tick.
     """
@@ -66,6 +72,8 @@
     workers_to_poll: dict[str, WorkerState] = Factory(dict)
     suspects: dict[Task, None] = Factory(dict)
     isolating: set[WorkerState] = Factory(set)
+    refused_workers: Counter[str] = Factory(Counter)
+    owned_since_ms: int = 0
     now_ms: int = 0
     utc_ms: int = 0
 
@@ -137,6 +145,7 @@
             reason=job.reason,
             took_ms=took_ms,
             objective_ms=0 if job.spec.times else objective_ms,
+            delays_ms=divide_duration(job, took_ms, self.now_ms, self.owned_since_ms),
             config_version=self.config.version if self.config else 0,
             trail=[] if in_time else job.trail,
         )
@@ -174,6 +183,7 @@
         if task.status is TaskStatus.DONE:
             return
         task.status = TaskStatus.DONE
+        task.done_ms = self.now_ms
         job = task.job
         occurrence = job.occurrences[task.occurrence]
         occurrence.unfinished[task.step] -= 1
--- a/poplarlb/coordination/jobs/load_report.py
+++ b/poplarlb/coordination/jobs/load_report.py
@@ -47,6 +47,8 @@
         """Log the workers' load and the jobs with unplaced tasks once per period.
 
         ``paused`` counts all listed workers that get no new runs, also draining ones.
+        ``refused_workers`` counts by reason the workers at which best-effort tasks were
+        not placed since the last line.
         """
         state = self.state
         if state.now_ms < self.next_load_log_ms:
@@ -54,6 +56,16 @@
         self.next_load_log_ms = state.now_ms + LOAD_LOG_PERIOD_MS
         listed = [worker for worker in state.workers.values() if worker.listed]
         waiting = Counter(job.spec.queue for job in state.unplaced)
+        serving = [
+            run
+            for worker in listed
+            if worker.serving_runs
+            for run in worker.runs.values()
+            if run.task.spec.target_ms
+        ]
+        over_target = sum(run.measurement > run.task.spec.target_ms for run in serving)
+        refused = dict(state.refused_workers)
+        state.refused_workers.clear()
         state.log(
             "load",
             workers=len(listed),
@@ -63,5 +75,8 @@
             reserved_cpu=sum(item.reserved.cpu_millis for item in listed),
             filling_cpu=sum(item.best_effort_cpu for item in listed),
             runs=sum(len(item.runs) for item in listed),
+            serving_runs=len(serving),
+            over_target_runs=over_target,
+            refused_workers=refused,
             jobs_waiting=dict(waiting),
         )
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -1,6 +1,7 @@
 """Chooses the worker for a task; does no I/O."""
 
 import heapq
+from collections import Counter
 from collections.abc import Container, Iterable, Sequence
 from itertools import chain
 
@@ -69,6 +70,8 @@
     to forget them. Until then a demand that fitted nowhere is tried only at workers
     where capacity was released since.
 
+    :ivar refused_workers: how many workers best-effort tasks were not placed at, by
+        reason.
     :ivar workers: the workers to choose from, by service.
     :ivar freed: those of them where capacity was released, by service.
     :ivar unfit_sizes: sizes that fitted no worker, by constraint.
@@ -78,6 +81,7 @@
 
     policy: JobPolicy
     model: InterferenceModel
+    refused_workers: Counter[str] = Factory(Counter)
     workers: dict[str, list[WorkerState]] = Factory(dict)
     now_ms: int = 0
     freed: dict[str, list[WorkerState]] = Factory(dict)
@@ -210,11 +214,16 @@
         spec = demand.spec
         if demand.only is not None and worker.worker_id not in demand.only:
             return
-        if not (labels_match(worker, spec, demand.rack) and has_capacity(worker, spec)):
+        if not labels_match(worker, spec, demand.rack):
+            return
+        if not has_capacity(worker, spec):
+            if spec.fills:
+                self.chooser.refused_workers["no_capacity"] += 1
             return
         utilization = self.chooser.utilization_with(worker, spec)
         limit = UTILIZATION_LIMIT if demand.urgent else RELAXED_UTILIZATION_LIMIT
         if spec.fills and utilization > limit:
+            self.chooser.refused_workers["interference"] += 1
             return
         self.found_capacity = True
         same_step = worker.step_runs.get(demand.step_key, 0)
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -54,7 +54,9 @@
     def __attrs_post_init__(self) -> None:
         """Create the choosers."""
         state = self.state
-        self.chooser = WorkerChooser(state.policy, state.interference)
+        self.chooser = WorkerChooser(
+            state.policy, state.interference, state.refused_workers
+        )
         self.paused_chooser = WorkerChooser(state.policy, state.interference)
         self.isolation = Isolation(state, self.chooser)
 
@@ -258,6 +260,8 @@
     def _reserve(self, task: Task, worker: WorkerState, demand: Demand) -> Run:
         """Reserve capacity for a task at a worker; return the new run."""
         task.waiting_since_ms = 0
+        task.placed_ms = self.state.now_ms
+        task.first_placed_ms = task.first_placed_ms or self.state.now_ms
         task.run += 1
         task.status = TaskStatus.PLACED
         task.worker_id, task.incarnation = worker.worker_id, worker.incarnation
--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -189,6 +189,8 @@
         elif not run.low_throttle_since_ms:
             run.low_throttle_since_ms = now_ms
         run.throttle_percent = run.wanted_throttle_percent
+        lost_percent = UNTHROTTLED_PERCENT - run.throttle_percent
+        run.task.throttled_ms += THROTTLE_PERIOD_MS * lost_percent / UNTHROTTLED_PERCENT
         if run.stopping:
             return
         if (
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -246,6 +246,10 @@
     the number of the run that no other one at its worker disturbs; 0: none.
     ``isolated_begun`` tells that its worker confirmed the start. A ``suspected`` task
     may have crashed its last worker by being started there.
+
+    ``first_placed_ms``, ``placed_ms`` (of the latest run), ``done_ms`` and
+    ``throttled_ms`` (how much run time its throttles have cost) are for the log; 0 if
+    the present owner of the jobs hasn't seen the event.
     """
 
     job: "Job"
@@ -264,6 +268,10 @@
     isolated_run: int = 0
     isolated_begun: bool = False
     suspected: bool = False
+    first_placed_ms: int = 0
+    placed_ms: int = 0
+    done_ms: int = 0
+    throttled_ms: float = 0.0
 
     @property
     def name(self) -> str:
