--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -356,7 +356,7 @@
     def _learned_record(self) -> bytes:
         """Return the learned interference if it is due to be stored, else ``b""``."""
         state = self.state
-        if state.now_ms < self.next_learned_ms or not state.interference.coefficients:
+        if state.now_ms < self.next_learned_ms or not state.interference.slopes:
             return b""
         self.next_learned_ms = state.now_ms + state.policy.learned_period_ms
         return state.interference.encode()
--- a/poplarlb/coordination/jobs/interference.py
+++ b/poplarlb/coordination/jobs/interference.py
@@ -1,130 +1,182 @@
 """Learns how much best-effort tasks lengthen the tail latency of serving tasks.
 
 Best-effort tasks are those of steps with ``fills``; serving tasks have a ``target_ms``.
-Tail latency is modelled as that of a queue: at a utilization ``u`` from 0 to 1 it is
-``idle tail / (1 - u)``. The utilization of a serving task is its own load, which
-changes within seconds, plus the interference of the best-effort tasks at its worker.
-Tasks of one image behave alike, so a coefficient is learned for each pair of a serving
-and a best-effort image.
+A serving task's margin is its target divided by its tail latency: it meets its target
+while the margin is 1 or more. In a queue, tail latency is inversely proportional to
+the idle part of its server, so load and interference each reduce the margin by an
+amount of their own. A serving task's own margin, that without interference, changes
+with its load within seconds and is the same for all tasks of its step. Tasks of one
+image behave alike, so a slope is learned for each pair of a serving and a best-effort
+image. All estimates have a variance, so that a new pair is learned from its first
+measurements, and a known one isn't changed by noise.
 """
 
+import math
 from collections.abc import Mapping
 
 import orjson
 from attrs import Factory, define
 
-from poplarlb.coordination.jobs.load_forecast import LoadForecast
+from poplarlb.coordination.jobs.margin_forecast import MarginForecast
 from poplarlb.exceptions import BadAnswerError
 
-IDLE_RATIO = 0.22  # of tail latency to target at utilization 0, in both deployments
-DEFAULT_LOAD = 0.45  # utilization by a serving task's own load, in both deployments
-# A coefficient is the utilization that a best-effort image adds if it uses a whole
-# worker. The default, for a pair not measured yet, is deliberately higher than that of
-# most pairs, which barely interfere.
-DEFAULT_COEFFICIENT = 0.6
-MAX_COEFFICIENT = 3.0
-MAX_UTILIZATION = 0.95  # above it a queue has built up; the tail no longer shows it
-# Learning rates: the share of the error (measured less predicted utilization) that
-# one measurement corrects.
-COEFFICIENT_RATE = 0.2  # of interference: a pair is known after about ten measurements
-LOAD_RATE = 0.4  # of a load, if nothing interferes: follows load changes within 10 s
-HALF_RATE_INTERFERENCE = 0.1  # interference at which half of LOAD_RATE is used
-# Added to the sum of squared shares that corrections are divided by; keeps them finite
-# while best-effort tasks use little.
-MIN_SQUARED_SHARES = 0.004
+MAX_MARGIN = 5.0  # tail latencies far below their target all count alike
+MIN_LEARNED_MARGIN = 0.25  # below it a queue has built up; the tail shows only that
+# A slope is what a best-effort image takes off the margin if it uses a whole worker.
+# That of a pair not measured yet is the mean of the known ones and of this value.
+PRIOR_SLOPE = 2.7
+PRIOR_SLOPE_VARIANCE = 2.7**2
+PRIOR_PAIRS = 2.0  # weight of PRIOR_SLOPE, in known pairs
+KNOWN_VARIANCE = 0.5  # a slope with less is known
+MAX_SLOPE = 15.0
+SLOPE_DRIFT = 0.05  # growth of a slope's variance in a second
+OWN_DRIFT = 0.12  # growth of the variance of a step's own margin in a second
+NOISE = 0.06  # relative standard deviation of a measured tail latency
+# A measurement further off than this many standard deviations counts as if it were
+# noisier: one task's load may jump alone.
+OUTLIER_DEVIATIONS = 3.0
+MEAN_RATE = 0.05  # of a new own margin in the mean of all steps
 StepKey = tuple[str, int, int]  # job, occurrence, step
 Mix = Mapping[str, float]  # share of a worker's processors, by best-effort image
 
 
-def utilization_of(ratio: float) -> float:
-    """Return the utilization at which tail latency is ``ratio`` times its target."""
-    if ratio <= IDLE_RATIO:
-        return 0.0
-    return min(1.0 - IDLE_RATIO / ratio, MAX_UTILIZATION)
+def margin_of(measured_ms: float, target_ms: float) -> float:
+    """Return the margin of a serving task by its tail latency."""
+    return min(target_ms / max(measured_ms, target_ms / MAX_MARGIN), MAX_MARGIN)
+
+
+@define(eq=False, slots=True)
+class Estimate:
+    """An estimated value, its variance, and when it was last updated."""
+
+    value: float
+    variance: float
+    at_ms: int
+
+    def age(self, drift: float, max_variance: float, now_ms: int) -> None:
+        """Let the variance grow for the time since the last update."""
+        elapsed_s = max(now_ms - self.at_ms, 0) / 1000
+        self.variance = min(self.variance + drift * elapsed_s, max_variance)
+        self.at_ms = now_ms
 
 
 @define(eq=False)
 class InterferenceModel:
-    """The learned coefficients of pairs of images, and the loads of serving steps.
+    """The learned slopes of pairs of images, and the own margins of serving steps.
 
-    Loads and interference are parts of a utilization.
+    :ivar slopes: by serving image, then by best-effort image.
+    :ivar mean_margin: of all steps, for one that wasn't measured yet; 0: unknown.
     """
 
-    coefficients: dict[str, dict[str, float]] = Factory(dict)  # by serving image
-    loads: dict[StepKey, float] = Factory(dict)  # tasks of a step have equal loads
-    forecast: LoadForecast = Factory(LoadForecast)
+    slopes: dict[str, dict[str, Estimate]] = Factory(dict)
+    margins: dict[StepKey, Estimate] = Factory(dict)
+    forecast: MarginForecast = Factory(MarginForecast)
+    mean_margin: float = 0.0
+    prior_slope: float = PRIOR_SLOPE
 
-    def coefficient(self, serving: str, best_effort: str) -> float:
-        """Return the interference of a best-effort image that uses a whole worker."""
-        return self.coefficients.get(serving, {}).get(best_effort, DEFAULT_COEFFICIENT)
+    def slope(self, serving: str, best_effort: str) -> float:
+        """Return what a best-effort image that uses a whole worker takes off."""
+        known = self.slopes.get(serving)
+        estimate = known.get(best_effort) if known else None
+        return estimate.value if estimate is not None else self.prior_slope
 
     def interference(self, serving: str, mix: Mix) -> float:
-        """Return the interference of a best-effort mix with a serving image."""
-        return sum(
-            self.coefficient(serving, image) * share for image, share in mix.items()
-        )
+        """Return what a best-effort mix takes off a serving image's margin."""
+        return sum(self.slope(serving, image) * share for image, share in mix.items())
 
-    def load(self, step: StepKey) -> float:
-        """Return the utilization by a serving step's own load."""
-        return self.loads.get(step, DEFAULT_LOAD)
+    def own_margin(self, step: StepKey) -> float:
+        """Return a serving step's margin without interference."""
+        estimate = self.margins.get(step)
+        if estimate is not None:
+            return estimate.value
+        return self.mean_margin or MAX_MARGIN / 2
 
-    def peak_load(self, step: StepKey, ahead_ms: int, now_ms: int) -> float:
-        """Return the highest utilization by a serving step's own load until then."""
-        return self.forecast.peak(step, self.load(step), ahead_ms, now_ms)
+    def lowest_margin(self, step: StepKey, ahead_ms: int, now_ms: int) -> float:
+        """Return the lowest own margin of a serving step until ``ahead_ms`` later."""
+        return self.forecast.lowest(step, self.own_margin(step), ahead_ms, now_ms)
 
     def learn(
-        self,
-        step: StepKey,
-        serving: str,
-        utilization: float,
-        mix: Mix,
-        now_ms: int,
+        self, step: StepKey, serving: str, margin: float, mix: Mix, now_ms: int
     ) -> None:
-        """Update the load and the coefficients by one measurement of a serving task.
+        """Update a step's own margin and the slopes by a measured margin.
 
-        The coefficients change only if best-effort tasks ran and the utilization is
-        below ``MAX_UTILIZATION``.
+        The slopes change only if best-effort tasks ran and the margin is at least
+        ``MIN_LEARNED_MARGIN``.
 
         :param mix: what best-effort tasks used at its worker during the measurement.
         """
-        load = self.load(step)
-        interference = self.interference(serving, mix)
-        error = utilization - load - interference
-        rate = LOAD_RATE / (1.0 + interference / HALF_RATE_INTERFERENCE)
-        load = min(max(load + rate * error, 0.0), MAX_UTILIZATION)
-        self.loads[step] = load
-        self.forecast.add(step, load, now_ms)
-        if not mix or utilization >= MAX_UTILIZATION:
-            return
-        squared_shares = MIN_SQUARED_SHARES + sum(
-            share * share for share in mix.values()
+        pairs = self._pairs(serving, mix, now_ms)
+        interference = sum(pair.value * share for pair, share in pairs)
+        slopes_variance = sum(pair.variance * share * share for pair, share in pairs)
+        noise = (NOISE * max(margin, MIN_LEARNED_MARGIN)) ** 2
+        own = self.margins.get(step)
+        if own is None:
+            value = min(margin + interference, MAX_MARGIN)
+            own = Estimate(value, noise + slopes_variance, now_ms)
+            self.margins[step] = own
+        else:
+            own.age(OWN_DRIFT, MAX_MARGIN, now_ms)
+            error = margin - own.value + interference
+            variance = own.variance + slopes_variance + noise
+            variance = max(variance, (error / OUTLIER_DEVIATIONS) ** 2)
+            if margin >= MIN_LEARNED_MARGIN:
+                for pair, share in pairs:
+                    gain = pair.variance * share / variance
+                    pair.value = min(max(pair.value - gain * error, 0.0), MAX_SLOPE)
+                    pair.variance *= 1.0 - gain * share
+            gain = own.variance / variance
+            own.value = min(max(own.value + gain * error, 0.0), MAX_MARGIN)
+            own.variance *= 1.0 - gain
+        self.mean_margin += (MEAN_RATE if self.mean_margin else 1.0) * (
+            own.value - self.mean_margin
         )
-        known = self.coefficients.setdefault(serving, {})
+        self.forecast.add(step, own.value, now_ms)
+
+    def _pairs(
+        self, serving: str, mix: Mix, now_ms: int
+    ) -> list[tuple[Estimate, float]]:
+        """Return the slopes of a mix with its shares; new ones are created."""
+        known = self.slopes.setdefault(serving, {})
+        pairs = []
         for image, share in mix.items():
-            correction = COEFFICIENT_RATE * error * share / squared_shares
-            coefficient = known.get(image, DEFAULT_COEFFICIENT) + correction
-            known[image] = min(max(coefficient, 0.0), MAX_COEFFICIENT)
+            if image not in known:
+                known[image] = Estimate(self.prior_slope, PRIOR_SLOPE_VARIANCE, now_ms)
+            known[image].age(SLOPE_DRIFT, PRIOR_SLOPE_VARIANCE, now_ms)
+            pairs.append((known[image], share))
+        return pairs
+
+    def update_prior(self) -> None:
+        """Set the slope of unknown pairs by the mean of the known ones."""
+        known = [
+            pair.value
+            for pairs in self.slopes.values()
+            for pair in pairs.values()
+            if pair.variance < KNOWN_VARIANCE
+        ]
+        total = sum(known) + PRIOR_PAIRS * PRIOR_SLOPE
+        self.prior_slope = total / (len(known) + PRIOR_PAIRS)
 
     def encode(self) -> bytes:
-        """Return the record of the coefficients for the next owner."""
+        """Return the record of the slopes for the next owner."""
         rows = {
             serving: {
-                image: round(coefficient, 2) for image, coefficient in known.items()
+                image: [round(pair.value, 2), round(pair.variance, 3)]
+                for image, pair in known.items()
             }
-            for serving, known in self.coefficients.items()
+            for serving, known in self.slopes.items()
         }
         return orjson.dumps(rows)
 
-    def restore(self, value: bytes) -> None:
-        """Set the coefficients from the record of an earlier owner.
+    def restore(self, value: bytes, now_ms: int) -> None:
+        """Set the slopes from the record of an earlier owner.
 
         :raises BadAnswerError: the record is malformed.
         """
         try:
-            self.coefficients = {
+            self.slopes = {
                 str(serving): {
-                    str(image): min(max(float(coefficient), 0.0), MAX_COEFFICIENT)
-                    for image, coefficient in known.items()
+                    str(image): _decode_pair(pair, now_ms)
+                    for image, pair in known.items()
                 }
                 for serving, known in orjson.loads(value).items()
             }
@@ -132,9 +184,21 @@
             raise BadAnswerError(
                 f"malformed record of learned interference: {error}"
             ) from error
+        self.update_prior()
 
     def forget(self, job_id: str) -> None:
-        """Forget the loads of a job that is final."""
-        for step in [step for step in self.loads if step[0] == job_id]:
-            del self.loads[step]
+        """Forget the margins of a job that is final."""
+        for step in [step for step in self.margins if step[0] == job_id]:
+            del self.margins[step]
             self.forecast.forget(step)
+
+
+def _decode_pair(row: list, now_ms: int) -> Estimate:
+    value, variance = (float(item) for item in row)
+    if not (math.isfinite(value) and math.isfinite(variance)):
+        raise ValueError("a slope is not a number")
+    return Estimate(
+        min(max(value, 0.0), MAX_SLOPE),
+        min(max(variance, 0.0), PRIOR_SLOPE_VARIANCE),
+        now_ms,
+    )
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -8,20 +8,24 @@
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.jobs.fleet import WorkerState
-from poplarlb.coordination.jobs.interference import InterferenceModel, StepKey
+from poplarlb.coordination.jobs.interference import (
+    MAX_MARGIN,
+    InterferenceModel,
+    StepKey,
+)
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.jobs import StepSpec
 from poplarlb.state.models import Resources
 
 # Best-effort tasks are those of steps with ``fills``; serving tasks have a target for
-# their tail latency. A best-effort task is placed at a worker only if the utilization
-# of each serving task there (own load plus interference, 0 to 1, learned from tail
-# latency) doesn't exceed the limit with it. Costs are shares of a worker's processors;
-# a worker that is full costs 1.
-UTILIZATION_LIMIT = 0.72  # targets are met up to 0.78; loads change meanwhile
-RELAXED_UTILIZATION_LIMIT = 0.64  # for tasks of jobs that have time to wait
+# their tail latency. A best-effort task is placed at a worker only if the margin of
+# each serving task there (target to tail latency, expected while it runs) stays above
+# the limit with it. Costs are shares of a worker's processors; a worker that is full
+# costs 1.
+MARGIN_LIMIT = 1.27
+RELAXED_MARGIN_LIMIT = 1.64  # for tasks of jobs that have time to wait
 PLACEMENT_AHEAD_MS = 2_500  # most of the run time of a best-effort task
-UTILIZATION_COST = 3.0  # for each unit of the highest utilization of a serving task
+MARGIN_COST = 0.66  # for each unit that the lowest margin is below MAX_MARGIN
 # For each other serving image at the worker: more best-effort images interfere there.
 IMAGE_COST = 1.0
 # Of a serving task at an empty worker: serving tasks don't slow each other, and on
@@ -66,7 +70,7 @@
 class WorkerChooser:
     """Chooses workers for tasks.
 
-    What fitted nowhere and the utilizations are kept until :meth:`begin_round` is told
+    What fitted nowhere and the margins are kept until :meth:`begin_round` is told
     to forget them. Until then a demand that fitted nowhere is tried only at workers
     where capacity was released since.
 
@@ -76,7 +80,7 @@
     :ivar freed: those of them where capacity was released, by service.
     :ivar unfit_sizes: sizes that fitted no worker, by constraint.
     :ivar unfit_now: those that also fitted none of ``freed`` in this round.
-    :ivar utilizations: highest utilization, by worker and serving image.
+    :ivar margins: lowest margin, by worker and serving image.
     """
 
     policy: JobPolicy
@@ -87,7 +91,7 @@
     freed: dict[str, list[WorkerState]] = Factory(dict)
     unfit_sizes: dict[tuple, list[Resources]] = Factory(dict)
     unfit_now: dict[tuple, list[Resources]] = Factory(dict)
-    utilizations: dict[str, dict[str, float]] = Factory(dict)
+    margins: dict[str, dict[str, float]] = Factory(dict)
 
     def begin_round(
         self,
@@ -105,7 +109,7 @@
         self.unfit_now = {}
         if freed is None:
             self.unfit_sizes = {}
-            self.utilizations = {}
+            self.margins = {}
             self.freed = workers
             return
         self.freed = {
@@ -113,7 +117,7 @@
             for service, members in workers.items()
         }
         for worker in chain.from_iterable(self.freed.values()):
-            self.utilizations.pop(worker.worker_id, None)
+            self.margins.pop(worker.worker_id, None)
 
     def rank(self, demand: Demand) -> "WorkerRanking":
         """Return the workers for the tasks of a step, the cheapest first.
@@ -132,40 +136,36 @@
                 self.unfit_sizes.setdefault(constraint, []).append(size)
         return ranking
 
-    def utilization_with(self, worker: WorkerState, spec: StepSpec) -> float:
-        """Return the highest utilization of a serving task, with one more task.
+    def lost_margin(self, worker: WorkerState, spec: StepSpec) -> float:
+        """Return how far the lowest margin is below ``MAX_MARGIN`` with one more task.
 
-        For a serving task it is only the interference that the task itself would meet;
+        For a serving task it is only what the interference takes off its own margin;
         for a task that is neither serving nor best-effort it is 0.
         """
         if spec.target_ms:
             return self.model.interference(spec.image, worker.best_effort_mix())
         if not spec.fills or not worker.serving_runs:
             return 0.0
-        utilizations = self.utilizations.get(worker.worker_id)
-        if utilizations is None:
-            utilizations = self.utilizations[worker.worker_id] = self._utilizations(
-                worker
-            )
+        margins = self.margins.get(worker.worker_id)
+        if margins is None:
+            margins = self.margins[worker.worker_id] = self._margins(worker)
         share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
-        coefficient = self.model.coefficient
-        return max(
-            [
-                utilization + share * coefficient(image, spec.image)
-                for image, utilization in utilizations.items()
-            ]
+        slope = self.model.slope
+        return MAX_MARGIN - min(
+            margin - share * slope(image, spec.image)
+            for image, margin in margins.items()
         )
 
-    def _utilizations(self, worker: WorkerState) -> dict[str, float]:
-        """Return the highest utilization of each serving image at a worker."""
+    def _margins(self, worker: WorkerState) -> dict[str, float]:
+        """Return the lowest margin of each serving image at a worker."""
         mix = worker.best_effort_mix()
-        loads: dict[str, float] = {}
+        own: dict[str, float] = {}
         for step, image in worker.serving_steps.items():
-            load = self.model.peak_load(step, PLACEMENT_AHEAD_MS, self.now_ms)
-            loads[image] = max(loads.get(image, 0.0), load)
+            margin = self.model.lowest_margin(step, PLACEMENT_AHEAD_MS, self.now_ms)
+            own[image] = min(own.get(image, MAX_MARGIN), margin)
         return {
-            image: load + self.model.interference(image, mix)
-            for image, load in loads.items()
+            image: margin - self.model.interference(image, mix)
+            for image, margin in own.items()
         }
 
 
@@ -201,7 +201,7 @@
         if self.taken is not None:
             position, worker = self.taken
             self.taken = None
-            self.chooser.utilizations.pop(worker.worker_id, None)
+            self.chooser.margins.pop(worker.worker_id, None)
             self._rank(position, worker)
         if not self.heap:
             return None
@@ -220,9 +220,9 @@
             if spec.fills:
                 self.chooser.refused_workers["no_capacity"] += 1
             return
-        utilization = self.chooser.utilization_with(worker, spec)
-        limit = UTILIZATION_LIMIT if demand.urgent else RELAXED_UTILIZATION_LIMIT
-        if spec.fills and utilization > limit:
+        lost_margin = self.chooser.lost_margin(worker, spec)
+        limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
+        if spec.fills and lost_margin > MAX_MARGIN - limit:
             self.chooser.refused_workers["interference"] += 1
             return
         self.found_capacity = True
@@ -230,7 +230,7 @@
         if spec.max_per_worker and same_step >= spec.max_per_worker:
             return
         cost = placement_cost(worker, spec, self.chooser.policy)
-        cost += same_step * STEP_COST + UTILIZATION_COST * utilization
+        cost += same_step * STEP_COST + MARGIN_COST * lost_margin
         heapq.heappush(self.heap, (cost, position, worker))
 
 
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -69,6 +69,7 @@
         if state.now_ms >= self.next_full_round_ms:
             self.next_full_round_ms = state.now_ms + state.policy.schedule_period_ms
             state.freed_workers.clear()
+            state.interference.update_prior()
             self.keys.clear()
             self.chooser.begin_round(workers, state.now_ms)
             self.advice.request_missing(workers)
--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -1,9 +1,9 @@
 """Throttles best-effort runs so that serving tasks beside them meet latency targets.
 
 Best-effort runs are those of steps with ``fills``; serving tasks have a ``target_ms``
-for their tail latency. A serving task's utilization, from 0 to 1, is not processor use:
-it is the load that a queue model infers from the ratio of tail latency to target. It is
-modelled as the task's own load plus the interference of the best-effort runs.
+for their tail latency. A serving task's margin is its target divided by its tail
+latency, modelled as the task's own margin less the interference of the best-effort
+runs (see :mod:`interference`).
 """
 
 from attrs import define
@@ -11,16 +11,15 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import ThrottleRun
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
-from poplarlb.coordination.jobs.interference import utilization_of
+from poplarlb.coordination.jobs.interference import margin_of
 
-# Targets are met up to about 0.78; measurements lag half a second.
-UTILIZATION_GOAL = 0.74
+# Targets are met down to 1; measurements lag half a second.
+MARGIN_GOAL = 1.18
 UNTHROTTLED_PERCENT = 100
-# Ratio of tail latency to target; above it the measured load counts if it is higher
-# than the learned one.
-MEASURED_LOAD_RATIO = 0.9
-# Above it a serving task misses its target even without best-effort runs.
-MAX_RELIEVABLE_LOAD = 0.82
+# Below it the measured margin counts if it is lower than the learned one.
+MEASURED_MARGIN = 1.1
+# Below it a serving task misses its target even without best-effort runs.
+MIN_RELIEVABLE_MARGIN = 0.82
 THROTTLE_STEP_PERCENT = 10  # smaller changes aren't worth a call
 # A serving task may be over its target for ``harm_ms`` at most; after this share of
 # that time the best-effort runs beside it are throttled to 0.
@@ -28,8 +27,8 @@
 LOW_THROTTLE_PERCENT = 30
 # A run throttled below LOW_THROTTLE_PERCENT for longer is stopped, to run elsewhere.
 LOW_THROTTLE_MS = 800
-# Utilization; a run that adds no more to a serving task's isn't throttled for it.
-NEGLIGIBLE_INTERFERENCE = 0.02
+# A run that takes no more off a serving task's margin isn't throttled for it.
+NEGLIGIBLE_INTERFERENCE = 0.09
 MEASUREMENT_MS = 500  # measurements cover half a second
 # Until the next throttles are in force: half a measurement, a period between
 # throttles and the time until a worker obeys.
@@ -81,10 +80,8 @@
                 continue
             run.learned_ms = self.state.now_ms
             spec = run.task.spec
-            utilization = utilization_of(run.measurement / spec.target_ms)
-            model.learn(
-                run.task.step_key, spec.image, utilization, mix, self.state.now_ms
-            )
+            margin = margin_of(run.measurement, spec.target_ms)
+            model.learn(run.task.step_key, spec.image, margin, mix, self.state.now_ms)
 
     def _recent_mix(
         self, worker: WorkerState, best_effort: list[Run]
@@ -133,7 +130,7 @@
         for other in serving:
             spec = other.task.spec
             interference = {
-                run: model.coefficient(spec.image, run.task.spec.image) * share
+                run: model.slope(spec.image, run.task.spec.image) * share
                 for run, share in shares.items()
             }
             unthrottled = sum(interference.values())
@@ -142,17 +139,15 @@
                 for run in best_effort:
                     run.wanted_throttle_percent = 0
                 break
-            load = model.peak_load(
+            own = model.lowest_margin(
                 other.task.step_key, THROTTLE_AHEAD_MS, self.state.now_ms
             )
-            if not unthrottled or load >= MAX_RELIEVABLE_LOAD:
+            if not unthrottled or own <= MIN_RELIEVABLE_MARGIN:
                 continue
-            ratio = other.measurement / spec.target_ms
-            if ratio > MEASURED_LOAD_RATIO:
-                load = max(
-                    load, utilization_of(ratio) - model.interference(spec.image, mix)
-                )
-            excess = load + unthrottled - UTILIZATION_GOAL
+            measured = margin_of(other.measurement, spec.target_ms)
+            if measured < MEASURED_MARGIN:
+                own = min(own, measured + model.interference(spec.image, mix))
+            excess = MARGIN_GOAL - own + unthrottled
             # Those that interfere most are throttled first, so least work is lost.
             for run in sorted(interference, key=interference.get, reverse=True):
                 added = interference[run]
@@ -165,7 +160,9 @@
                 )
                 excess -= added
                 # No throttle is eased while a serving task is over its target.
-                limit = min(percent, run.throttle_percent) if ratio >= 1.0 else percent
+                limit = (
+                    min(percent, run.throttle_percent) if measured <= 1.0 else percent
+                )
                 run.wanted_throttle_percent = min(run.wanted_throttle_percent, limit)
         for run in best_effort:
             self._set_throttle(worker, run)
--- a/tests/coordination/jobs/test_load.py
+++ b/tests/coordination/jobs/test_load.py
@@ -5,7 +5,7 @@
 import attrs
 
 from poplarlb.coordination.jobs.fleet import WorkerState
-from poplarlb.coordination.jobs.interference import InterferenceModel
+from poplarlb.coordination.jobs.interference import Estimate, InterferenceModel
 from poplarlb.coordination.jobs.placement import Demand, WorkerChooser
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.jobs import Job, JobState, StepSpec
@@ -133,7 +133,9 @@
             step = StepSpec(1, size, long_running=True, image=image, target_ms=40)
             self.world.submit(make_job(name(number), step))
             self.world.run(200)
-        model = InterferenceModel({"web": {"sum": 2.5}, "api": {"sum": 0.0}})
+        model = InterferenceModel(
+            {"web": {"sum": Estimate(11.0, 0.0, 0)}, "api": {"sum": Estimate(0, 0, 0)}}
+        )
         workers = list(self.world.owner.state.workers.values())
         self.chooser = WorkerChooser(JobPolicy(), model)
         self.chooser.begin_round({"desk": workers}, 0)
@@ -162,7 +164,7 @@
 
     def test_best_effort_task_waits_rather_than_violate_targets(self) -> None:
         """It is not placed if every worker's serving task would exceed its target."""
-        self.chooser.model.coefficients["api"]["sum"] = 2.5
+        self.chooser.model.slopes["api"]["sum"] = Estimate(11.0, 0.0, 0)
         self.assertIsNone(self.choose("sum"))
 
 
--- a/tests/coordination/jobs/test_swinging_load.py
+++ b/tests/coordination/jobs/test_swinging_load.py
@@ -15,7 +15,7 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import WorkerListing
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
-from poplarlb.coordination.jobs.interference import IDLE_RATIO
+from poplarlb.coordination.jobs.interference import Estimate
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.throttling import Throttler
 from poplarlb.state.jobs import Job, StepSpec, Task, TaskStatus
@@ -24,6 +24,7 @@
 
 CPU_MILLIS = 16_000
 TARGET_MS = 18
+IDLE_RATIO = 0.22  # of tail latency to target, without any load
 COEFFICIENT = 1.4  # of the best-effort image with the serving one
 MEAN_LOAD, SWING = 0.43, 0.21
 STEP_MS = 20
@@ -55,7 +56,8 @@
         self.rng = random.Random(self.seed)
         self.phase = self.rng.uniform(0, 2 * math.pi)
         self.throttler = Throttler(self.state)
-        self.state.interference.coefficients = {"web": {"sum": COEFFICIENT}}
+        slope = Estimate(COEFFICIENT / IDLE_RATIO, 0.1, 0)
+        self.state.interference.slopes = {"web": {"sum": slope}}
         serving = StepSpec(
             WORKERS, Resources(3_200, 1), long_running=True, image="web", target_ms=18
         )
@@ -134,7 +136,7 @@
     site = Site(period_s, seed)
     if not ahead:
         site.state.interference.forecast = mock.Mock(
-            peak=lambda step, present, ahead_ms, now_ms: present
+            lowest=lambda step, present, ahead_ms, now_ms: present
         )
     site.run()
     return site
--- a/tests/coordination/jobs/test_throttling.py
+++ b/tests/coordination/jobs/test_throttling.py
@@ -5,7 +5,12 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import ThrottleRun, WorkerListing
 from poplarlb.coordination.jobs.fleet import Run, RunPhase
-from poplarlb.coordination.jobs.interference import InterferenceModel, utilization_of
+from poplarlb.coordination.jobs.interference import (
+    MAX_MARGIN,
+    Estimate,
+    InterferenceModel,
+    margin_of,
+)
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.throttling import Throttler
 from poplarlb.exceptions import BadAnswerError
@@ -76,8 +81,9 @@
 
     def test_tail_over_target_stops_whatever_was_learned(self) -> None:
         """The best-effort image is throttled to 0 even if learned not to interfere."""
-        self.state.interference.coefficients = {"web": {"sum": 0.0}}
-        self.state.interference.loads[self.serving.task.step_key] = 0.95
+        model = self.state.interference
+        model.slopes = {"web": {"sum": Estimate(0.0, 0.01, 10_000)}}
+        model.margins[self.serving.task.step_key] = Estimate(0.25, 0.01, 10_000)
         self.measure(1.3, times=5)
         self.assertEqual(self.best_effort.wanted_throttle_percent, 0)
 
@@ -98,9 +104,14 @@
         light = self.place("c" * 16, step)
         light.measurement = 7_000
         model = self.state.interference
-        model.coefficients = {"web": {"sum": 1.8, "light": 0.3}}
-        model.loads[self.serving.task.step_key] = 0.65
-        self.measure(0.9)
+        model.slopes = {
+            "web": {
+                "sum": Estimate(8.2, 0.01, 10_000),
+                "light": Estimate(1.4, 0.01, 10_000),
+            }
+        }
+        model.margins[self.serving.task.step_key] = Estimate(1.6, 0.01, 10_000)
+        self.measure(1.8)  # as both images' interference makes it
         self.assertLess(self.best_effort.wanted_throttle_percent, 50)
         self.assertEqual(light.wanted_throttle_percent, 100)
 
@@ -113,34 +124,64 @@
 class InterferenceModelTest(unittest.TestCase):
     """Learning the interference of pairs of images."""
 
-    def test_utilization_of_a_tail(self) -> None:
-        """An idle tail means utilization 0, one at its target about 0.78."""
-        self.assertEqual(utilization_of(0.2), 0.0)
-        self.assertAlmostEqual(utilization_of(1.0), 0.78, places=2)
+    def test_margin_of_a_tail(self) -> None:
+        """It is 1 at the target, and bounded for tails that are tiny or missing."""
+        self.assertEqual(margin_of(40.0, 40), 1.0)
+        self.assertEqual(margin_of(80.0, 40), 0.5)
+        for measured in (0.001, 0.0, -3.0):
+            self.assertEqual(margin_of(measured, 40), MAX_MARGIN)
 
     def test_pairs_are_told_apart(self) -> None:
-        """Measurements of two pairs move their coefficients apart."""
+        """A few measurements of two pairs move their slopes apart."""
+        model = InterferenceModel()
+        for _ in range(10):
+            model.learn(("j", 0, 0), "web", 2.5, {}, 0)
+            model.learn(("j", 0, 0), "web", 2.5 - 8.2 * 0.1, {"heavy": 0.1}, 0)
+            model.learn(("j", 0, 0), "web", 2.5, {"light": 0.1}, 0)
+        self.assertGreater(model.slope("web", "heavy"), 6.4)
+        self.assertLess(model.slope("web", "light"), 1.0)
+
+    def test_jump_of_one_task_moves_no_slope_far(self) -> None:
+        """A known pair isn't learned anew from a task whose load jumps alone."""
         model = InterferenceModel()
         for _ in range(40):
-            model.learn(("j", 0, 0), "web", 0.45, {}, 0)
-            model.learn(("j", 0, 0), "web", 0.45 + 1.8 * 0.1, {"heavy": 0.1}, 0)
-            model.learn(("j", 0, 0), "web", 0.45, {"light": 0.1}, 0)
-        self.assertGreater(model.coefficient("web", "heavy"), 1.4)
-        self.assertLess(model.coefficient("web", "light"), 0.3)
+            model.learn(("j", 0, 0), "web", 2.5, {}, 0)
+            model.learn(("j", 0, 0), "web", 2.5, {"light": 0.1}, 0)
+        for _ in range(3):
+            model.learn(("j", 0, 0), "web", 0.6, {"light": 0.1}, 0)
+        self.assertLess(model.slope("web", "light"), 2.0)
+        self.assertGreater(model.own_margin(("j", 0, 0)), 1.8)
+
+    def test_unknown_pairs_resemble_the_known_ones(self) -> None:
+        """Where most pairs don't interfere, a new one is expected not to."""
+        model = InterferenceModel()
+        before = model.slope("web", "new")
+        for image in "abcdef":
+            for _ in range(20):
+                model.learn(("j", 0, 0), "web", 2.5, {}, 0)
+                model.learn(("j", 0, 0), "web", 2.5, {image: 0.2}, 0)
+        model.update_prior()
+        self.assertLess(model.slope("web", "new"), before / 2)
 
     def test_next_owner_restores_what_was_learned(self) -> None:
         """The record of one model restores another; a malformed one is rejected."""
         model, other = InterferenceModel(), InterferenceModel()
-        model.learn(("j", 0, 0), "web", 0.7, {"heavy": 0.1}, 0)
-        other.restore(model.encode())
-        self.assertAlmostEqual(
-            other.coefficient("web", "heavy"),
-            model.coefficient("web", "heavy"),
-            places=2,
-        )
-        for value in (b"", b"[]", b'{"web":3}', b'{"web":{"heavy":"x"}}'):
+        model.learn(("j", 0, 0), "web", 2.5, {}, 0)
+        model.learn(("j", 0, 0), "web", 1.3, {"heavy": 0.1}, 0)
+        other.restore(model.encode(), 0)
+        pair, restored = model.slopes["web"]["heavy"], other.slopes["web"]["heavy"]
+        self.assertAlmostEqual(restored.value, pair.value, places=2)
+        self.assertAlmostEqual(restored.variance, pair.variance, places=2)
+        for value in (
+            b"",
+            b"[]",
+            b'{"web":3}',
+            b'{"web":{"heavy":1.5}}',
+            b'{"web":{"heavy":["x",1]}}',
+            b'{"web":{"heavy":[1]}}',
+        ):
             with self.subTest(value=value), self.assertRaises(BadAnswerError):
-                other.restore(value)
+                other.restore(value, 0)
 
 
 if __name__ == "__main__":
