Placement: a best-effort task is judged by what it takes itself

Hypothesis: the limit compared the expected load of a worker with the task; a worker near its limit was closed to images that add nothing, and the cost sent them to workers with headroom that others needed. Change: only the serving tasks count that the new one takes something from; its cost is the largest part of a serving task's headroom that it takes. Test: a worker without headroom takes a harmless task and no other (an error before, as no worker was chosen).

--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -1,6 +1,7 @@
 """Chooses the worker for a task; does no I/O."""
 
 import heapq
+import math
 from collections import Counter
 from collections.abc import Container, Iterable, Sequence
 from itertools import chain
@@ -25,7 +26,9 @@
 MARGIN_LIMIT = 1.27
 RELAXED_MARGIN_LIMIT = 1.64  # for tasks of jobs that have time to wait
 PLACEMENT_AHEAD_MS = 2_500  # most of the run time of a best-effort task
-MARGIN_COST = 0.66  # for each unit that the lowest margin is below MAX_MARGIN
+HEADROOM_COST = 1.0  # of all that a serving task has
+# A best-effort task that takes no more off a serving task's margin doesn't harm it.
+NEGLIGIBLE_INTERFERENCE = 0.05
 # For each other serving image at the worker: more best-effort images interfere there.
 IMAGE_COST = 1.0
 # Of a serving task at an empty worker: serving tasks don't slow each other, and on
@@ -136,11 +139,16 @@
                 self.unfit_sizes.setdefault(constraint, []).append(size)
         return ranking
 
-    def lost_margin(self, worker: WorkerState, spec: StepSpec) -> float:
-        """Return how far the lowest margin is below ``MAX_MARGIN`` with one more task.
+    def taken_headroom(
+        self, worker: WorkerState, spec: StepSpec, limit: float
+    ) -> float:
+        """Return the largest part of a serving task's headroom that a new task takes.
 
-        For a serving task it is only what the interference takes off its own margin;
-        for a task that is neither serving nor best-effort it is 0.
+        The headroom is how far the task's margin is above 1. Serving tasks that a
+        best-effort task hardly interferes with don't count. For a serving task it is
+        the part of a typical headroom that the best-effort tasks there take from it;
+        for a task that is neither serving nor best-effort it is 0. Infinite if a margin
+        would fall below ``limit``.
         """
         if spec.target_ms:
             return self.model.interference(spec.image, worker.best_effort_mix())
@@ -151,10 +159,15 @@
             margins = self.margins[worker.worker_id] = self._margins(worker)
         share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
         slope = self.model.slope
-        return MAX_MARGIN - min(
-            margin - share * slope(image, spec.image)
-            for image, margin in margins.items()
-        )
+        largest = 0.0
+        for image, margin in margins.items():
+            taken = share * slope(image, spec.image)
+            if taken <= NEGLIGIBLE_INTERFERENCE:
+                continue
+            if margin - taken < limit:
+                return math.inf
+            largest = max(largest, taken / (margin - 1.0))
+        return largest
 
     def _margins(self, worker: WorkerState) -> dict[str, float]:
         """Return the lowest margin of each serving image at a worker."""
@@ -220,9 +233,9 @@
             if spec.fills:
                 self.chooser.refused_workers["no_capacity"] += 1
             return
-        lost_margin = self.chooser.lost_margin(worker, spec)
         limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
-        if spec.fills and lost_margin > MAX_MARGIN - limit:
+        taken_headroom = self.chooser.taken_headroom(worker, spec, limit)
+        if taken_headroom == math.inf:
             self.chooser.refused_workers["interference"] += 1
             return
         self.found_capacity = True
@@ -230,7 +243,7 @@
         if spec.max_per_worker and same_step >= spec.max_per_worker:
             return
         cost = placement_cost(worker, spec, self.chooser.policy)
-        cost += same_step * STEP_COST + MARGIN_COST * lost_margin
+        cost += same_step * STEP_COST + HEADROOM_COST * taken_headroom
         heapq.heappush(self.heap, (cost, position, worker))
 
 
--- a/tests/coordination/jobs/test_load.py
+++ b/tests/coordination/jobs/test_load.py
@@ -167,6 +167,16 @@
         self.chooser.model.slopes["api"]["sum"] = Estimate(11.0, 0.0, 0)
         self.assertIsNone(self.choose("sum"))
 
+    # A worker near its limit was closed to tasks that take nothing from it.
+    def test_worker_without_headroom_still_takes_harmless_tasks(self) -> None:
+        """A task is judged by what it takes itself, not by what its neighbours take."""
+        model = self.chooser.model
+        for number in range(2):
+            model.margins[name(number), 0, 0] = Estimate(1.1, 0.0, 0)
+        self.assertEqual(self.serving_images(self.choose("sum")), {"api"})
+        model.slopes["api"]["sum"] = Estimate(2.0, 0.0, 0)
+        self.assertIsNone(self.choose("sum"))
+
 
 class RemainderTest(unittest.TestCase):
     """Serving tasks reserve most processors, and large tasks come after them."""
