Placement: the uncertainty of slopes counts as interference

Hypothesis: a step of an image that nobody knows is placed at one worker by the mean of all pairs; counting a standard deviation spreads it. Change: the limit counts the expected interference and one standard deviation of it; a pair is harmless only if that is small, too.

--- a/poplarlb/coordination/jobs/interference.py
+++ b/poplarlb/coordination/jobs/interference.py
@@ -80,6 +80,19 @@
         estimate = known.get(best_effort) if known else None
         return estimate.value if estimate is not None else self.prior_slope
 
+    def slope_variance(self, serving: str, best_effort: str) -> float:
+        """Return the variance of the slope of a pair."""
+        known = self.slopes.get(serving)
+        estimate = known.get(best_effort) if known else None
+        return estimate.variance if estimate is not None else PRIOR_SLOPE_VARIANCE
+
+    def interference_variance(self, serving: str, mix: Mix) -> float:
+        """Return the variance of what a best-effort mix takes off."""
+        return sum(
+            self.slope_variance(serving, image) * share * share
+            for image, share in mix.items()
+        )
+
     def interference(self, serving: str, mix: Mix) -> float:
         """Return what a best-effort mix takes off a serving image's margin."""
         return sum(self.slope(serving, image) * share for image, share in mix.items())
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -94,7 +94,7 @@
     freed: dict[str, list[WorkerState]] = Factory(dict)
     unfit_sizes: dict[tuple, list[Resources]] = Factory(dict)
     unfit_now: dict[tuple, list[Resources]] = Factory(dict)
-    margins: dict[str, dict[str, float]] = Factory(dict)
+    margins: dict[str, dict[str, tuple[float, float]]] = Factory(dict)
 
     def begin_round(
         self,
@@ -157,27 +157,37 @@
         margins = self.margins.get(worker.worker_id)
         if margins is None:
             margins = self.margins[worker.worker_id] = self._margins(worker)
-        share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
-        slope = self.model.slope
+        capacity = max(worker.listing.capacity.cpu_millis, 1)
+        share = spec.size.cpu_millis / capacity
+        used = worker.best_effort_images.get(spec.image, 0) / capacity
+        model = self.model
         largest = 0.0
-        for image, margin in margins.items():
-            taken = share * slope(image, spec.image)
-            if taken <= NEGLIGIBLE_INTERFERENCE:
+        for image, (margin, variance) in margins.items():
+            taken = share * model.slope(image, spec.image)
+            own_variance = model.slope_variance(image, spec.image)
+            if taken + share * math.sqrt(own_variance) <= NEGLIGIBLE_INTERFERENCE:
                 continue
-            if margin - taken < limit:
+            variance += own_variance * share * (share + 2 * used)
+            if margin - taken - math.sqrt(variance) < limit:
                 return math.inf
             largest = max(largest, taken / (margin - 1.0))
         return largest
 
-    def _margins(self, worker: WorkerState) -> dict[str, float]:
-        """Return the lowest margin of each serving image at a worker."""
+    def _margins(self, worker: WorkerState) -> dict[str, tuple[float, float]]:
+        """Return the lowest margin of each serving image at a worker, and its variance.
+
+        The variance is that of the interference of the best-effort tasks there.
+        """
         mix = worker.best_effort_mix()
         own: dict[str, float] = {}
         for step, image in worker.serving_steps.items():
             margin = self.model.lowest_margin(step, PLACEMENT_AHEAD_MS, self.now_ms)
             own[image] = min(own.get(image, MAX_MARGIN), margin)
         return {
-            image: margin - self.model.interference(image, mix)
+            image: (
+                margin - self.model.interference(image, mix),
+                self.model.interference_variance(image, mix),
+            )
             for image, margin in own.items()
         }
 
--- a/tests/coordination/jobs/test_load.py
+++ b/tests/coordination/jobs/test_load.py
@@ -177,6 +177,17 @@
         model.slopes["api"]["sum"] = Estimate(2.0, 0.0, 0)
         self.assertIsNone(self.choose("sum"))
 
+    def test_uncertain_interference_counts(self) -> None:
+        """Of two pairs with the same slope, the one that is known well is preferred."""
+        model = self.chooser.model
+        model.slopes = {
+            "web": {"sum": Estimate(2.0, 0.0, 0)},
+            "api": {"sum": Estimate(2.0, 30.0, 0)},
+        }
+        for number in range(2):
+            model.margins[name(number), 0, 0] = Estimate(2.5, 0.0, 0)
+        self.assertEqual(self.serving_images(self.choose("sum")), {"web"})
+
 
 class RemainderTest(unittest.TestCase):
     """Serving tasks reserve most processors, and large tasks come after them."""
