Takeover: the next owner resumes from the margins and forecasts of the last

Cause: only the slopes were recorded; a new owner took each load for the mean and had no forecast for 3.5 s. Change: the record that goes with the commits once a second also holds each step's own margin, its last samples and the sums of the regressions, at most 300 steps; samples missed in between (up to 2.5 s) are taken from the forecast, which also stands for a margin that wasn't measured for a sample. Jobs that ended meanwhile are dropped; a malformed record changes nothing. Ruled out: a warm next owner, as the first start comes 60 to 100 ms after a claim; the gap is the lease.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -127,6 +127,18 @@
         dispatcher.calls.ownership_confirmed_ms = now_ms
         return dispatcher
 
+    def restore_learned(self, record: bytes) -> None:
+        """Set what an earlier owner has learned of interference and margins.
+
+        :raises BadAnswerError: the record is malformed.
+        """
+        state = self.state
+        state.interference.restore(record, state.now_ms, state.utc_ms)
+        for job_id in {step[0] for step in state.interference.margins}:
+            job = state.jobs.get(job_id)
+            if job is None or job.final:
+                state.interference.forget(job_id)
+
     def handle(self, event: Event, now_ms: int) -> list[Command]:
         """Apply one event and return the commands to carry out."""
         state = self.state
@@ -359,7 +371,7 @@
         if state.now_ms < self.next_learned_ms or not state.interference.slopes:
             return b""
         self.next_learned_ms = state.now_ms + state.policy.learned_period_ms
-        return state.interference.encode()
+        return state.interference.encode(state.now_ms, state.utc_ms)
 
     # --- time -------------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/interference.py
+++ b/poplarlb/coordination/jobs/interference.py
@@ -13,6 +13,7 @@
 
 import math
 from collections.abc import Mapping
+from itertools import islice
 
 import orjson
 from attrs import Factory, define
@@ -35,6 +36,7 @@
 # A measurement further off than this many standard deviations counts as if it were
 # noisier: one task's load may jump alone.
 OUTLIER_DEVIATIONS = 3.0
+MAX_RECORDED_STEPS = 300  # in the record for the next owner, 30 KB
 MEAN_RATE = 0.05  # of a new own margin in the mean of all steps
 StepKey = tuple[str, int, int]  # job, occurrence, step
 Mix = Mapping[str, float]  # share of a worker's processors, by best-effort image
@@ -169,34 +171,60 @@
         total = sum(known) + PRIOR_PAIRS * PRIOR_SLOPE
         self.prior_slope = total / (len(known) + PRIOR_PAIRS)
 
-    def encode(self) -> bytes:
-        """Return the record of the slopes for the next owner."""
-        rows = {
+    def encode(self, now_ms: int, utc_ms: int) -> bytes:
+        """Return the record of what was learned for the next owner."""
+        slopes = {
             serving: {
                 image: [round(pair.value, 2), round(pair.variance, 3)]
                 for image, pair in known.items()
             }
             for serving, known in self.slopes.items()
         }
-        return orjson.dumps(rows)
+        margins = [
+            [*step, round(own.value, 2), round(own.variance, 3), now_ms - own.at_ms]
+            for step, own in islice(self.margins.items(), MAX_RECORDED_STEPS)
+        ]
+        return orjson.dumps(
+            {
+                "utc_ms": utc_ms,
+                "slopes": slopes,
+                "margins": margins,
+                "forecast": self.forecast.encode([row[:3] for row in margins], now_ms),
+            }
+        )
 
-    def restore(self, value: bytes, now_ms: int) -> None:
-        """Set the slopes from the record of an earlier owner.
+    def restore(self, value: bytes, now_ms: int, utc_ms: int) -> None:
+        """Set what an earlier owner has learned.
+
+        A malformed record changes nothing.
 
         :raises BadAnswerError: the record is malformed.
         """
         try:
-            self.slopes = {
+            record = orjson.loads(value)
+            slopes = {
                 str(serving): {
                     str(image): _decode_pair(pair, now_ms)
                     for image, pair in known.items()
                 }
-                for serving, known in orjson.loads(value).items()
+                for serving, known in record["slopes"].items()
+            }
+            written_ms = now_ms - max(utc_ms - int(record["utc_ms"]), 0)
+            margins = {
+                (str(job), int(occurrence), int(step)): _decode_margin(
+                    margin, variance, written_ms - int(age_ms)
+                )
+                for job, occurrence, step, margin, variance, age_ms in record["margins"]
             }
-        except (ValueError, TypeError, AttributeError) as error:
+            forecast = MarginForecast.decode(record["forecast"], written_ms)
+        except (ValueError, TypeError, AttributeError, LookupError) as error:
             raise BadAnswerError(
                 f"malformed record of learned interference: {error}"
             ) from error
+        self.slopes, self.margins, self.forecast = slopes, margins, forecast
+        if margins:
+            total = sum(own.value for own in margins.values())
+            self.mean_margin = total / len(margins)
         self.update_prior()
 
     def forget(self, job_id: str) -> None:
@@ -206,6 +234,14 @@
             self.forecast.forget(step)
 
 
+def _decode_margin(value: float, variance: float, at_ms: int) -> Estimate:
+    return Estimate(
+        min(max(float(value), 0.0), MAX_MARGIN),
+        min(max(float(variance), 0.0), MAX_MARGIN),
+        at_ms,
+    )
+
+
 def _decode_pair(row: list, now_ms: int) -> Estimate:
     value, variance = (float(item) for item in row)
     if not (math.isfinite(value) and math.isfinite(variance)):
--- a/poplarlb/coordination/jobs/margin_forecast.py
+++ b/poplarlb/coordination/jobs/margin_forecast.py
@@ -6,8 +6,10 @@
 trends that end, and waves of any period.
 """
 
+import math
 from collections import deque
-from collections.abc import Hashable
+from collections.abc import Hashable, Iterable
+from itertools import islice
 
 from attrs import Factory, define
 
@@ -20,6 +22,7 @@
 DECAY = 0.999  # of what a sample has taught, with each further one
 PRIOR_WEIGHT = 1.0  # of the assumption that margins stay as they are
 FIT_PERIOD_MS = 500  # between fits of the regressions
+MAX_FORECAST_GAP = 5  # missing samples that are taken from the forecast, at most
 
 
 @define(eq=False)
@@ -120,8 +123,8 @@
             return
         if elapsed_ms < 2 * SAMPLE_MS:
             history.sampled_ms += SAMPLE_MS
-        else:  # Samples are missing: the last values don't belong together.
-            history.recent.clear()
+        else:
+            self._fill_gap(history, elapsed_ms // SAMPLE_MS - 1)
             history.sampled_ms = now_ms
         history.recent.appendleft(margin)
         history.samples += 1
@@ -138,21 +141,71 @@
     ) -> float:
         """Return the lowest margin of a step from now until ``ahead_ms`` later.
 
-        :param present: the margin now.
+        :param present: the margin as last measured; the forecast for now counts
+            instead if a sample is missing since.
         """
-        return min((present, *self._until(step, ahead_ms, now_ms)))
+        history = self.histories.get(step)
+        if history is None:
+            return present
+        passed = (now_ms - history.sampled_ms) // SAMPLE_MS
+        until = -((history.sampled_ms - now_ms - ahead_ms) // SAMPLE_MS)
+        if passed < 1:
+            return min((present, *history.ahead[:until]))
+        return min(history.ahead[passed - 1 : until], default=present)
 
     def forget(self, step: Hashable) -> None:
         """Forget the samples of a step."""
         self.histories.pop(step, None)
 
-    def _until(self, step: Hashable, ahead_ms: int, now_ms: int) -> tuple[float, ...]:
-        history = self.histories.get(step)
-        if history is None:
-            return ()
-        passed = (now_ms - history.sampled_ms) // SAMPLE_MS
-        until = -((history.sampled_ms - now_ms - ahead_ms) // SAMPLE_MS)
-        return history.ahead[passed:until]
+    def encode(self, steps: Iterable[list], now_ms: int) -> dict:
+        """Return the regressions and the samples of some steps for the next owner."""
+        rows = [
+            [
+                *step,
+                now_ms - history.sampled_ms,
+                round(history.mean, 3),
+                history.samples,
+                [round(value, 2) for value in islice(history.recent, LAGS[-1] + 1)],
+            ]
+            for step in steps
+            if (history := self.histories.get(tuple(step))) is not None
+        ]
+        sums = [
+            [round(item, 3) for item in (*regression.squares, *regression.products)]
+            for regression in self.regressions
+        ]
+        return {"mean": self.mean, "sums": sums, "steps": rows}
+
+    @classmethod
+    def decode(cls, record: dict, written_ms: int) -> "MarginForecast":
+        """Return the forecast that was encoded at ``written_ms``.
+
+        :raises ValueError, TypeError, LookupError: the record is malformed.
+        """
+        mean = record["mean"]
+        forecast = cls(mean=None if mean is None else float(mean))
+        for regression, sums in zip(forecast.regressions, record["sums"], strict=True):
+            numbers = [float(item) for item in sums]
+            if len(numbers) != 9 or not all(map(math.isfinite, numbers)):
+                raise ValueError("the sums of a regression")
+            regression.squares, regression.products = numbers[:6], numbers[6:]
+            regression.fit()
+        for job, occurrence, step, age_ms, step_mean, samples, recent in record[
+            "steps"
+        ]:
+            history = MarginHistory(written_ms - int(age_ms), float(step_mean))
+            history.samples = int(samples)
+            history.recent.extend(float(value) for value in recent)
+            history.ahead = forecast._predict(history)
+            forecast.histories[str(job), int(occurrence), int(step)] = history
+        return forecast
+
+    def _fill_gap(self, history: MarginHistory, missing: int) -> None:
+        """Take missing samples from the forecast, or forget what was before them."""
+        if missing > MAX_FORECAST_GAP or not history.ahead:
+            history.recent.clear()
+            return
+        history.recent.extendleft(history.ahead[:missing])
 
     def _learn(self, history: MarginHistory, now_ms: int) -> None:
         recent, mean = history.recent, history.mean
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -147,9 +147,7 @@
         dispatcher.state.utc_ms = utc_ms()
         if learned is not None:
             try:
-                dispatcher.state.interference.restore(
-                    learned.value, dispatcher.state.now_ms
-                )
+                dispatcher.restore_learned(learned.value)
             except BadAnswerError as error:
                 log.write("record_unreadable", key=LEARNED, error=error.detail)
         owner = cls(store, workers, advice, directory, committer, dispatcher, log)
--- a/tests/coordination/jobs/test_throttling.py
+++ b/tests/coordination/jobs/test_throttling.py
@@ -168,20 +168,23 @@
         model, other = InterferenceModel(), InterferenceModel()
         model.learn(("j", 0, 0), "web", 2.5, {}, 0)
         model.learn(("j", 0, 0), "web", 1.3, {"heavy": 0.1}, 0)
-        other.restore(model.encode(), 0)
+        other.restore(model.encode(500, 10_500), 700, 10_700)
         pair, restored = model.slopes["web"]["heavy"], other.slopes["web"]["heavy"]
         self.assertAlmostEqual(restored.value, pair.value, places=2)
         self.assertAlmostEqual(restored.variance, pair.variance, places=2)
+        good = model.encode(500, 10_500)
         for value in (
             b"",
             b"[]",
-            b'{"web":3}',
-            b'{"web":{"heavy":1.5}}',
-            b'{"web":{"heavy":["x",1]}}',
-            b'{"web":{"heavy":[1]}}',
+            b"{}",
+            b'{"web":{"heavy":[1, 1]}}',
+            good.replace(b"[[", b"[3, [", 1),
+            good.replace(b'"heavy":[', b'"heavy":["x",', 1),
+            good.replace(b'"sums":[[', b'"sums":[[1,', 1),
+            good.replace(b'"utc_ms":10500', b'"utc_ms":"x"', 1),
         ):
             with self.subTest(value=value), self.assertRaises(BadAnswerError):
-                other.restore(value, 0)
+                other.restore(value, 0, 0)
 
 
 if __name__ == "__main__":
