Interference and placement: shorter methods, no change of behaviour

A newcomer's reading of the diff: learning a measurement was one method of 35 lines in which an estimate was corrected twice by hand, and the cost of interference stood for three kinds of task in one method. An estimate now corrects itself, and the headroom has a method of its own.

--- a/poplarlb/coordination/jobs/interference.py
+++ b/poplarlb/coordination/jobs/interference.py
@@ -61,6 +61,19 @@
         self.variance = min(self.variance + drift * elapsed_s, max_variance)
         self.at_ms = now_ms
 
+    def correct(
+        self, error: float, weight: float, variance: float, max_value: float
+    ) -> None:
+        """Correct the value by its part of a measurement's error.
+
+        :param error: how far the measurement is above what was expected of it.
+        :param weight: how much the measurement grows with the value.
+        :param variance: of the error.
+        """
+        gain = self.variance * weight / variance
+        self.value = min(max(self.value + gain * error, 0.0), max_value)
+        self.variance *= 1.0 - gain * weight
+
 
 @define(eq=False)
 class InterferenceModel:
@@ -121,30 +134,25 @@
         :param mix: what best-effort tasks used at its worker during the measurement.
         """
         pairs = self._pairs(serving, mix, now_ms)
-        interference = sum(pair.value * share for pair, share in pairs)
-        slopes_variance = sum(pair.variance * share * share for pair, share in pairs)
         noise = (NOISE * max(margin, MIN_LEARNED_MARGIN)) ** 2
+        interference = sum(pair.value * share for pair, share in pairs)
+        variance = noise + sum(pair.variance * share * share for pair, share in pairs)
         own = self.margins.get(step)
         if own is None:
-            value = min(margin + interference, MAX_MARGIN)
-            own = Estimate(value, noise + slopes_variance, now_ms)
+            own = Estimate(min(margin + interference, MAX_MARGIN), variance, now_ms)
             self.margins[step] = own
         else:
             own.age(OWN_DRIFT, MAX_MARGIN, now_ms)
-            error = margin - own.value + interference
-            variance = own.variance + slopes_variance + noise
+            error = margin - (own.value - interference)
+            variance += own.variance
+            # An outlier counts as a noisier measurement.
             variance = max(variance, (error / OUTLIER_DEVIATIONS) ** 2)
             if margin >= MIN_LEARNED_MARGIN:
                 for pair, share in pairs:
-                    gain = pair.variance * share / variance
-                    pair.value = min(max(pair.value - gain * error, 0.0), MAX_SLOPE)
-                    pair.variance *= 1.0 - gain * share
-            gain = own.variance / variance
-            own.value = min(max(own.value + gain * error, 0.0), MAX_MARGIN)
-            own.variance *= 1.0 - gain
-        self.mean_margin += (MEAN_RATE if self.mean_margin else 1.0) * (
-            own.value - self.mean_margin
-        )
+                    pair.correct(-error, share, variance, MAX_SLOPE)
+            own.correct(error, 1.0, variance, MAX_MARGIN)
+        rate = MEAN_RATE if self.mean_margin else 1.0
+        self.mean_margin += rate * (own.value - self.mean_margin)
         self.forecast.add(step, own.value, now_ms)
 
     def _pairs(
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -26,7 +26,7 @@
 MARGIN_LIMIT = 1.27
 RELAXED_MARGIN_LIMIT = 1.64  # for tasks of jobs that have time to wait
 PLACEMENT_AHEAD_MS = 2_500  # most of the run time of a best-effort task
-HEADROOM_COST = 1.0  # of all that a serving task has
+INTERFERENCE_COST = 1.0  # of all of a serving task's headroom
 # A best-effort task that takes no more off a serving task's margin doesn't harm it.
 NEGLIGIBLE_INTERFERENCE = 0.05
 # For each other serving image at the worker: more best-effort images interfere there.
@@ -139,21 +139,29 @@
                 self.unfit_sizes.setdefault(constraint, []).append(size)
         return ranking
 
-    def taken_headroom(
+    def interference_cost(
         self, worker: WorkerState, spec: StepSpec, limit: float
     ) -> float:
-        """Return the largest part of a serving task's headroom that a new task takes.
+        """Return the cost of a task's interference with the others at a worker.
 
-        The headroom is how far the task's margin is above 1. Serving tasks that a
-        best-effort task hardly interferes with don't count. For a serving task it is
-        the part of a typical headroom that the best-effort tasks there take from it;
-        for a task that is neither serving nor best-effort it is 0. Infinite if a margin
-        would fall below ``limit``.
+        For a serving task it is what the best-effort tasks there take off its margin,
+        for a best-effort task the largest part of a serving task's headroom that it
+        takes itself. Infinite if it would bring a margin below ``limit``.
         """
         if spec.target_ms:
             return self.model.interference(spec.image, worker.best_effort_mix())
         if not spec.fills or not worker.serving_runs:
             return 0.0
+        return self._taken_headroom(worker, spec, limit)
+
+    def _taken_headroom(
+        self, worker: WorkerState, spec: StepSpec, limit: float
+    ) -> float:
+        """Return the largest part of a serving task's headroom that a new task takes.
+
+        The headroom is how far the margin is above 1. Serving tasks that the new task
+        hardly interferes with don't count, however low their margin is.
+        """
         margins = self.margins.get(worker.worker_id)
         if margins is None:
             margins = self.margins[worker.worker_id] = self._margins(worker)
@@ -244,8 +252,8 @@
                 self.chooser.refused_workers["no_capacity"] += 1
             return
         limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
-        taken_headroom = self.chooser.taken_headroom(worker, spec, limit)
-        if taken_headroom == math.inf:
+        interference_cost = self.chooser.interference_cost(worker, spec, limit)
+        if interference_cost == math.inf:
             self.chooser.refused_workers["interference"] += 1
             return
         self.found_capacity = True
@@ -253,7 +261,7 @@
         if spec.max_per_worker and same_step >= spec.max_per_worker:
             return
         cost = placement_cost(worker, spec, self.chooser.policy)
-        cost += same_step * STEP_COST + HEADROOM_COST * taken_headroom
+        cost += same_step * STEP_COST + INTERFERENCE_COST * interference_cost
         heapq.heappush(self.heap, (cost, position, worker))
 
 
