Show that tasks of ten minutes are stopped for good

A run whose percentage hasn't changed for 2.5 s is stopped and its worker paused for 4 s, so a task of ten minutes is stopped every 3 s and never done. LOST: for over 3 s at a time nothing of the accepted job runs, with all workers idle.

--- a/review/standin/deployment.py
+++ b/review/standin/deployment.py
@@ -314,6 +314,8 @@
 
 async def _run(case, folder, record_path):
     deployment = Deployment(folder, record_path)
+    task = asyncio.current_task()
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
     try:
         async with asyncio.timeout(CASE_LIMIT_S):
             reasons = await case(deployment)
@@ -331,7 +333,7 @@
     folder = pathlib.Path(tempfile.mkdtemp(prefix="poplarlb-review-"))
     try:
         reasons = asyncio.run(_run(case, folder, record_path))
-    except Exception:
+    except (Exception, asyncio.CancelledError):
         traceback.print_exc()
         sys.exit(2)
     finally:
--- a/review/standin/judge.py
+++ b/review/standin/judge.py
@@ -37,3 +37,17 @@
                     f"TWICE: {first[1]}, {where}, overlapped for {both_s:.2f} s"
                 )
     return found
+
+
+def find_gaps(events, job_id, since_s, until_s):
+    """Return the times, as begin and end, in which nothing of a job was active."""
+    gaps, covered_s = [], since_s
+    for run in list_runs(events):
+        if not run[1].startswith(job_id):
+            continue
+        if run[3] > covered_s:
+            gaps.append((covered_s, run[3]))
+        covered_s = max(covered_s, run[4] or until_s)
+    if until_s > covered_s:
+        gaps.append((covered_s, until_s))
+    return gaps
