--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,44 +1,37 @@
-"""Two workers crash, one after the other, soon after they began the same task."""
+"""A route is removed and added again while one of its jobs runs, and a run fails."""
 
 import asyncio
 
 from review.standin.deployment import route, run_case
 
-JOB = "00000000000000d4"
-TASK = f"{JOB}.0.0.0"
-RUN_MS = 90_000  # longer than the case, so that no run ends by itself
-WORKERS = 8  # one of them is 12.5 %
-CRASH_AFTER_S = 0.25
-DOWN_S = 2.0
-WATCHED_S = 15.0
+JOB = "00000000000000c3"
+WORK_MS = 4_000
+ATTEMPTS = 3
 
 
 async def case(deployment):
-    """Submit a job of one task that lasts; crash the workers of its first two runs."""
-    deployment.configure(1, route())
-    await deployment.add_workers(WORKERS)
+    """Change the configuration while the first run is active; it ends ``failed``."""
+    q1, q2 = route(maxAttempts=ATTEMPTS), route("q2", "/q2/", maxAttempts=ATTEMPTS)
+    deployment.configure(5, q1, q2)
+    await deployment.add_workers(4)
     await deployment.add_daemons(3)
     await asyncio.sleep(2.0)
-    step = {"count": 1, "cpu": 3_000, "memMb": 6_000, "longRunning": True}
-    await deployment.submit(JOB, RUN_MS, [step])
-    await deployment.wait_event("started", 10.0, task=TASK, run=1)
-    for run in (1, 2) if deployment.trouble else ():
-        rows = await deployment.wait_event("started", 20.0, task=TASK, run=run)
-        worker = next(
-            item for item in deployment.workers if item.worker_id == rows[0]["worker"]
-        )
-        await asyncio.sleep(CRASH_AFTER_S)
-        worker.crash()
-        await asyncio.sleep(DOWN_S)
-        await worker.start()
-    found = await deployment.wait_state(JOB, ("done", "failed", "410"), WATCHED_S)
-    if found == "active":
-        return []
-    ends = len(deployment.find("ended", how="failed"))
-    return [
-        f"LOST: {JOB}, accepted and not cancelled, with a task that lasts, is shown as "
-        f"{found} after {ends} runs that ended failed"
-    ]
+    await deployment.submit(JOB, WORK_MS, fail=[1])
+    await deployment.wait_event("started", 10.0, task=f"{JOB}.0.0.0", run=1)
+    await asyncio.sleep(1.0)
+    deployment.configure(8, *((q2,) if deployment.trouble else (q1, q2)))
+    await deployment.wait_event("ended", 10.0, task=f"{JOB}.0.0.0", run=1)
+    await asyncio.sleep(2.0)
+    deployment.configure(12, q1, q2)
+    await asyncio.sleep(3.0)  # configMs, and one second more
+    found = await deployment.wait_state(JOB, ("done", "failed", "410"), 20.0)
+    failed_runs = deployment.find("ended", how="failed")
+    if found == "failed" and len(failed_runs) < ATTEMPTS:
+        return [
+            f"LOST: {JOB}, accepted and not cancelled, is shown as failed after "
+            f"{len(failed_runs)} run that ended failed, with maxAttempts {ATTEMPTS}"
+        ]
+    return [] if found == "done" else [f"LOST: {JOB} is shown as {found}"]
 
 
 if __name__ == "__main__":
