Log repeated starts and the leases around a worker's restart

The logs could not tell three explanations apart: a repeated start that reached the worker's new incarnation, the first start carried out late, or a renewal by the former incarnation's clock. No line said that a start was sent again, with which lease, or what the owner assumed of the leases at the new incarnation.

start_repeated now has the lease's end, the worker's clock as estimated, and both incarnations; worker_restarted has the clock, the latest lease's end before and after, and the runs that the new incarnation lists.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -191,6 +191,16 @@
             reason = self.reason_not_to_start(worker, run)
             if not reason:
                 self.start(run)
+                state.log_task(
+                    "start_repeated",
+                    run.task,
+                    run.number,
+                    worker=event.worker_id,
+                    life=worker.incarnation,
+                    listed_life=worker.listing.incarnation,
+                    clock_ms=worker.clock_now_ms(state.now_ms),
+                    lease_end_ms=worker.lease_end_ms,
+                )
                 return
             state.log_task("start_not_repeated", run.task, run.number, reason=reason)
         run.phase = RunPhase.AMBIGUOUS
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -177,9 +177,13 @@
         self.answered_ms = now_ms
         self.missed_polls = 0
 
+    def clock_now_ms(self, now_ms: int) -> int:
+        """Return what the worker's clock shows now, by its last answer to a poll."""
+        return self.clock_ms + (now_ms - self.clock_at_ms)
+
     def new_lease_end(self, policy: JobPolicy, now_ms: int) -> int:
         """Return and record the end, on the worker's clock, of a lease granted now."""
-        end_ms = self.clock_ms + (now_ms - self.clock_at_ms) + policy.lease_ms
+        end_ms = self.clock_now_ms(now_ms) + policy.lease_ms
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
         return self.lease_end_ms
 
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -2,7 +2,7 @@
 
 from attrs import define
 
-from poplarlb.coordination.jobs.crashes import CrashCounter
+from poplarlb.coordination.jobs.crashes import MAX_LOGGED_RUNS, CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import EndedRow, PollAnswered, RunningRow
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
@@ -73,8 +73,17 @@
             return
         lost = [run for run in worker.runs.values() if run.key not in listed]
         self.crashes.on_worker_lost(worker, lost, restarted=True)
+        former_lease_end_ms = worker.lease_end_ms
         worker.begin_incarnation(poll.incarnation)
-        state.log("worker_restarted", worker=worker.worker_id, life=poll.incarnation)
+        state.log(
+            "worker_restarted",
+            worker=worker.worker_id,
+            life=poll.incarnation,
+            clock_ms=poll.clock_ms,
+            former_lease_end_ms=former_lease_end_ms,
+            lease_end_ms=worker.lease_end_ms,
+            kept_runs=[f"{task} run {run}" for task, run in listed][:MAX_LOGGED_RUNS],
+        )
         unanswered_starts = {
             key
             for key, until in worker.unanswered_starts.items()
