Bound the leases at a restarted worker by the longest that it grants

A worker lost power as a start reached it and was back under its id 0.8 s later; the start was repeated, and 1.5 s later the worker was cut off.

Cause: a start carries the lease's end on the worker's clock. The repeated one had it by the former incarnation's clock. The new clock had begun anew, so the worker shortened the lease to its limit, 10 s, while the owner began to count from 0 and gave the run up 5.3 s after the last answer. Ruled out: the first start carried out late (one start at the new incarnation, just after the repeat); a renewal by the former clock (it only goes on a connection on which that process has answered).

Change: after the first answer of an incarnation the leases are taken to last the workers' limit, as after a takeover. While a start to the former incarnation may still be carried out, every answer renews that, and a silent worker may have got it until then.

Why it works: whatever was carried out before an answer has granted at most the limit from that answer on, and whatever may be carried out later is bounded by when it was sent.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -114,14 +114,8 @@
         state = DispatcherState(policy, epoch, now_ms=now_ms, owned_since_ms=now_ms)
         for job in jobs:
             state.restore(job)
-        max_lease_ms = policy.lease_ms / (1 - policy.max_clock_drift)
         for worker in state.workers.values():
-            worker.inherited_leases_until_ms = int(
-                now_ms
-                + policy.max_unconfirmed_ms
-                + max_lease_ms
-                + policy.lease_margin_ms
-            )
+            worker.inherited_leases_until_ms = now_ms + policy.max_inherited_lease_ms
         dispatcher = cls(state)
         dispatcher.unresponsive_workers.restore(lease_remainders)
         dispatcher.calls.ownership_confirmed_ms = now_ms
@@ -244,6 +238,7 @@
         state.capacity_changed = True
         if before is None or before.incarnation != listing.incarnation:
             worker.next_poll_ms = 0
+            self.unresponsive_workers.on_incarnation_listed(worker)
             state.log(
                 "worker_listed",
                 worker=listing.worker_id,
@@ -324,6 +319,8 @@
             return "availability zone is out"
         if worker.incarnation != run.task.incarnation:
             return "worker restarted"
+        if worker.listing.incarnation > worker.incarnation:
+            return "worker restarted, by its entry"
         if not worker.reserved.fits_in(worker.listing.capacity):
             return "capacity has shrunk"
         return ""
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -1,7 +1,6 @@
 """The owner's state of each worker: its runs, free capacity, clock and lease."""
 
 import enum
-import math
 
 from attrs import Factory, define, field
 
@@ -81,6 +80,9 @@
     clock_ms: int = 0  # the worker's clock at clock_at_ms
     clock_at_ms: int = 0
     lease_end_ms: int = 0  # latest end of a granted lease, on the worker's clock
+    # Until then a start that was sent to an earlier incarnation may be carried out by
+    # the present one, and grant a lease by the earlier one's clock.
+    misdirected_until_ms: int = 0
     answered_ms: int = 0  # when it last answered a poll
     missed_polls: int = 0  # polls in a row that got no answer
     poll_sent_ms: int = 0  # 0: no poll is in flight
@@ -170,8 +172,16 @@
 
     # --- clock and lease --------------------------------------------------------------
 
-    def update_clock(self, clock_ms: int, now_ms: int) -> None:
-        """Record the worker's clock from its answer to a poll."""
+    def update_clock(self, clock_ms: int, policy: JobPolicy, now_ms: int) -> None:
+        """Record the worker's clock from its answer to a poll.
+
+        A lease that ends too late by the worker's clock is shortened to its limit, so
+        that bounds what calls of earlier owners, or calls that were sent to an earlier
+        incarnation, have granted until then.
+        """
+        if not self.fenced or self.clock_at_ms <= self.misdirected_until_ms:
+            self.lease_end_ms = max(self.lease_end_ms, clock_ms + policy.lease_limit_ms)
+        self.fenced = True
         self.clock_ms = clock_ms
         self.clock_at_ms = now_ms
         self.answered_ms = now_ms
@@ -191,9 +201,16 @@
         """Return how long a run may go on at most if its lease isn't renewed."""
         if not self.fenced:
             return max(self.inherited_leases_until_ms - now_ms, 0)
-        lease_ms = self.lease_end_ms + policy.lease_margin_ms - self.clock_ms
-        max_remaining_ms = math.ceil(lease_ms / (1 - policy.max_clock_drift))
-        return max(self.clock_at_ms + max_remaining_ms - now_ms, 0)
+        end_ms = self.clock_at_ms + policy.max_duration_ms(
+            self.lease_end_ms - self.clock_ms
+        )
+        if self.misdirected_until_ms > self.clock_at_ms:
+            # Such a start prolongs the leases only if it arrives before their end.
+            latest_ms = min(self.misdirected_until_ms, end_ms)
+            end_ms = max(
+                end_ms, latest_ms + policy.max_duration_ms(policy.lease_limit_ms)
+            )
+        return max(end_ms - now_ms, 0)
 
     def lease_expired(self, policy: JobPolicy, now_ms: int) -> bool:
         """Return whether all runs at the worker have certainly been killed."""
@@ -217,6 +234,20 @@
         self.failures = 0
         self.orphan_stops.clear()
 
+    def note_misdirected_starts(self, policy: JobPolicy) -> None:
+        """Note until when starts to the last incarnation may still be carried out."""
+        in_flight_until_ms = [
+            run.sent_ms + policy.max_start_delay_ms
+            for run in self.runs.values()
+            if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS)
+        ]
+        self.misdirected_until_ms = max(
+            self.misdirected_until_ms,
+            self.clock_at_ms,
+            *in_flight_until_ms,
+            *self.unanswered_starts.values(),
+        )
+
     def add_unanswered_start(
         self, key: tuple[str, int], until_ms: int, now_ms: int
     ) -> None:
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -1,5 +1,7 @@
 """Times and limits of job scheduling, in one object."""
 
+import math
+
 from attrs import frozen
 
 
@@ -53,3 +55,24 @@
     lease_record_period_ms: int = 1_000
     # Between writes of the learned interference, part of commits that are made anyway.
     learned_period_ms: int = 1_000
+
+    def max_duration_ms(self, lease_ms: int) -> int:
+        """Return how long a run may go on at most by a lease on a worker's clock."""
+        return math.ceil((lease_ms + self.lease_margin_ms) / (1 - self.max_clock_drift))
+
+    @property
+    def max_inherited_lease_ms(self) -> int:
+        """How long after a takeover a lease of the earlier owner may last."""
+        return self.max_unconfirmed_ms + self.max_duration_ms(self.lease_ms)
+
+    @property
+    def max_inherited_misdirected_lease_ms(self) -> int:
+        """The same at a worker that has restarted since its runs were placed.
+
+        The earlier owner may have sent it starts by its former clock, until the view by
+        which they are sent was too old.
+        """
+        return max(
+            self.max_inherited_lease_ms,
+            self.max_view_age_ms + self.max_duration_ms(self.lease_limit_ms),
+        )
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -34,11 +34,8 @@
         if poll.incarnation != worker.incarnation:
             self._handle_new_incarnation(worker, poll, listed)
         first = not worker.fenced
-        worker.update_clock(poll.clock_ms, state.now_ms)
+        worker.update_clock(poll.clock_ms, state.policy, state.now_ms)
         if first:
-            worker.fenced = True
-            # No lease that an earlier owner granted can last longer.
-            worker.lease_end_ms = poll.clock_ms + state.policy.lease_limit_ms
             state.capacity_changed = True
             self._resolve_inherited(worker, poll, listed)
         ended = {(row.task, row.run) for row in poll.ended}
@@ -74,6 +71,7 @@
         lost = [run for run in worker.runs.values() if run.key not in listed]
         self.crashes.on_worker_lost(worker, lost, restarted=True)
         former_lease_end_ms = worker.lease_end_ms
+        worker.note_misdirected_starts(state.policy)
         worker.begin_incarnation(poll.incarnation)
         state.log(
             "worker_restarted",
@@ -81,7 +79,7 @@
             life=poll.incarnation,
             clock_ms=poll.clock_ms,
             former_lease_end_ms=former_lease_end_ms,
-            lease_end_ms=worker.lease_end_ms,
+            misdirected_ms=max(worker.misdirected_until_ms - state.now_ms, 0),
             kept_runs=[f"{task} run {run}" for task, run in listed][:MAX_LOGGED_RUNS],
         )
         unanswered_starts = {
@@ -89,7 +87,6 @@
             for key, until in worker.unanswered_starts.items()
             if state.now_ms < until
         }
-        worker.unanswered_starts.clear()
         for key in unanswered_starts - worker.runs.keys():
             worker.orphan_stops[key] = 0
         for run in list(worker.runs.values()):
--- a/poplarlb/coordination/jobs/unresponsive.py
+++ b/poplarlb/coordination/jobs/unresponsive.py
@@ -38,6 +38,23 @@
                 worker = state.workers[remainder.worker_id]
                 worker.inherited_leases_until_ms = state.now_ms + remainder.remaining_ms
 
+    def on_incarnation_listed(self, worker: WorkerState) -> None:
+        """Wait longer for a worker that has restarted and hasn't answered this owner.
+
+        The last owner's record holds already how long its leases may last.
+        """
+        state = self.state
+        incarnation = worker.listing.incarnation
+        if (
+            worker.fenced
+            or worker.worker_id in state.recorded_unresponsive
+            or all(run.task.incarnation == incarnation for run in worker.runs.values())
+        ):
+            return
+        worker.inherited_leases_until_ms = (
+            self.owned_since_ms + state.policy.max_inherited_misdirected_lease_ms
+        )
+
     def due_record(self) -> tuple[LeaseRemainder, ...] | None:
         """Return the record to store; None if none is due."""
         state = self.state
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -130,6 +130,10 @@
         self.ends.append(EndedRow(self.next_end, run.task, run.number, how, checkpoint))
         self.next_end += 1
 
+    def runs_by_task(self) -> dict[str, LiveRun]:
+        """Return the active runs by the names of their tasks."""
+        return {run.task: run for run in self.runs.values()}
+
     def crash(self, cause: str = "") -> None:
         """Stop answering and lose all runs."""
         if not self.alive:
