Count best-effort runs by image instead of summing their processors

The job has a best-effort step of 36 tasks without cpu.

Cause: WorkerState.remove dropped an image's sum of processors when it reached 0. Without cpu that is after the first of several runs, so the next end raised KeyError: 'i1', which ends the ownership; the next owner reads the same ends and fails as well. Ruled out: a run removed twice (a test that removes each once fails), too few runs restored by a takeover (the first owner fails).

Change: runs are counted by image, and the entry goes with the last one.

Why it works: a count reaches 0 only with the last run, whatever the runs request.

--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -1,6 +1,7 @@
 """The owner's state of each worker: its runs, free capacity, clock and lease."""
 
 import enum
+from collections import Counter
 
 from attrs import Factory, define, field
 
@@ -96,11 +97,13 @@
     best_effort_cpu: int = 0
     serving_runs: int = 0  # runs that have a target
     serving_cpu: int = 0  # thousandths of a processor that these runs reserve
-    # Numbers of runs by step; the image of each step with serving runs; thousandths of
-    # a processor that best-effort runs would use if not throttled, by image.
+    # Numbers of runs by step; the image of each step with serving runs; by image,
+    # thousandths of a processor that best-effort runs would use if not throttled, and
+    # numbers of best-effort runs.
     step_runs: dict[tuple[str, int, int], int] = Factory(dict)
     serving_steps: dict[tuple[str, int, int], str] = Factory(dict)
     best_effort_images: dict[str, int] = Factory(dict)
+    best_effort_runs: Counter[str] = Factory(Counter)
     # Best-effort runs that ended beside serving ones: image, thousandths of a processor
     # used, when ended.
     recently_ended: list[tuple[str, float, int]] = Factory(list)
@@ -128,6 +131,7 @@
             self.best_effort_cpu += cpu_millis
             used = self.best_effort_images.get(spec.image, 0)
             self.best_effort_images[spec.image] = used + cpu_millis
+            self.best_effort_runs[spec.image] += 1
         if spec.target_ms:
             self.serving_runs += 1
             self.serving_cpu += cpu_millis
@@ -149,9 +153,11 @@
         cpu_millis = spec.size.cpu_millis
         if spec.fills:
             self.best_effort_cpu -= cpu_millis
-            used = self.best_effort_images.pop(spec.image) - cpu_millis
-            if used > 0:
-                self.best_effort_images[spec.image] = used
+            self.best_effort_images[spec.image] -= cpu_millis
+            self.best_effort_runs[spec.image] -= 1
+            if not self.best_effort_runs[spec.image]:
+                del self.best_effort_images[spec.image]
+                del self.best_effort_runs[spec.image]
         if spec.target_ms:
             self.serving_runs -= 1
             self.serving_cpu -= cpu_millis
