Set a job aside that makes the owner raise unexpected errors

Any unexpected exception ended the ownership, and since its cause was in the store the next owner met it again, on all daemons in turn; one raised while an owner loads, or in a renewal, ended the loop that claims the ownership.

Change: after an unexpected error the owner handles nothing more, as its state may be inconsistent. It finds the job in the traceback (the innermost function called with a job or a part of one), counts the error for it in the store and releases the ownership in the same transaction. After two errors for a job the next owner sets it aside: it is shown as failed, its tasks are forgotten and their runs stopped. Without a job the lease has to expire, as before. The claiming loop outlasts any error.

Why it works: what fails is dropped before it is handled again, by whichever daemon, and state is only ever rebuilt from the store.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -1,8 +1,12 @@
 """The facade of job scheduling: ``Dispatcher.handle(event, now_ms) -> commands``."""
 
+from collections.abc import Mapping
+from types import MappingProxyType
+
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.advice import TicketCache
+from poplarlb.coordination.jobs.bad_jobs import MAX_ERRORS
 from poplarlb.coordination.jobs.calls import WorkerCalls
 from poplarlb.coordination.jobs.crashes import CrashCounter
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
@@ -105,15 +109,24 @@
         jobs: list[Job],
         now_ms: int,
         lease_remainders: tuple[LeaseRemainder, ...] = (),
+        errors: Mapping[str, int] = MappingProxyType({}),
+        utc_ms: int = 0,
     ) -> "Dispatcher":
         """Return a dispatcher that resumes the jobs in the store.
 
         :param lease_remainders: the workers that the last owner could not reach, and
             how long their leases may last.
+        :param errors: how many unexpected errors each job has caused.
         """
-        state = DispatcherState(policy, epoch, now_ms=now_ms, owned_since_ms=now_ms)
+        state = DispatcherState(
+            policy, epoch, now_ms=now_ms, owned_since_ms=now_ms, utc_ms=utc_ms
+        )
         for job in jobs:
-            state.restore(job)
+            count = errors.get(job.spec.job_id, 0)
+            if count >= MAX_ERRORS and job.state is not JobState.DONE:
+                state.set_aside(job, f"{count} unexpected errors of the scheduler")
+            else:
+                state.restore(job)
         for worker in state.workers.values():
             worker.inherited_leases_until_ms = now_ms + policy.max_inherited_lease_ms
         dispatcher = cls(state)
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -230,6 +230,20 @@
                 if job.final:
                     self.stop(run, f"job {job.state}")
 
+    def set_aside(self, job: Job, reason: str) -> None:
+        """Fail a job that can't be handled, and forget its tasks.
+
+        Their runs are then unknown, and are stopped where workers list them.
+        """
+        job.occurrences.clear()
+        job.crashed_tasks.clear()
+        job.state = JobState.FAILED
+        job.reason = reason
+        job.final_utc_ms = self.utc_ms
+        self.jobs[job.spec.job_id] = job
+        self.mark_dirty(job)
+        self.log("job_set_aside", job=job.spec.job_id, reason=reason)
+
     def collect_records(self) -> tuple[ProgressRecord, ...]:
         """Return the progress records of the dirty jobs; none is dirty after that."""
         records = tuple(
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -111,7 +111,7 @@
         row = orjson.loads(value)
         steps = tuple(decode_step(step) for step in row.pop("steps"))
         return JobSpec(steps=steps, **row)
-    except (ValueError, TypeError, KeyError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of an accepted job: {error}") from error
 
 
--- a/poplarlb/transport/job_keys.py
+++ b/poplarlb/transport/job_keys.py
@@ -14,6 +14,8 @@
                      far below it let others claim the ownership first
 ``lapses``           unresponsive workers and the latest expiry of their leases,
                      written by the owner once a second
+``errors``           number of unexpected errors that each job has caused, written by
+                     an owner that gives up the ownership after one
 ``learned``          interference that the owner has learned for images, for the
                      next owner
 ===================  ==========================================================
@@ -29,3 +31,4 @@
 WAITING = "waiting"
 UNRESPONSIVE_WORKERS = "lapses"
 LEARNED = "learned"
+ERRORS = "errors"
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -9,7 +9,7 @@
 import attrs
 from attrs import Factory, define, field
 
-from poplarlb.coordination.jobs import events
+from poplarlb.coordination.jobs import bad_jobs, events
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.prefix_view import PrefixView
@@ -18,6 +18,7 @@
     BadAnswerError,
     DeposedError,
     OldEpochError,
+    PoplarlbError,
 )
 from poplarlb.protocol.store import Put, Store, StoredChange, StoredItem, StoredList
 from poplarlb.state import job_records
@@ -26,6 +27,8 @@
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.job_keys import (
     CANCELS,
+    ERRORS,
+    HOLDER,
     JOBS,
     LEARNED,
     PROGRESS,
@@ -34,6 +37,7 @@
 )
 from poplarlb.transport.prefix_watcher import PrefixWatcher, WatchSettings
 
+ERROR_RECORD_TIMEOUT_S = 1.0  # then the ownership is given up without it
 TICK_S = 0.02  # the dispatcher's decisions are delayed by at most this
 # Runs are placed by views proven less than ``JobPolicy.max_view_age_ms`` ago. This
 # leaves a third of that for the answer of a store 100 times slower than usual.
@@ -98,7 +102,9 @@
     ``watchers`` deliver submissions, cancellations, and the workers that register.
     ``views`` are those by which runs are placed: of cancellations, of workers, and of
     the operator's entries, which the daemon watches. ``deposed`` is set when the
-    ownership ends. ``calls`` counts the calls in flight by kind.
+    ownership ends. ``calls`` counts the calls in flight by kind. ``errors`` are the
+    numbers of unexpected errors by job, with those of earlier owners; after one the
+    owner has ``failed``: it handles nothing more, as its state may be inconsistent.
     """
 
     store: Store
@@ -114,6 +120,8 @@
     views: tuple[PrefixView, ...] = ()
     calls: Counter = field(factory=Counter)
     committing: bool = False
+    errors: Counter[str] = field(factory=Counter)
+    failed: bool = False
 
     @classmethod
     async def load(
@@ -129,28 +137,51 @@
     ) -> "JobOwner":
         """Return an owner that resumes from the records in the store."""
         listed_ms = boottime_ms()
-        stored_jobs, cancels, progress, learned, unresponsive = await asyncio.gather(
+        (
+            stored_jobs,
+            cancels,
+            progress,
+            learned,
+            unresponsive,
+            stored_errors,
+        ) = await asyncio.gather(
             store.list(JOBS),
             store.list(CANCELS),
             store.list(PROGRESS),
             store.get(LEARNED),
             store.get(UNRESPONSIVE_WORKERS),
+            store.get(ERRORS),
         )
         jobs = read_jobs(stored_jobs, progress, log)
-        dispatcher = Dispatcher.take_over(
-            policy,
-            committer.epoch,
-            jobs,
-            boottime_ms(),
-            read_unresponsive_workers(unresponsive, log),
-        )
-        dispatcher.state.utc_ms = utc_ms()
+        errors = read_errors(stored_errors, jobs, log)
+        try:
+            dispatcher = Dispatcher.take_over(
+                policy,
+                committer.epoch,
+                jobs,
+                boottime_ms(),
+                read_unresponsive_workers(unresponsive, log),
+                errors,
+                utc_ms(),
+            )
+        except Exception as error:
+            await record_error(error, errors, committer, log)
+            raise
         if learned is not None:
             try:
                 dispatcher.restore_learned(learned.value)
             except BadAnswerError as error:
                 log.write("record_unreadable", key=LEARNED, error=error.detail)
-        owner = cls(store, workers, advice, directory, committer, dispatcher, log)
+        owner = cls(
+            store,
+            workers,
+            advice,
+            directory,
+            committer,
+            dispatcher,
+            log,
+            errors=errors,
+        )
         jobs_watcher = owner.watch(JOBS_WATCH, owner.handle_job_change)
         jobs_watcher.resume_from(stored_jobs, listed_ms)
         cancels_watcher = owner.watch(CANCELS_WATCH, owner.handle_cancel_change)
@@ -204,9 +235,17 @@
     # --- events -----------------------------------------------------------------------
 
     def feed(self, event: events.Event) -> None:
-        """Pass an event to the dispatcher and execute its commands."""
-        for command in self.dispatcher.handle(event, boottime_ms()):
-            self._execute(command)
+        """Pass an event to the dispatcher and execute its commands.
+
+        An unexpected error ends the ownership; the next owner resumes from the store.
+        """
+        if self.failed:
+            return
+        try:
+            for command in self.dispatcher.handle(event, boottime_ms()):
+                self._execute(command)
+        except Exception as error:
+            self._fail(error)
 
     def handle_cancel_change(self, change: StoredChange) -> None:
         """Handle a stored cancellation."""
@@ -325,12 +364,59 @@
         self.asyncio_tasks.discard(task)
         if task.cancelled() or task.exception() is None:
             return
-        error = task.exception()
-        self.log.write("ownership_failed", error=f"{type(error).__name__}: {error}")
+        self._fail(task.exception())
+
+    def _fail(self, error: BaseException) -> None:
+        """Give up the ownership after an unexpected error."""
+        if self.failed:
+            return
+        self.failed = True
         asyncio.get_running_loop().call_exception_handler(
             {"message": "a part of the owner failed", "exception": error}
         )
-        self.deposed.set()
+        self._spawn(self._record_and_give_up(error))
+
+    async def _record_and_give_up(self, error: BaseException) -> None:
+        try:
+            await record_error(error, self.errors, self.committer, self.log)
+        finally:
+            self.deposed.set()
+
+
+async def record_error(
+    error: BaseException, errors: Counter[str], committer: Committer, log: EventLog
+) -> None:
+    """Log an unexpected error, and count it for its job in the store.
+
+    If the job is known the ownership is released with that, so that the next owner
+    begins at once. Otherwise the lease delays it, as it may well fail too.
+    """
+    job_id = bad_jobs.find_job_id(error)
+    log.write("ownership_failed", error=f"{type(error).__name__}: {error}", job=job_id)
+    if not job_id:
+        return
+    errors[job_id] += 1
+    put = Put(ERRORS, bad_jobs.encode_errors(errors))
+    try:
+        async with asyncio.timeout(ERROR_RECORD_TIMEOUT_S):
+            await committer.write((put,), (HOLDER,))
+    except (TimeoutError, PoplarlbError) as failure:
+        log.write("release_failed", error=str(failure))
+
+
+def read_errors(
+    item: StoredItem | None, jobs: list[Job], log: EventLog
+) -> Counter[str]:
+    """Return the numbers of unexpected errors of earlier owners, by job."""
+    if item is None:
+        return Counter()
+    try:
+        errors = bad_jobs.decode_errors(item.value)
+    except BadAnswerError as error:
+        log.write("record_unreadable", key=ERRORS, error=error.detail)
+        return Counter()
+    known = {job.spec.job_id for job in jobs}
+    return Counter({name: count for name, count in errors.items() if name in known})
 
 
 def read_unresponsive_workers(
@@ -357,8 +443,8 @@
     for item in stored_jobs.items:
         try:
             jobs[item.key] = Job(job_records.decode_job(item.value))
-        except BadAnswerError as error:
-            log.write("record_unreadable", key=item.key, error=error.detail)
+        except (BadAnswerError, *job_records.UNREADABLE_ERRORS) as error:
+            log.write("record_unreadable", key=item.key, error=str(error))
     for item in progress.items:
         job = jobs.get(JOBS + item.key.removeprefix(PROGRESS))
         if job is None:
--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -100,8 +100,9 @@
             await self._wait_until_unowned()
             try:
                 await self._run_ownership()
-            except (PoplarlbError, ValueError, KeyError) as error:
-                self.log.write("claim_failed", error=str(error))
+            except Exception as error:
+                # Whatever fails, the ownership must be claimed again.
+                self.log.write("claim_failed", error=f"{type(error).__name__}: {error}")
                 await asyncio.sleep(RETRY_S)
 
     async def stop(self) -> None:
@@ -269,8 +270,11 @@
                 if self.owner is not None:
                     self.owner.deposed.set()
                 return
-            except PoplarlbError as error:
-                self.log.write("renewal_failed", error=error.detail)
+            except Exception as error:
+                # Without renewals the ownership would be lost.
+                self.log.write(
+                    "renewal_failed", error=f"{type(error).__name__}: {error}"
+                )
 
     async def _renew_once(self) -> bool:
         """Renew the lease, which keeps other daemons from claiming the ownership.
