Run jobs of an unconfigured queue by its last known limits

Cause: for a queue that the configuration doesn't name the owner made one up with the code's defaults: one attempt, priority 0, no advice. Ruled out: a version with another limit (both say 3); an end counted twice (the reason says '1 times'). job_final now says whether the queue was configured, and the limit.

Change: a job's record has the limits of its queue at acceptance; when a version drops a queue, its jobs keep the last limits, in their progress records if they differ. A job without any, of an earlier version, is neither failed nor are its failed tasks started again until the limit is known.

Why it works: every decision uses limits that the operator has set for this queue, and they last over removals, takeovers and restarts.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -181,9 +181,8 @@
             case WorkerUnlisted(worker_id=worker_id):
                 self._handle_unlisted(worker_id)
             case ConfigChanged(config=config):
-                state.config = config
+                state.change_config(config)
                 self.config_known = True
-                state.capacity_changed = True
             case ConfigUnreadable():
                 self.config_known = False
             case ZonesOut(zones=zones):
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 
+import attrs
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.delays import divide_duration
@@ -101,10 +102,34 @@
         return self.workers[worker_id]
 
     def queue_of(self, job: Job) -> QueueConfig:
-        """Return the job's queue; one with default limits if it is not configured."""
-        spec = job.spec
-        found = self.config.queue(spec.queue) if self.config else None
-        return found or QueueConfig(spec.queue, "", "", spec.service, max_attempts=1)
+        """Return the job's queue, as last known if it isn't configured now.
+
+        If a limit in the configuration can't be read, all are those last known.
+        """
+        found = self.config.queue(job.spec.queue) if self.config else None
+        if found is None:
+            return job.known_queue
+        if found.fault:
+            return attrs.evolve(job.known_queue, service=found.service)
+        return found
+
+    def is_configured(self, job: Job) -> bool:
+        """Return whether the configuration in force has the job's queue."""
+        return bool(self.config and self.config.queue(job.spec.queue))
+
+    def change_config(self, config: OperatorConfig) -> None:
+        """Put a version in force; jobs keep their queues that it has no longer."""
+        former, self.config = self.config, config
+        self.capacity_changed = True
+        for job in self.jobs.values():
+            queue = former.queue(job.spec.queue) if former else None
+            after = config.queue(job.spec.queue)
+            is_kept = after is not None and not after.fault
+            if job.final or queue is None or queue.fault or is_kept:
+                continue
+            if job.known_queue != queue.limits:
+                job.last_queue = queue.limits
+                self.mark_dirty(job)
 
     def mark_dirty(self, job: Job) -> None:
         """Have a job's progress record written with the next commit."""
@@ -147,6 +172,8 @@
             objective_ms=0 if job.spec.times else objective_ms,
             delays_ms=divide_duration(job, took_ms, self.now_ms, self.owned_since_ms),
             config_version=self.config.version if self.config else 0,
+            queue_configured=self.is_configured(job),
+            max_attempts=queue.max_attempts,
             trail=[] if in_time else job.trail,
         )
         job.trail = []
@@ -156,6 +183,21 @@
         self.freed_workers[worker.worker_id] = worker
         self.capacity_changed = True
 
+    def is_exhausted(self, task: Task) -> bool:
+        """Return whether so many runs of a task have failed that its job fails.
+
+        Without a known limit none is; the task isn't started again until it is known.
+        """
+        limit = self.queue_of(task.job).max_attempts
+        if task.spec.long_running or not limit:
+            return False
+        return len(task.failed_runs) >= limit
+
+    def fail_exhausted(self, task: Task) -> None:
+        """Fail the job of a task of which as many runs have failed as may."""
+        limit = self.queue_of(task.job).max_attempts
+        self.finish(task.job, JobState.FAILED, f"{task.name} failed {limit} times")
+
     # --- tasks ------------------------------------------------------------------------
 
     def requeue(self, task: Task, reason: str) -> None:
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -227,11 +227,8 @@
         if job.final:
             return
         state.mark_dirty(job)
-        limit = state.queue_of(job).max_attempts
-        if not task.spec.long_running and len(task.failed_runs) >= limit:
-            if task.status is TaskStatus.DONE:
-                return
-            state.finish(job, JobState.FAILED, f"{task.name} failed {limit} times")
+        if task.status is not TaskStatus.DONE and state.is_exhausted(task):
+            state.fail_exhausted(task)
 
     # --- running ----------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -106,6 +106,8 @@
         """
         for task in self.isolation.list_waiting():
             queue = self.state.queue_of(task.job)
+            if not task.spec.long_running and not self._startable_again([task], queue):
+                continue
             usable = workers.setdefault(queue.service, [])
             demand = self._demand(task, queue)
             worker = self.isolation.choose(task, demand, usable)
@@ -198,6 +200,10 @@
                     for task in tasks
                     if not task.reserved_runs and task not in self.state.suspects
                 ]
+                if not spec.long_running and any(task.failed_runs for task in tasks):
+                    startable = self._startable_again(startable, queue)
+                    if job.final:
+                        return
                 waiting |= len(startable) < len(tasks)
                 if not startable:
                     continue
@@ -209,6 +215,20 @@
             self.state.unplaced.discard(job)
             self.keys.pop(job, None)
 
+    def _startable_again(self, tasks: list[Task], queue: QueueConfig) -> list[Task]:
+        """Return those tasks that may be started by the number of their failed runs.
+
+        While the limit isn't known that is none with a failed run. Once it is known, a
+        task that has reached it fails its job.
+        """
+        if not queue.max_attempts:
+            return [task for task in tasks if not task.failed_runs]
+        exhausted = next(filter(self.state.is_exhausted, tasks), None)
+        if exhausted is None:
+            return tasks
+        self.state.fail_exhausted(exhausted)
+        return []
+
     def _place_tasks(
         self, tasks: list[Task], spec: StepSpec, queue: QueueConfig
     ) -> bool:
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -144,6 +144,7 @@
         times=fields.integer("times"),
         first_utc_ms=fields.integer("startMs"),
         interval_ms=fields.integer("intervalMs"),
+        accepted_by=queue.limits,
     )
 
 
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -17,12 +17,20 @@
     JobSpec,
     JobState,
     Occurrence,
+    QueueConfig,
     StepSpec,
     Task,
     TaskStatus,
 )
 from poplarlb.state.models import Resources
 
+QUEUE_LIMITS = (
+    "priority",
+    "max_attempts",
+    "critical_path_factor",
+    "objective_ms",
+    "needs_advice",
+)
 # A task's row in the progress record is one of these or a list.
 NEVER_RUN = 0  # the task waits and has had no run
 DONE = 2  # the task is done
@@ -88,9 +96,27 @@
     """Return the record of an accepted job."""
     row = attrs.asdict(spec, recurse=False)
     row["steps"] = [encode_step(step) for step in spec.steps]
+    row["accepted_by"] = encode_queue(spec.accepted_by)
     return orjson.dumps(row)
 
 
+def encode_queue(queue: QueueConfig | None) -> dict | None:
+    """Return a queue's limits that differ from their defaults, and its service."""
+    if queue is None:
+        return None
+    limits = {
+        field.name: getattr(queue, field.name)
+        for field in attrs.fields(QueueConfig)
+        if field.name in QUEUE_LIMITS and getattr(queue, field.name) != field.default
+    }
+    return {"service": queue.service, **limits}
+
+
+def decode_queue(name: str, row: dict | None) -> QueueConfig | None:
+    """Return a queue by its limits; no request is matched by it."""
+    return None if row is None else QueueConfig(name, "", "", **row)
+
+
 def encode_step(step: StepSpec) -> dict:
     """Return a step's fields that differ from their defaults."""
     row = {
@@ -110,7 +136,8 @@
     try:
         row = orjson.loads(value)
         steps = tuple(decode_step(step) for step in row.pop("steps"))
-        return JobSpec(steps=steps, **row)
+        accepted_by = decode_queue(row["queue"], row.pop("accepted_by", None))
+        return JobSpec(steps=steps, accepted_by=accepted_by, **row)
     except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of an accepted job: {error}") from error
 
@@ -127,6 +154,8 @@
     row = {"state": job.state, "reason": job.reason, "next": job.next_occurrence}
     if job.final:
         row["final_utc_ms"] = job.final_utc_ms
+    if job.last_queue is not None:
+        row["queue"] = encode_queue(job.last_queue)
     if job.state is not JobState.DONE:
         row["occurrences"] = {
             str(number): encode_occurrence(occurrence)
@@ -203,6 +232,7 @@
             occurrence = job.open_occurrence(int(number))
             restore_occurrence(occurrence, steps)
         job.next_occurrence = row["next"]
+        job.last_queue = decode_queue(job.spec.queue, row.get("queue"))
     except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"progress record: {error}") from error
     job.stored = True
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -12,6 +12,7 @@
 from functools import cached_property
 from itertools import chain
 
+import attrs
 from attrs import Factory, define, frozen
 
 from poplarlb.state.models import Resources
@@ -94,25 +95,6 @@
         return Resources(0, self.size.memory_mb, self.size.accelerators)
 
 
-@frozen
-class JobSpec:
-    """A job as it was accepted.
-
-    With ``times`` 0 the steps run once; otherwise ``times`` occurrences run, and
-    occurrence K is due at ``first_utc_ms + K * interval_ms``.
-    """
-
-    job_id: str
-    queue: str
-    service: str
-    accepted_utc_ms: int
-    payload: str
-    steps: tuple[StepSpec, ...]
-    times: int = 0
-    first_utc_ms: int = 0
-    interval_ms: int = 0
-
-
 @frozen
 class QueueConfig:
     """A queue as the operator configured it; priority 0 is the highest.
@@ -121,8 +103,9 @@
     times ``critical_path_factor``, plus ``objective_ms``. ``host`` and ``prefix`` are
     the host and the start of the path that submitters call. ``service`` names the pool
     of workers that run its jobs. With ``needs_advice`` the advice service must permit
-    each start. ``fault`` says which of the limits can't be read and has its default;
-    empty for none. Such a queue accepts no jobs.
+    each start. ``max_attempts`` is how many runs of a task may fail; 0: not known, as
+    the queue isn't configured. ``fault`` says which of the limits can't be read and has
+    its default; empty for none. Such a queue accepts no jobs.
     """
 
     name: str
@@ -136,6 +119,32 @@
     needs_advice: bool = False
     fault: str = ""
 
+    @property
+    def limits(self) -> "QueueConfig":
+        """The queue without the host and prefix by which requests are matched."""
+        return attrs.evolve(self, host="", prefix="")
+
+
+@frozen
+class JobSpec:
+    """A job as it was accepted.
+
+    With ``times`` 0 the steps run once; otherwise ``times`` occurrences run, and
+    occurrence K is due at ``first_utc_ms + K * interval_ms``. ``accepted_by`` holds
+    the limits of its queue at that time; None in records of earlier versions.
+    """
+
+    job_id: str
+    queue: str
+    service: str
+    accepted_utc_ms: int
+    payload: str
+    steps: tuple[StepSpec, ...]
+    times: int = 0
+    first_utc_ms: int = 0
+    interval_ms: int = 0
+    accepted_by: QueueConfig | None = None
+
 
 @frozen
 class ServiceConfig:
@@ -315,6 +324,8 @@
     """A job and its progress.
 
     ``next_occurrence`` is the number of the next occurrence to be created.
+    ``last_queue`` holds the last limits of its queue if it isn't configured any more;
+    None: as at acceptance.
     """
 
     spec: JobSpec
@@ -327,6 +338,7 @@
     critical_path_ms: int = 0  # the estimated time of the steps' critical path
     trail: list[str] = Factory(list)  # this owner's decisions on the job, for the log
     crashed_tasks: list[Task] = Factory(list)  # that have or had ``crashed_runs``
+    last_queue: QueueConfig | None = None
 
     def __attrs_post_init__(self) -> None:
         """Compute the critical path, which never changes."""
@@ -342,6 +354,13 @@
         """Return how many occurrences the job has."""
         return max(self.spec.times, 1)
 
+    @property
+    def known_queue(self) -> QueueConfig:
+        """Return the queue as last known, for when it isn't configured."""
+        spec = self.spec
+        unknown = QueueConfig(spec.queue, "", "", spec.service, max_attempts=0)
+        return self.last_queue or spec.accepted_by or unknown
+
     def open_occurrence(self, number: int) -> Occurrence:
         """Create the tasks of one occurrence."""
         steps = [
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -127,6 +127,8 @@
     advice_requests: list[events.AskAdvice] = Factory(list)
     tickets: list[str] = Factory(list)  # of the starts that were carried out
     queue: QueueConfig = QUEUE
+    config: OperatorConfig | None = None  # the newest; None: the default queues
+    config_known: bool = True  # new owners know a configuration at once
     logged: list[events.LogEvent] = Factory(list)
     violations: list[str] = Factory(list)
     starts: Counter = Factory(Counter)
@@ -172,12 +174,20 @@
         self.owner = Dispatcher.take_over(
             self.policy, self.epoch, jobs, now_ms, self.lease_remainders
         )
-        self.feed(events.ConfigChanged(OperatorConfig(1, (self.queue, LOW_PRIORITY))))
+        if self.config_known:
+            config = self.config or OperatorConfig(1, (self.queue, LOW_PRIORITY))
+            self.feed(events.ConfigChanged(config))
         for listing in self.listed.values():
             self.feed(events.WorkerListed(listing))
         for job_id in self.cancels:
             self.feed(events.CancelStored(job_id))
 
+    def configure(self, *queues: QueueConfig) -> None:
+        """Write a version of the configuration with these queues."""
+        version = self.config.version + 1 if self.config else 2
+        self.config = OperatorConfig(version, queues)
+        self.feed(events.ConfigChanged(self.config))
+
     def submit(self, spec: JobSpec) -> None:
         """Store an accepted job."""
         self.jobs[spec.job_id] = spec
