Store a cancel also without a job, and create no job that it names

Cause: a cancel of a job that isn't stored only read the store, so nothing kept a write that was under way from being carried out after it. Ruled out: a cancel dropped by the owner (none was stored); the repeats for a caller that has gone (a single write that the store carries out late has the same effect). Each cancel is logged now, with known.

Change: a cancel is always written; a job is created only if neither its own key nor its cancel's exists, in one transaction, and is otherwise answered with 503 without Retry-After. The owner deletes cancels without a job after twice the retention time.

Why it works: one of the two comes first in the store. A job stored first is cancelled by the owner, a cancel stored first refuses the job, whichever daemon writes, however late.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -228,15 +228,14 @@
         state.unplaced.add(job)
         state.capacity_changed = True
         state.log("job_taken_in", job=spec.job_id, queue=spec.queue)
-        if spec.job_id in state.cancelled_early:
-            state.cancelled_early.discard(spec.job_id)
+        if state.cancelled_early.pop(spec.job_id, None) is not None:
             self._handle_cancel(spec.job_id)
 
     def _handle_cancel(self, job_id: str) -> None:
         state = self.state
         job = state.jobs.get(job_id)
         if job is None:
-            state.cancelled_early.add(job_id)
+            state.cancelled_early.setdefault(job_id, state.now_ms)
         elif not job.final:
             state.finish(job, JobState.CANCELLED, "cancelled by its submitter")
 
@@ -422,12 +421,14 @@
     def _forget_old(self) -> None:
         """Forget jobs without runs that have been final for twice their retention time.
 
-        None is forgotten while records of earlier ones wait to be deleted.
+        Also cancellations of jobs that weren't stored in that time. None is forgotten
+        while records of earlier ones wait to be deleted.
         """
         state = self.state
         if state.forgotten:
             return
-        limit_ms = state.utc_ms - 2 * state.policy.retention_ms
+        kept_ms = 2 * state.policy.retention_ms
+        limit_ms = state.utc_ms - kept_ms
         old = [
             job_id
             for job_id, job in state.jobs.items()
@@ -435,7 +436,14 @@
         ]
         for job_id in old:
             del state.jobs[job_id]
-        state.forgotten.extend(old)
+        never_stored = [
+            job_id
+            for job_id, read_ms in state.cancelled_early.items()
+            if state.now_ms - read_ms > kept_ms
+        ]
+        for job_id in never_stored:
+            del state.cancelled_early[job_id]
+        state.forgotten.extend(old + never_stored)
 
     def _has_runs(self, job: Job) -> bool:
         return next(job.reserved_runs(), None) is not None
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -29,8 +29,10 @@
     """The jobs and workers while one daemon owns the jobs.
 
     :param epoch: the number of this ownership; workers refuse calls of lower epochs.
+    :ivar cancelled_early: when cancellations of jobs not known yet were read, by id.
     :ivar dirty: the jobs whose progress records the next commit writes, by id.
-    :ivar forgotten: the ids of jobs whose records a commit is to delete.
+    :ivar forgotten: the ids of jobs whose records a commit is to delete, and of jobs
+        that were cancelled and never stored.
     :ivar to_acknowledge: by worker, its incarnation and the number of the last run end
         applied to this state; acknowledged after the next commit.
     :ivar to_start: the runs to be started after the next commit.
@@ -59,7 +61,7 @@
     jobs: dict[str, Job] = Factory(dict)
     workers: dict[str, WorkerState] = Factory(dict)
     interference: InterferenceModel = Factory(InterferenceModel)
-    cancelled_early: set[str] = Factory(set)  # ids of cancelled jobs not read yet
+    cancelled_early: dict[str, int] = Factory(dict)
     dirty: dict[str, Job] = Factory(dict)
     forgotten: list[str] = Factory(list)
     to_acknowledge: dict[str, tuple[int, int]] = Factory(dict)
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -167,10 +167,15 @@
 
 
 def response_to_write(result: WriteResult) -> HttpResponse:
-    """Return the response to a write: 503 if refused, 504 if ambiguous."""
+    """Return the response to a write: 503 if refused, 504 if ambiguous.
+
+    A job that was cancelled before is refused for good, so no retry is asked for.
+    """
     match result:
         case WriteResult.STORED:
             return HttpResponse(200)
+        case WriteResult.CANCELLED:
+            return HttpResponse(503, encode_error("the job was cancelled"))
         case WriteResult.REFUSED:
             return HttpResponse(503, retry_after_s=RETRY_AFTER_S)
     return HttpResponse(504)
--- a/poplarlb/transport/job_gateway.py
+++ b/poplarlb/transport/job_gateway.py
@@ -18,6 +18,8 @@
     StoreRefusedError,
 )
 from poplarlb.protocol.store import (
+    Applied,
+    Conflict,
     Expectation,
     Put,
     Store,
@@ -42,6 +44,7 @@
     """What is known about a write that a caller requested."""
 
     STORED = "stored"  # by this write or an earlier one
+    CANCELLED = "cancelled"  # not stored, as the job was cancelled before
     REFUSED = "refused"  # not stored, and will not be
     UNKNOWN = "unknown"  # may be stored now or later
 
@@ -65,12 +68,15 @@
     ) -> WriteResult:
         """Store an accepted job; a repeat with the same id has no effect.
 
+        A job that has been cancelled is not stored any more: the write may be repeated,
+        or carried out late, after its caller has gone and cancelled it elsewhere.
+
         :param budget_s: the time that the caller still waits.
         :param stamp: the configuration by which the job was accepted, for the log.
         """
         key = JOBS + spec.job_id
         put = Put(key, job_records.encode_job(spec))
-        result = await self._create(put, budget_s)
+        result = await self._create(put, budget_s, unless=CANCELS + spec.job_id)
         self.log.write(
             "job_accepted" if result is WriteResult.STORED else "job_not_accepted",
             job=spec.job_id,
@@ -83,14 +89,28 @@
     async def cancel(
         self, job_id: str, budget_s: float, stamp: ConfigStamp
     ) -> WriteResult | None:
-        """Store a job's cancellation; return None if there is no such job."""
-        if await self._read(JOBS + job_id) is None:
-            return None
+        """Store a job's cancellation; return None if there is no such job.
+
+        It is stored also if the job isn't: a submission may still be under way.
+        """
         result = await self._create(Put(CANCELS + job_id, b"{}"), budget_s)
+        known = result is not WriteResult.STORED or await self._is_stored(job_id)
         self.log.write(
-            "cancel_stored", job=job_id, result=result.value, **stamp.log_fields()
+            "cancel_stored",
+            job=job_id,
+            result=result.value,
+            known=known,
+            **stamp.log_fields(),
         )
-        return result
+        return result if known else None
+
+    async def _is_stored(self, job_id: str) -> bool:
+        """Return whether a job was accepted; true if the store can't be read."""
+        try:
+            return await self._read(JOBS + job_id) is not None
+        except StoreRefusedError as error:
+            self.log.write("job_unread", job=job_id, error=error.detail)
+            return True
 
     async def read_state(self, job_id: str, queue: str) -> JobState | None:
         """Return a job's state, or None if there is no such job.
@@ -175,15 +195,16 @@
         except CallUnansweredError as error:
             raise StoreRefusedError(error.detail) from error
 
-    async def _create(self, put: Put, budget_s: float) -> WriteResult:
-        """Create a key if it is absent.
+    async def _create(self, put: Put, budget_s: float, unless: str = "") -> WriteResult:
+        """Create a key if it is absent, and so is the key ``unless`` if it is given.
 
         An unanswered write may still be executed, so it is retried until an attempt
         is answered; a refusal is final only if no attempt was unanswered.
         """
         if self.store.is_down:
             return WriteResult.REFUSED
-        transaction = Transaction((Expectation(put.key, 0),), (put,))
+        absent = (put.key, unless) if unless else (put.key,)
+        transaction = Transaction(tuple(Expectation(key, 0) for key in absent), (put,))
         loop = asyncio.get_running_loop()
         margin_s = min(DEADLINE_MARGIN_S, DEADLINE_MARGIN_SHARE * budget_s)
         deadline_s = loop.time() + min(budget_s - margin_s, WRITE_BUDGET_S)
@@ -193,11 +214,17 @@
             if remaining_s <= 0:
                 return WriteResult.UNKNOWN
             try:
-                # A conflict means that this write or another has created the key.
-                await self.store.transact(
+                result = await self.store.transact(
                     transaction, min(WRITE_TIMEOUT_S, remaining_s)
                 )
-                return WriteResult.STORED
+                match result:
+                    case Applied():
+                        return WriteResult.STORED
+                    case Conflict() if result.find(put.key) is not None:
+                        return WriteResult.STORED  # by an earlier attempt or write
+                    case Conflict() if result.find(unless) is not None:
+                        return WriteResult.CANCELLED
+                self.log.write("write_repeated", key=put.key)
             except StoreRefusedError:
                 if not ambiguous:
                     return WriteResult.REFUSED
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -419,6 +419,7 @@
         for job_id in command.forgotten:
             self.records.pop(job_id, None)
             self.jobs.pop(job_id, None)
+            self.cancels.discard(job_id)
         self.feed(events.Committed(sent_ms), owner)
 
     def _advise(self, command: events.AskAdvice, owner, sent_ms: int) -> None:
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -67,6 +67,24 @@
         self.world.run(3_000)
         self.assertIs(self.world.state(JOB), JobState.DONE)
 
+    # Guards against cancellations of jobs that were never stored, which would stay in
+    # the store for good, and against one that is dropped before its job arrives.
+    def test_cancel_of_a_job_that_is_not_stored(self) -> None:
+        """It holds for a job that comes later, and is deleted after a while."""
+        late, never = "c" * 16, "d" * 16
+        self.world.cancel(late)
+        self.world.cancel(never)
+        self.world.new_owner()
+        self.world.run(500)
+        self.world.submit(make_job(late))
+        self.world.run(2_000)
+        self.assertIs(self.world.state(late), JobState.CANCELLED)
+        self.assertFalse(self.world.starts)
+        self.world.run(2 * self.world.policy.retention_ms - 3_000)
+        self.assertIn(never, self.world.cancels)
+        self.world.run(2_000)
+        self.assertNotIn(never, self.world.cancels)
+
     def test_cancel_stops_what_runs(self) -> None:
         """All runs of a cancelled job are stopped."""
         self.world.work_ms = 60_000
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -35,6 +35,20 @@
         answer = await self.system.call("GET", "/nothing/")
         self.assertEqual(answer.status, 404)
 
+    # Guards against review/5: a cancel that was acknowledged, and a job that is stored
+    # and started after it.
+    async def test_cancel_before_the_submission(self) -> None:
+        """The submission is refused at each daemon, and nothing is started."""
+        for daemon in ("d1", "d0"):
+            answer = await self.system.call("DELETE", f"/o/{ID}", daemon=daemon)
+            self.assertEqual(answer.status, 410)
+        for daemon in ("d0", "d1"):
+            answer = await self.system.call("POST", f"/o/{ID}", JOB, daemon)
+            self.assertEqual(answer.status, 503)
+        self.assertEqual(await self.system.state(ID), "410")
+        await asyncio.sleep(0.5)
+        self.assertEqual(self.system.workers.starts, [])
+
     async def test_cancel(self) -> None:
         """The runs of a cancelled job are stopped, and its state is cancelled."""
         self.system.workers.work_ms = 60_000
