Write log lines with fields that JSON can't hold

Change: such a line is written with the fields as a bounded text. The test failed before with TypeError: Integer exceeds 64-bit range.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -22,6 +22,7 @@
 ROUTINE_LINES_PER_S = 10.0  # long-run rate; operators limit a daemon to 20 in all
 FAILURE_LINES_PER_S = 6.0
 SUMMARY_PERIOD_MS = 2_000
+MAX_REPR_CHARACTERS = 1_000  # of fields that JSON can't hold
 WRITE_LINES = 200  # at most so many are joined into one write
 # Events of successes. ``job_final`` holds the trail of a job that fails or is late.
 ROUTINE_EVENTS = frozenset(
@@ -116,8 +117,13 @@
         if len(self.lines) >= BUFFER_LINES:
             self.dropped[event] += 1
             return
-        row = {"utc_ms": utc_ms, "daemon": self.daemon_id, "event": event, **fields}
-        self.lines.append(orjson.dumps(row, default=str))
+        row = {"utc_ms": utc_ms, "daemon": self.daemon_id, "event": event}
+        try:
+            line = orjson.dumps(row | fields, default=str)
+        except orjson.JSONEncodeError as error:
+            text = repr(fields)[:MAX_REPR_CHARACTERS]
+            line = orjson.dumps(row | {"not_encoded": str(error), "fields": text})
+        self.lines.append(line)
 
     def flush(self) -> None:
         """Write buffered lines until the output would block."""
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -36,6 +36,16 @@
         self.assertEqual((line["event"], line["zone"]), ("started", "kochi"))
         self.assertEqual(line["daemon"], "d1")
 
+    # Guards against a job whose log line ends the ownership: the objective of one with
+    # huge estimates has more than 64 bits.
+    def test_fields_that_json_cannot_hold(self) -> None:
+        """The line is written, with the fields as a text."""
+        self.log.write("worker_lost", objective_ms=2**64)
+        self.log.write("load", jobs={1: 2})
+        first, second = self.read()
+        self.assertIn(str(2**64), first["fields"])
+        self.assertEqual(second["event"], "load")
+
     def test_routine_lines_are_limited_and_counted(self) -> None:
         """Lines over the limit are dropped, and their number is logged."""
         for _ in range(BURST_LINES + 50):
