--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -354,6 +354,16 @@
         """Return how many occurrences the job has."""
         return max(self.spec.times, 1)
 
+    @property
+    def occurrence_tasks(self) -> int:
+        """Return the number of tasks of one occurrence."""
+        return sum(step.count for step in self.spec.steps)
+
+    @property
+    def unfinished_tasks(self) -> int:
+        """Return the number of tasks that aren't done, in all open occurrences."""
+        return sum(sum(item.unfinished) for item in self.occurrences.values())
+
     @property
     def known_queue(self) -> QueueConfig:
         """Return the queue as last known, for when it isn't configured."""
--- a/tests/coordination/jobs/test_dispatcher.py
+++ b/tests/coordination/jobs/test_dispatcher.py
@@ -253,6 +253,19 @@
         self.assertIs(self.world.state(JOB), JobState.DONE)
         self.assertEqual(self.world.starts.total(), 6)
 
+    # Guards against a job that fills the memory of every owner in turn, as all of its
+    # occurrences are due at once.
+    def test_occurrences_that_are_all_due(self) -> None:
+        """A thousand occurrences of 1,024 tasks; few are open at a time."""
+        step = StepSpec(1_024, Resources(0, 1), estimate_ms=500)
+        spec = make_job(JOB, step, times=1_000, first_utc_ms=1, interval_ms=0)
+        self.world.submit(spec)
+        self.world.run(200)
+        self.assertEqual(len(self.world.owner.state.jobs[JOB].occurrences), 4)
+        self.world.run(1_200)
+        self.assertGreater(len(self.world.owner.state.jobs[JOB].occurrences), 4)
+        self.assertLess(self.world.owner.state.jobs[JOB].unfinished_tasks, 5_000)
+
     def test_gang_begins_together_or_not_at_all(self) -> None:
         """A gang starts no member unless there is capacity for all."""
         big = Resources(16_000, 1_000)
