Show a pending job whose queue has another name now

If a version drops the route and has another one with the same prefix instead, the job was answered with 410, as if it had never been accepted (LOST).

Change: a job isn't shown through another queue only while its own is configured.

The test, with the call as it was, failed before: None is not JobState.PENDING.

--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -134,7 +134,8 @@
     async def _answer_state(self, queue: QueueConfig, name: str) -> HttpResponse:
         if not is_job_id(name):
             return HttpResponse(410)
-        state = await self.gateway.read_state(name, queue.name)
+        configured = self.config.queues_by_name
+        state = await self.gateway.read_state(name, queue.name, configured)
         if state is None:
             return HttpResponse(410)
         return HttpResponse(200, orjson.dumps({"state": state}))
--- a/poplarlb/transport/job_gateway.py
+++ b/poplarlb/transport/job_gateway.py
@@ -7,7 +7,7 @@
 import asyncio
 import enum
 from collections import Counter
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Container, Mapping
 
 from attrs import define, field
 
@@ -112,10 +112,14 @@
             self.log.write("job_unread", job=job_id, error=error.detail)
             return True
 
-    async def read_state(self, job_id: str, queue: str) -> JobState | None:
+    async def read_state(
+        self, job_id: str, queue: str, configured: Container[str]
+    ) -> JobState | None:
         """Return a job's state, or None if there is no such job.
 
-        The queue is compared only until the owner has stored the job's progress.
+        A job of another queue that is ``configured`` isn't shown until the owner has
+        stored its progress. A job whose queue isn't configured any more is shown, as
+        the queue may have another name now.
         """
         progress = await self._read(PROGRESS + job_id)
         if progress is not None:
@@ -123,7 +127,8 @@
         accepted = await self._read(JOBS + job_id)
         if accepted is None:
             return None
-        if job_records.decode_job(accepted.value).queue != queue:
+        found = job_records.decode_job(accepted.value).queue
+        if found != queue and found in configured:
             return None
         return JobState.PENDING
 
--- a/tests/transport/test_job_gateway.py
+++ b/tests/transport/test_job_gateway.py
@@ -14,7 +14,7 @@
     Transaction,
     TransactionResult,
 )
-from poplarlb.state.jobs import ConfigStamp
+from poplarlb.state.jobs import ConfigStamp, JobState
 from poplarlb.transport.job_gateway import JobGateway, WriteResult
 from poplarlb.transport.job_keys import CANCELS, JOBS
 from tests.coordination.jobs.job_world import make_job
@@ -169,5 +169,23 @@
         self.assertIs(await self.cancel(self.first), WriteResult.STORED)
 
 
+class StateTest(unittest.IsolatedAsyncioTestCase):
+    """The state of a job that the owner hasn't begun."""
+
+    # Guards against an accepted job that is unknown once its queue has another name.
+    async def test_queue_was_renamed(self) -> None:
+        """It is shown unless its own queue is still configured beside this one."""
+        log = EventLog("d0", lambda: (0, 0))
+        gateway = JobGateway(FakeStore(FakeTable()), log, lambda: 0)
+        await gateway.submit(make_job(JOB), CALLER_S, STAMP)
+        for queue, configured, state in (
+            ("orders", ("orders",), JobState.PENDING),
+            ("renamed", ("renamed",), JobState.PENDING),
+            ("patient", ("orders", "patient"), None),
+        ):
+            found = await gateway.read_state(JOB, queue, configured)
+            self.assertIs(found, state)
+
+
 if __name__ == "__main__":
     unittest.main()
