Delete a forgotten job before its progress

Change: the job goes first, and a next owner deletes progress without a job.

The test, which checks each moment between two deletes, failed with the order before.

--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -172,6 +172,7 @@
                 dispatcher.restore_learned(learned.value)
             except BadAnswerError as error:
                 log.write("record_unreadable", key=LEARNED, error=error.detail)
+        dispatcher.state.forgotten.extend(find_leftovers(stored_jobs, progress))
         owner = cls(
             store,
             workers,
@@ -340,10 +341,11 @@
             )
         if command.learned:
             puts.append(Put(LEARNED, command.learned))
+        # The job goes before its progress: without that, it would be run again.
         deletes = [
             prefix + job_id
             for job_id in command.forgotten
-            for prefix in (PROGRESS, JOBS, CANCELS)
+            for prefix in (JOBS, PROGRESS, CANCELS)
         ]
         self.committing = True
         try:
@@ -432,6 +434,16 @@
         return ()
 
 
+def find_leftovers(stored_jobs: StoredList, progress: StoredList) -> list[str]:
+    """Return the ids of jobs that an earlier owner was about to forget.
+
+    Their progress is still stored, and the job no more.
+    """
+    known = {item.key.removeprefix(JOBS) for item in stored_jobs.items}
+    ids = (item.key.removeprefix(PROGRESS) for item in progress.items)
+    return [job_id for job_id in ids if job_id not in known]
+
+
 def read_jobs(
     stored_jobs: StoredList, progress: StoredList, log: EventLog
 ) -> list[Job]:
