Keep an unknown outcome unknown when later attempts weren't run

That a later attempt wasn't run doesn't tell what became of the first.

Change: such responses are retried like any other, and OutcomeUnknownError is raised if no attempt is answered otherwise.

--- a/poplarlb/client.py
+++ b/poplarlb/client.py
@@ -126,9 +126,9 @@
 
         A call that was certainly not run is retried at the next address; if it still
         was not run after ``MAX_ROUNDS`` rounds, the last response is returned. A call
-        whose outcome is unknown is retried only if it is repeatable. From then on,
-        the first response without one of ``UNKNOWN_CODES`` is returned, even if it
-        says that the call was not run. The attempt header, if given, is incremented
+        whose outcome is unknown is retried only if it is repeatable; that a later
+        attempt was not run doesn't tell what became of it, so that is retried too.
+        The attempt header, if given, is incremented
         after each attempt that may have been dispatched.
 
         :raises BadRequestError: if there is no address.
@@ -166,7 +166,7 @@
                 ambiguous_attempts += 1
                 unknown = str(last.table().get("detail", ""))
                 continue
-            if code not in NOT_RUN_CODES or unknown:
+            if code not in NOT_RUN_CODES:
                 return last
         if unknown:
             raise OutcomeUnknownError(unknown)
