--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -108,7 +108,8 @@
 class ServerConnection(asyncio.Protocol):
     """A client's connection; requests are handled in order, one at a time.
 
-    ``task`` runs the handler; ``backlog`` holds the requests that wait for it to end.
+    ``task`` runs the handler; ``backlog`` holds the requests that wait for it to end,
+    and whether the connection is kept after each.
     ``timer`` is the running timeout.
     """
 
@@ -118,7 +119,7 @@
         self.transport = None
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.backlog: list[HttpRequest] = []
+        self.backlog: list[tuple[HttpRequest, bool]] = []
         self._begin_message()
         self.parser = httptools.HttpRequestParser(self)
 
@@ -202,7 +203,7 @@
         )
         keep_alive = self.parser.should_keep_alive()
         if self.task is not None:
-            self.backlog.append(request)
+            self.backlog.append((request, keep_alive))
             return
         self._handle(request, keep_alive)
 
@@ -227,7 +228,7 @@
         if not keep_alive:
             self.transport.close()
         elif self.backlog:
-            self._handle(self.backlog.pop(0), keep_alive)
+            self._handle(*self.backlog.pop(0))
         else:
             self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
 
