Drop done occurrences, and open no more than 256 at a time

After some 70,000 the record exceeds the store's limit of 1 MB, and no commit of the owner gets through any more. The limit of open tasks alone left 4,096 occurrences of one task open, which each round of scheduling goes through.

Change: an occurrence that is done leaves the job; earlier numbers that aren't there are done. A run of one that is listed later finds its task created anew, as for jobs that are done. At most 256 occurrences are open.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -45,9 +45,6 @@
 from poplarlb.state.job_records import LeaseRemainder
 from poplarlb.state.jobs import Job, JobSpec, JobState
 
-# Of one job, in all its occurrences; the tasks of an accepted job's only occurrence are
-# no more. Further occurrences are opened as tasks are done.
-MAX_OPEN_TASKS = 4_096
 FORGET_PER_COMMIT = 8  # jobs whose records one commit deletes, at most
 
 
@@ -408,7 +405,7 @@
             while (
                 job.next_occurrence < job.spec.times
                 and job.due_utc_ms(job.next_occurrence) <= state.utc_ms
-                and job.unfinished_tasks + job.occurrence_tasks <= MAX_OPEN_TASKS
+                and job.may_open_occurrence
             ):
                 job.open_occurrence(job.next_occurrence)
                 state.unplaced.add(job)
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -236,6 +236,8 @@
             return
         self.mark_dirty(job)
         self.unplaced.add(job)
+        if occurrence.done and job.spec.times:
+            del job.occurrences[task.occurrence]
         all_open = job.next_occurrence >= job.total_occurrences
         if all_open and all(item.done for item in job.occurrences.values()):
             self.finish(job, JobState.DONE, "every task is done")
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -137,18 +137,21 @@
     def _find_task(self, name: str) -> Task | None:
         """Return the task of a name that a worker lists, or None.
 
-        The tasks of a job that is done aren't stored. They are created again if a run
-        of one of them outlasts a takeover.
+        The tasks of a job or an occurrence that is done aren't kept. They are created
+        again if a run of one of them is listed later.
         """
         parsed = parse_task_name(name)
         job = self.state.jobs.get(parsed[0]) if parsed else None
         if job is None:
             return None
         number = parsed[1]
+        opened = job.next_occurrence if job.spec.times else 0
+        if job.state is JobState.DONE:
+            opened = job.total_occurrences
         if (
-            job.state is JobState.DONE
+            number < opened
             and number not in job.occurrences
-            and number < job.total_occurrences
+            and job.state in (JobState.ACTIVE, JobState.DONE)
         ):
             restore_occurrence(job.open_occurrence(number), None)
         return job.find_task(*parsed[1:])
@@ -197,7 +200,7 @@
                 self._stop_gang(task, row)
 
     def _finish(self, task: Task) -> None:
-        if not task.spec.gang:
+        if not task.spec.gang or task.status is TaskStatus.DONE:
             self.state.finish_task(task)
             return
         for member in task.job.occurrences[task.occurrence].steps[task.step]:
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -229,6 +229,8 @@
         job.reason = row["reason"]
         job.final_utc_ms = row.get("final_utc_ms", 0)
         for number, steps in row.get("occurrences", {}).items():
+            if steps is None and job.spec.times:
+                continue  # it is done
             occurrence = job.open_occurrence(int(number))
             restore_occurrence(occurrence, steps)
         job.next_occurrence = row["next"]
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -17,6 +17,9 @@
 
 from poplarlb.state.models import Resources
 
+# Of one job. Further occurrences that are due are opened as earlier ones are done.
+MAX_OPEN_OCCURRENCES = 256
+MAX_OPEN_TASKS = 4_096
 TASK_NUMBER = re.compile(r"[0-9]{1,9}")
 
 
@@ -323,7 +326,8 @@
 class Job:
     """A job and its progress.
 
-    ``next_occurrence`` is the number of the next occurrence to be created.
+    ``next_occurrence`` is the number of the next occurrence to be created. Of a job
+    with ``times``, earlier ones that aren't in ``occurrences`` are done.
     ``last_queue`` holds the last limits of its queue if it isn't configured any more;
     None: as at acceptance.
     """
@@ -355,9 +359,12 @@
         return max(self.spec.times, 1)
 
     @property
-    def occurrence_tasks(self) -> int:
-        """Return the number of tasks of one occurrence."""
-        return sum(step.count for step in self.spec.steps)
+    def may_open_occurrence(self) -> bool:
+        """Return whether one more occurrence may be open; one always may."""
+        if len(self.occurrences) >= MAX_OPEN_OCCURRENCES:
+            return False
+        added = sum(step.count for step in self.spec.steps)
+        return not self.occurrences or self.unfinished_tasks + added <= MAX_OPEN_TASKS
 
     @property
     def unfinished_tasks(self) -> int:
