Grant the usual lease where a longer one may last

An owner that the store has shut out renews for up to 5 s more, and the next owner waits for that and 5 s of lease, so a task could be started elsewhere while a lease at an unreachable worker lasted up to 5 s longer (TWICE).

Change: what is granted is the usual lease; what may last is kept apart from it.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -131,6 +131,7 @@
         run.times_sent += 1
         run.sent_ms = state.now_ms
         run.progress_ms = state.now_ms
+        run.lease_end_ms = worker.new_lease_end(state.policy, state.now_ms)
         job = run.task.job
         state.commands.append(
             StartRun(
@@ -139,7 +140,7 @@
                 run.task.name,
                 run.number,
                 job.spec.payload,
-                worker.new_lease_end(state.policy, state.now_ms),
+                run.lease_end_ms,
                 state.epoch,
                 run.task.checkpoint,
                 run.ticket,
@@ -199,7 +200,7 @@
                     life=worker.incarnation,
                     listed_life=worker.listing.incarnation,
                     clock_ms=worker.clock_now_ms(state.now_ms),
-                    lease_end_ms=worker.lease_end_ms,
+                    lease_end_ms=run.lease_end_ms,
                 )
                 return
             state.log_task("start_not_repeated", run.task, run.number, reason=reason)
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -35,6 +35,7 @@
     placed_ms: int
     sent_ms: int = 0  # when the start was last sent
     times_sent: int = 0
+    lease_end_ms: int = 0  # of the start last sent, on the worker's clock
     resumed: bool = False  # began from a checkpoint
     ticket: str = ""  # by which the advice service permits the start; empty: not needed
     confirmed_ms: int = 0  # when the worker confirmed the start
@@ -198,10 +199,13 @@
         return self.clock_ms + (now_ms - self.clock_at_ms)
 
     def new_lease_end(self, policy: JobPolicy, now_ms: int) -> int:
-        """Return and record the end, on the worker's clock, of a lease granted now."""
+        """Return and record the end, on the worker's clock, of a lease granted now.
+
+        It may be before that of another lease, which the worker then keeps.
+        """
         end_ms = self.clock_now_ms(now_ms) + policy.lease_ms
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
-        return self.lease_end_ms
+        return end_ms
 
     def lease_remaining_ms(self, policy: JobPolicy, now_ms: int) -> int:
         """Return how long a run may go on at most if its lease isn't renewed."""
--- a/tests/coordination/jobs/test_leases_after_restart.py
+++ b/tests/coordination/jobs/test_leases_after_restart.py
@@ -151,5 +151,40 @@
         self.assertEqual(world.violations, [])
 
 
+class GrantedLeaseTest(unittest.TestCase):
+    """No lease is granted for longer than usual, however long others may last."""
+
+    def check(self, world: JobWorld) -> None:
+        """Check the leases at all workers over the next seconds."""
+        for _ in range(100):
+            world.run(60)
+            for worker in world.workers.values():
+                if worker.runs:
+                    left_ms = worker.lease_end_ms - worker.clock_ms
+                    self.assertLessEqual(left_ms, world.policy.lease_ms)
+
+    # Guards against renewals for 10 s by an owner that was just deposed, while the next
+    # one waits 5 s for the renewals and 5 s for the lease.
+    def test_after_a_takeover(self) -> None:
+        """What an earlier owner may have granted isn't granted again."""
+        world = JobWorld(work_ms=90_000)
+        world.new_owner()
+        world.add_workers(4)
+        world.run(200)
+        world.submit(make_job(BUSY, BUSY_STEP))
+        world.run(5_000)
+        world.new_owner()
+        self.check(world)
+
+    # Guards against the same while starts to an earlier incarnation may arrive.
+    def test_after_a_restart(self) -> None:
+        """Nor is what a start by the earlier clock may have granted."""
+        world = make_world()
+        world.run(2_000)
+        worker = world.workers[world.restarted]
+        worker.lease_end_ms = worker.clock_ms + world.policy.lease_ms
+        self.check(world)
+
+
 if __name__ == "__main__":
     unittest.main()
