--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -81,7 +81,8 @@
     fenced: bool = False  # has answered a poll of this epoch, so refuses earlier ones
     clock_ms: int = 0  # the worker's clock at clock_at_ms
     clock_at_ms: int = 0
-    lease_end_ms: int = 0  # latest end of a granted lease, on the worker's clock
+    # Latest end, on the worker's clock, of a lease that was or may have been granted.
+    lease_end_ms: int = 0
     # Until then a start that was sent to an earlier incarnation may be carried out by
     # the present one, and grant a lease by the earlier one's clock.
     misdirected_until_ms: int = 0
--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -109,8 +109,7 @@
     """A client's connection; requests are handled in order, one at a time.
 
     ``task`` runs the handler; ``backlog`` holds the requests that wait for it to end,
-    and whether the connection is kept after each.
-    ``timer`` is the running timeout.
+    and whether the connection is kept after each. ``timer`` is the running timeout.
     """
 
     def __init__(self, server: HttpServer) -> None:
