Log which jobs starve, and why nothing of them is started

Each two seconds the two jobs that have starved longest are now logged, with their place in the order, the age of what is known, and at how many workers a task is refused for which reason. No decision changes; the check of a worker is one method now, which tells its reason.

--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -37,6 +37,7 @@
 # For each run of the same step already at the worker, so that few are lost with it.
 STEP_COST = 0.05
 SERVING_USE_SHARE = 0.4  # of its reservation that a serving task uses
+COUNTED_REFUSALS = frozenset(("no_capacity", "interference"))  # of best-effort tasks
 
 
 @frozen
@@ -139,6 +140,29 @@
                 self.unfit_sizes.setdefault(constraint, []).append(size)
         return ranking
 
+    def count_refusals(self, demand: Demand) -> Counter[str]:
+        """Return at how many workers a task can't be placed now, by reason."""
+        refusals = Counter()
+        for worker in self.workers.get(demand.service, ()):
+            reason, _ = self.check(worker, demand)
+            refusals[reason or "none"] += 1
+        return refusals
+
+    def check(self, worker: WorkerState, demand: Demand) -> tuple[str, float]:
+        """Return why a task can't be placed at a worker, or "" and its interference."""
+        spec = demand.spec
+        if demand.only is not None and worker.worker_id not in demand.only:
+            return "not_advised", 0.0
+        if not labels_match(worker, spec, demand.rack):
+            return "labels", 0.0
+        if not has_capacity(worker, spec):
+            return "no_capacity", 0.0
+        limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
+        interference_cost = self.interference_cost(worker, spec, limit)
+        if interference_cost == math.inf:
+            return "interference", 0.0
+        return "", interference_cost
+
     def interference_cost(
         self, worker: WorkerState, spec: StepSpec, limit: float
     ) -> float:
@@ -243,18 +267,10 @@
     def _rank(self, position: int, worker: WorkerState) -> None:
         demand = self.demand
         spec = demand.spec
-        if demand.only is not None and worker.worker_id not in demand.only:
-            return
-        if not labels_match(worker, spec, demand.rack):
-            return
-        if not has_capacity(worker, spec):
-            if spec.fills:
-                self.chooser.refused_workers["no_capacity"] += 1
-            return
-        limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
-        interference_cost = self.chooser.interference_cost(worker, spec, limit)
-        if interference_cost == math.inf:
-            self.chooser.refused_workers["interference"] += 1
+        reason, interference_cost = self.chooser.check(worker, demand)
+        if reason:
+            if spec.fills and reason in COUNTED_REFUSALS:
+                self.chooser.refused_workers[reason] += 1
             return
         self.found_capacity = True
         same_step = worker.step_runs.get(demand.step_key, 0)
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -9,6 +9,7 @@
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.coordination.jobs.isolation import Isolation
 from poplarlb.coordination.jobs.placement import Demand, WorkerChooser
+from poplarlb.coordination.jobs.starvation import StarvedJobs, list_ready
 from poplarlb.state.jobs import (
     Job,
     JobState,
@@ -37,6 +38,7 @@
     :ivar chooser: chooses from the usable workers.
     :ivar paused_chooser: chooses from the paused ones.
     :ivar isolation: chooses for tasks that may crash their worker.
+    :ivar starved_jobs: knows of which jobs nothing runs.
     :ivar next_full_round_ms: when all workers are next considered for every waiting
         task. Until then tasks that fitted nowhere are tried only at workers that
         released capacity.
@@ -48,6 +50,7 @@
     chooser: WorkerChooser = None
     paused_chooser: WorkerChooser = None
     isolation: Isolation = None
+    starved_jobs: StarvedJobs = None
     next_full_round_ms: int = 0
     keys: dict[Job, tuple] = Factory(dict)
 
@@ -59,6 +62,7 @@
         )
         self.paused_chooser = WorkerChooser(state.policy, state.interference)
         self.isolation = Isolation(state, self.chooser)
+        self.starved_jobs = StarvedJobs(state)
 
     def place_waiting(self) -> None:
         """Run one scheduling round: place every ready task that fits."""
@@ -79,8 +83,42 @@
         for job in state.unplaced:
             if job not in self.keys:
                 self.keys[job] = self.urgency_key(job)
-        for job in sorted(state.unplaced, key=self.keys.__getitem__):
+        order = sorted(state.unplaced, key=self.keys.__getitem__)
+        for job in order:
             self._place_job(job)
+        self.starved_jobs.update()
+        for job in self.starved_jobs.due_for_log():
+            self._log_starved(job, order)
+
+    def _log_starved(self, job: Job, order: list[Job]) -> None:
+        """Log why nothing of a job is started, by the state after this round."""
+        state = self.state
+        tasks = list_ready(job)
+        if not tasks:
+            return
+        queue = state.queue_of(job)
+        demand = self._demand(tasks[0], queue)
+        spec = demand.spec
+        workers = self.chooser.workers.get(queue.service, ())
+        state.log(
+            "job_starves",
+            task=tasks[0].name,
+            queue=job.spec.queue,
+            starved_ms=state.now_ms - self.starved_jobs.since_ms[job],
+            slack_ms=int(self._slack_ms(job)),
+            position=order.index(job),
+            waiting_jobs=len(order),
+            cpu=spec.size.cpu_millis,
+            memory_mb=spec.size.memory_mb,
+            image=spec.image,
+            best_effort=spec.fills,
+            suspected=tasks[0] in state.suspects,
+            usable_workers=len(workers),
+            refused_workers=self.chooser.count_refusals(demand),
+            view_age_ms=state.now_ms - max(item.answered_ms for item in workers)
+            if workers
+            else -1,
+        )
 
     def _split_workers(
         self,
@@ -127,13 +165,7 @@
         forward as its slack shrinks.
         """
         queue = self.state.queue_of(job)
-        objective_ms = objective_duration_ms(
-            job, queue.critical_path_factor, queue.objective_ms
-        )
-        due_ms = job.due_utc_ms(min(job.occurrences, default=0))
-        time_left_ms = due_ms + objective_ms - self.state.utc_ms
-        path_left_ms = remaining_path_ms(job)
-        slack_ms = time_left_ms - path_left_ms
+        slack_ms, objective_ms = self._slack_ms(job), self._objective_ms(job)
         late_slack_ms = slack_ms + (LATE_FACTOR - 1) * objective_ms
         if slack_ms >= 0:
             group, left = 0, slack_ms / max(objective_ms, 1)
@@ -175,13 +207,20 @@
 
     def is_urgent(self, job: Job) -> bool:
         """Return whether a job has used up too much of its slack to wait further."""
+        flexible_ms = self._objective_ms(job) - job.critical_path_ms
+        return self._slack_ms(job) < RELAXED_SLACK_SHARE * flexible_ms
+
+    def _objective_ms(self, job: Job) -> float:
         queue = self.state.queue_of(job)
-        objective_ms = objective_duration_ms(
+        return objective_duration_ms(
             job, queue.critical_path_factor, queue.objective_ms
         )
+
+    def _slack_ms(self, job: Job) -> float:
+        """Return how long a job can still wait and meet its objective."""
         due_ms = job.due_utc_ms(min(job.occurrences, default=0))
-        slack_ms = due_ms + objective_ms - self.state.utc_ms - remaining_path_ms(job)
-        return slack_ms < RELAXED_SLACK_SHARE * (objective_ms - job.critical_path_ms)
+        objective_ms = self._objective_ms(job)
+        return due_ms + objective_ms - self.state.utc_ms - remaining_path_ms(job)
 
     def _place_job(self, job: Job) -> None:
         queue = self.state.queue_of(job)
