Give each starved job one run while most of its service's room is free

Cause: two rules decide who waits, and neither bounds how long. Class: an admission rule without a bound on the wait.

Change: a job of which nothing has run for 1.5 s gets one run at a time, those starved longest first, while less than 60 % of its service's processors and memory are reserved. If no worker takes a best-effort task otherwise, it is placed as a last resort, where it takes least: its processors aren't counted, so that ordinary tasks are placed as if it weren't there; it is throttled as soon as its start is confirmed, to 40 % at most beside serving tasks and before all other runs; a worker gets one such start in 250 ms; and a throttle below 30 % ends it after 10 s instead of 0.8 s. While serving tasks reserve more of the room all is as before.

Why it works: the wait for a run ends by the job's own waiting, whatever the model of interference or the order say; and what may do harm is throttled before a measurement shows it.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -93,7 +93,8 @@
             )
             if confirmed and may_renew(state, worker):
                 lease_end_ms = worker.new_lease_end(policy, state.now_ms)
-            watched = worker.serving_runs and worker.best_effort_cpu
+            filled = worker.best_effort_cpu or worker.last_resort_runs
+            watched = worker.serving_runs and filled
             watched = watched or worker.held_for or worker.isolated_run
             wait_ms = policy.watched_poll_wait_ms if watched else policy.poll_wait_ms
             if worker.applied_end > worker.stored_end:
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -202,12 +202,13 @@
         self.throttler.update(worker)
 
     def _handle_start_answered(self, event: StartAnswered) -> None:
-        if event.outcome is CallOutcome.NO_TICKET:
-            worker = self.state.worker(event.worker_id)
-            run = worker.runs.get((event.task, event.run))
-            if run is not None:
-                self.advice.drop(run.task.step_key, event.worker_id)
+        worker = self.state.worker(event.worker_id)
+        run = worker.runs.get((event.task, event.run))
+        if event.outcome is CallOutcome.NO_TICKET and run is not None:
+            self.advice.drop(run.task.step_key, event.worker_id)
         self.calls.on_start_answered(event)
+        if event.outcome is CallOutcome.DONE and run is not None and run.last_resort:
+            self.throttler.limit_new(worker)
 
     def _handle_throttle_answered(self, event: ThrottleAnswered) -> None:
         if event.outcome is CallOutcome.OLD_EPOCH:
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -37,6 +37,8 @@
     times_sent: int = 0
     lease_end_ms: int = 0  # of the start last sent, on the worker's clock
     resumed: bool = False  # began from a checkpoint
+    # A best-effort run placed where it may interfere, as its job has starved.
+    last_resort: bool = False
     ticket: str = ""  # by which the advice service permits the start; empty: not needed
     confirmed_ms: int = 0  # when the worker confirmed the start
     stopping: str = ""  # why it is to be stopped; empty: it is not
@@ -95,13 +97,16 @@
     runs: dict[tuple[str, int], Run] = Factory(dict)
     reserved: Resources = Resources()
     throttled_ms: int = 0  # when the throttles of its best-effort runs were last set
-    # Thousandths of a processor that best-effort runs would use if not throttled.
+    # Thousandths of a processor that best-effort runs would use if not throttled; those
+    # placed as a last resort don't count, as they make way for all others.
     best_effort_cpu: int = 0
+    last_resort_runs: int = 0
+    last_resort_ms: int = 0  # when one was last placed; 0: never
     serving_runs: int = 0  # runs that have a target
     serving_cpu: int = 0  # thousandths of a processor that these runs reserve
     # Numbers of runs by step; the image of each step with serving runs; by image,
     # thousandths of a processor that best-effort runs would use if not throttled, and
-    # numbers of best-effort runs.
+    # numbers of best-effort runs, both without those placed as a last resort.
     step_runs: dict[tuple[str, int, int], int] = Factory(dict)
     serving_steps: dict[tuple[str, int, int], str] = Factory(dict)
     best_effort_images: dict[str, int] = Factory(dict)
@@ -129,7 +134,10 @@
         self.reserved = self.reserved.plus(spec.reserved)
         self.step_runs[step] = self.step_runs.get(step, 0) + 1
         cpu_millis = spec.size.cpu_millis
-        if spec.fills:
+        if run.last_resort:
+            self.last_resort_runs += 1
+            self.last_resort_ms = run.placed_ms
+        elif spec.fills:
             self.best_effort_cpu += cpu_millis
             used = self.best_effort_images.get(spec.image, 0)
             self.best_effort_images[spec.image] = used + cpu_millis
@@ -153,7 +161,9 @@
         if remaining:
             self.step_runs[step] = remaining
         cpu_millis = spec.size.cpu_millis
-        if spec.fills:
+        if run.last_resort:
+            self.last_resort_runs -= 1
+        elif spec.fills:
             self.best_effort_cpu -= cpu_millis
             self.best_effort_images[spec.image] -= cpu_millis
             self.best_effort_runs[spec.image] -= 1
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -37,6 +37,8 @@
 # For each run of the same step already at the worker, so that few are lost with it.
 STEP_COST = 0.05
 SERVING_USE_SHARE = 0.4  # of its reservation that a serving task uses
+# Between starts as a last resort at a worker, until the throttle of each is in force.
+LAST_RESORT_PAUSE_MS = 250
 COUNTED_REFUSALS = frozenset(("no_capacity", "interference"))  # of best-effort tasks
 
 
@@ -48,6 +50,8 @@
     :param rack: the label of the rack in which the tasks must run; empty: any.
     :param urgent: the step's job has no time to wait for a better worker.
     :param only: the workers that may run the tasks; None: all may.
+    :param last_resort: the tasks may interfere with serving tasks, as they have waited
+        as long as they may; their runs are throttled from the start.
     """
 
     spec: StepSpec
@@ -56,6 +60,7 @@
     rack: str = ""
     urgent: bool = True
     only: Container[str] | None = None
+    last_resort: bool = False
 
     @property
     def constraint(self) -> tuple:
@@ -67,6 +72,7 @@
             self.rack,
             spec.fills and spec.image,
             self.urgent,
+            self.last_resort,
         )
 
 
@@ -155,29 +161,53 @@
             return "not_advised", 0.0
         if not labels_match(worker, spec, demand.rack):
             return "labels", 0.0
-        if not has_capacity(worker, spec):
+        if not has_capacity(worker, spec, demand.last_resort):
             return "no_capacity", 0.0
-        limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
-        interference_cost = self.interference_cost(worker, spec, limit)
+        if demand.last_resort and (
+            worker.last_resort_ms
+            and self.now_ms - worker.last_resort_ms < LAST_RESORT_PAUSE_MS
+        ):
+            return "last_resort_pause", 0.0
+        interference_cost = self.interference_cost(worker, demand)
         if interference_cost == math.inf:
             return "interference", 0.0
         return "", interference_cost
 
-    def interference_cost(
-        self, worker: WorkerState, spec: StepSpec, limit: float
-    ) -> float:
+    def interference_cost(self, worker: WorkerState, demand: Demand) -> float:
         """Return the cost of a task's interference with the others at a worker.
 
         For a serving task it is what the best-effort tasks there take off its margin,
         for a best-effort task the largest part of a serving task's headroom that it
-        takes itself. Infinite if it would bring a margin below ``limit``.
+        takes itself. Infinite if it would bring a margin below its limit.
         """
+        spec = demand.spec
         if spec.target_ms:
             return self.model.interference(spec.image, worker.best_effort_mix())
+        if demand.last_resort:
+            return worker.last_resort_runs + self._missing_headroom(worker, spec)
         if not spec.fills or not worker.serving_runs:
             return 0.0
+        limit = MARGIN_LIMIT if demand.urgent else RELAXED_MARGIN_LIMIT
         return self._taken_headroom(worker, spec, limit)
 
+    def _missing_headroom(self, worker: WorkerState, spec: StepSpec) -> float:
+        """Return how far a new task would bring a margin below ``MAX_MARGIN``.
+
+        As a share of that; 0 without serving tasks.
+        """
+        share = spec.size.cpu_millis / max(worker.listing.capacity.cpu_millis, 1)
+        missing = (
+            MAX_MARGIN - margin + share * self.model.slope(image, spec.image)
+            for image, (margin, _) in self._known_margins(worker).items()
+        )
+        return max(missing, default=0.0) / MAX_MARGIN
+
+    def _known_margins(self, worker: WorkerState) -> dict[str, tuple[float, float]]:
+        margins = self.margins.get(worker.worker_id)
+        if margins is None:
+            margins = self.margins[worker.worker_id] = self._margins(worker)
+        return margins
+
     def _taken_headroom(
         self, worker: WorkerState, spec: StepSpec, limit: float
     ) -> float:
@@ -186,9 +216,7 @@
         The headroom is how far the margin is above 1. Serving tasks that the new task
         hardly interferes with don't count, however low their margin is.
         """
-        margins = self.margins.get(worker.worker_id)
-        if margins is None:
-            margins = self.margins[worker.worker_id] = self._margins(worker)
+        margins = self._known_margins(worker)
         capacity = max(worker.listing.capacity.cpu_millis, 1)
         share = spec.size.cpu_millis / capacity
         used = worker.best_effort_images.get(spec.image, 0) / capacity
@@ -294,10 +322,13 @@
     return not rack or rack in labels
 
 
-def has_capacity(worker: WorkerState, spec: StepSpec) -> bool:
+def has_capacity(
+    worker: WorkerState, spec: StepSpec, last_resort: bool = False
+) -> bool:
     """Return whether one more task of a step fits in a worker's free capacity.
 
-    A best-effort task also needs processors that the other tasks leave unused.
+    A best-effort task also needs processors that the other tasks leave unused. As a
+    last resort it shares them with other best-effort tasks.
     """
     size, reserved, capacity = spec.size, worker.reserved, worker.listing.capacity
     if size.memory_mb + reserved.memory_mb > capacity.memory_mb:
@@ -306,6 +337,8 @@
         return False
     if not spec.fills:
         return size.cpu_millis + reserved.cpu_millis <= capacity.cpu_millis
+    if last_resort:
+        return True
     used = reserved.cpu_millis - int(worker.serving_cpu * (1 - SERVING_USE_SHARE))
     unused = capacity.cpu_millis - used - worker.best_effort_cpu
     return reserved.cpu_millis <= capacity.cpu_millis and unused >= size.cpu_millis
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -2,6 +2,7 @@
 
 from itertools import chain
 
+import attrs
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.advice import TicketCache
@@ -77,6 +78,7 @@
             self.keys.clear()
             self.chooser.begin_round(workers, state.now_ms)
             self.advice.request_missing(workers)
+            self._place_starved()
         else:
             self.chooser.begin_round(workers, state.now_ms, state.freed_workers)
         self.paused_chooser.begin_round(paused_workers, state.now_ms)
@@ -154,6 +156,40 @@
                 self.isolation.begin(worker, run)
                 self._commit_start(run)
 
+    def _place_starved(self) -> None:
+        """Start one task of each job that has starved as long as it may."""
+        for job in self.starved_jobs.list_due():
+            queue = self.state.queue_of(job)
+            task = next(filter(self._may_start_alone, list_ready(job)), None)
+            if task is None or not self._startable_again([task], queue):
+                continue
+            demand = self._demand(task, queue)
+            worker = self.chooser.rank(demand).take()
+            if worker is None and task.spec.fills:
+                demand = attrs.evolve(demand, last_resort=True)
+                worker = self.chooser.rank(demand).take()
+            if worker is None:
+                continue
+            run = self._reserve(task, worker, demand)
+            self.chooser.margins.pop(worker.worker_id, None)
+            self._commit_start(run)
+            self.state.log_task(
+                "starved_job_placed",
+                task,
+                task.run,
+                starved_ms=self.state.now_ms - self.starved_jobs.since_ms[job],
+                last_resort=demand.last_resort,
+            )
+
+    def _may_start_alone(self, task: Task) -> bool:
+        """Return whether a waiting task may be started without others of its step."""
+        return not (
+            task.spec.gang
+            or task.spec.long_running
+            or task.reserved_runs
+            or task in self.state.suspects
+        )
+
     def urgency_key(self, job: Job) -> tuple:
         """Return a job's sort key; the most urgent job sorts first.
 
@@ -333,6 +369,7 @@
             self.state.now_ms,
         )
         run.resumed = bool(task.checkpoint)
+        run.last_resort = demand.last_resort
         if demand.only is not None:
             run.ticket = demand.only[worker.worker_id].text
         worker.add(run)
--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -1,11 +1,25 @@
-"""Finds starved jobs: nothing of them runs, though a task's turn has come."""
+"""Finds starved jobs: nothing of them runs, though a task's turn has come.
+
+The order of jobs puts late and large ones behind all others, and best-effort tasks
+aren't placed where they may interfere with serving tasks. Neither bounds how long a job
+waits. While most of a service's room is not reserved, each starved job therefore gets
+one run at a time, at whichever worker can take it; a run that may interfere is
+throttled from its start.
+"""
+
+from collections import defaultdict
 
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.state.jobs import Job, Task, TaskStatus
+from poplarlb.state.models import Resources
 
 CHECK_PERIOD_MS = 500
+# Half of the wait allowed while most of the room is free, so that the next run begins
+# in time.
+MAX_STARVED_MS = 1_500
+FREE_SERVICE_SHARE = 0.6  # a service with less of its room reserved is mostly free
 LOG_PERIOD_MS = 2_000
 LOGGED_JOBS = 2  # in each period, those that have starved longest
 LOGGED_FROM_MS = 3_000  # without a run
@@ -15,11 +29,16 @@
 class StarvedJobs:
     """Knows since when nothing runs of each job that waits.
 
+    Runs that were placed as a last resort don't count, so that the next one follows at
+    once.
+
     :ivar since_ms: by job, when that was first seen.
+    :ivar free_services: the services of which most room is not reserved.
     """
 
     state: DispatcherState
     since_ms: dict[Job, int] = Factory(dict)
+    free_services: set[str] = Factory(set)
     next_check_ms: int = 0
     next_log_ms: int = 0
 
@@ -32,8 +51,22 @@
         self.since_ms = {
             job: self.since_ms.get(job, now_ms)
             for job in self.state.unplaced
-            if next(job.reserved_runs(), None) is None and list_ready(job)
+            if all(run.last_resort for run in job.reserved_runs()) and list_ready(job)
         }
+        if self.since_ms:
+            self.free_services = self._find_free_services()
+
+    def list_due(self) -> list[Job]:
+        """Return the jobs that must get a run now, those starved longest first."""
+        state = self.state
+        due = [
+            job
+            for job, since_ms in self.since_ms.items()
+            if state.now_ms - since_ms >= MAX_STARVED_MS
+            and is_idle(job)
+            and state.queue_of(job).service in self.free_services
+        ]
+        return sorted(due, key=self.since_ms.get)
 
     def due_for_log(self) -> list[Job]:
         """Return once per period the jobs that have starved longest."""
@@ -44,16 +77,39 @@
         long_starved = [
             job
             for job, since_ms in self.since_ms.items()
-            if now_ms - since_ms >= LOGGED_FROM_MS and not job.final
+            if now_ms - since_ms >= LOGGED_FROM_MS and is_idle(job)
         ]
         return sorted(long_starved, key=self.since_ms.get)[:LOGGED_JOBS]
 
+    def _find_free_services(self) -> set[str]:
+        """Return the services of which most room is not reserved."""
+        reserved: dict[str, Resources] = defaultdict(Resources)
+        capacity: dict[str, Resources] = defaultdict(Resources)
+        for worker in self.state.workers.values():
+            if worker.is_reachable:
+                service = worker.listing.service
+                reserved[service] = reserved[service].plus(worker.reserved)
+                capacity[service] = capacity[service].plus(worker.listing.capacity)
+        return {
+            service
+            for service, total in capacity.items()
+            if reserved[service].cpu_millis < FREE_SERVICE_SHARE * total.cpu_millis
+            and reserved[service].memory_mb < FREE_SERVICE_SHARE * total.memory_mb
+        }
+
+
+def is_idle(job: Job) -> bool:
+    """Return whether a job isn't final and nothing of it runs."""
+    return not job.final and next(job.reserved_runs(), None) is None
+
 
 def list_ready(job: Job) -> list[Task]:
-    """Return the waiting tasks of the first step of a job whose turn has come."""
-    for occurrence in job.occurrences.values():
-        for step, spec in enumerate(job.spec.steps):
-            if occurrence.is_ready(step, spec):
-                tasks = occurrence.steps[step]
-                return [task for task in tasks if task.status is TaskStatus.WAITING]
-    return []
+    """Return the waiting tasks of a job whose turn has come."""
+    return [
+        task
+        for occurrence in job.occurrences.values()
+        for step, spec in enumerate(job.spec.steps)
+        if occurrence.is_ready(step, spec)
+        for task in occurrence.steps[step]
+        if task.status is TaskStatus.WAITING
+    ]
--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -27,6 +27,11 @@
 LOW_THROTTLE_PERCENT = 30
 # A run throttled below LOW_THROTTLE_PERCENT for longer is stopped, to run elsewhere.
 LOW_THROTTLE_MS = 800
+# The most for a run placed as a last resort beside serving tasks, so that it leaves
+# headroom to others.
+LAST_RESORT_PERCENT = 40
+# LOW_THROTTLE_MS for a run placed as a last resort, which other workers refuse as well.
+LAST_RESORT_LOW_THROTTLE_MS = 10_000
 # A run that takes no more off a serving task's margin isn't throttled for it.
 NEGLIGIBLE_INTERFERENCE = 0.09
 MEASUREMENT_MS = 500  # measurements cover half a second
@@ -48,18 +53,7 @@
         if not worker.serving_runs:
             self._lift_throttles(worker)
             return
-        serving = [
-            run
-            for run in worker.runs.values()
-            if run.task.spec.target_ms
-            and self._is_measured(run)
-            and run.measurement > 0
-        ]
-        best_effort = [
-            run
-            for run in worker.runs.values()
-            if run.task.spec.fills and run.phase is RunPhase.RUNNING
-        ]
+        serving, best_effort = self._list_runs(worker)
         mix = self._recent_mix(worker, best_effort)
         self._learn(serving, mix)
         if (
@@ -69,6 +63,27 @@
             worker.throttled_ms = self.state.now_ms
             self._set_throttles(worker, serving, best_effort, mix)
 
+    def limit_new(self, worker: WorkerState) -> None:
+        """Set the throttles as soon as a run has begun that may interfere."""
+        serving, best_effort = self._list_runs(worker)
+        mix = self._recent_mix(worker, best_effort)
+        self._set_throttles(worker, serving, best_effort, mix)
+
+    def _list_runs(self, worker: WorkerState) -> tuple[list[Run], list[Run]]:
+        """Return the measured serving runs and the best-effort runs of a worker."""
+        runs = worker.runs.values()
+        serving = [
+            run
+            for run in runs
+            if run.task.spec.target_ms
+            and self._is_measured(run)
+            and run.measurement > 0
+        ]
+        best_effort = [
+            run for run in runs if run.task.spec.fills and run.phase is RunPhase.RUNNING
+        ]
+        return serving, best_effort
+
     def _is_measured(self, run: Run) -> bool:
         age_ms = self.state.now_ms - run.confirmed_ms
         return run.phase is RunPhase.RUNNING and age_ms >= MEASUREMENT_MS
@@ -126,7 +141,9 @@
         capacity = max(worker.listing.capacity.cpu_millis, 1)
         shares = {run: run.task.spec.size.cpu_millis / capacity for run in best_effort}
         for run in best_effort:
-            run.wanted_throttle_percent = UNTHROTTLED_PERCENT
+            run.wanted_throttle_percent = (
+                LAST_RESORT_PERCENT if run.last_resort else UNTHROTTLED_PERCENT
+            )
         for other in serving:
             spec = other.task.spec
             interference = {
@@ -149,7 +166,12 @@
                 own = min(own, measured + model.interference(spec.image, mix))
             excess = MARGIN_GOAL - own + unthrottled
             # Those that interfere most are throttled first, so least work is lost.
-            for run in sorted(interference, key=interference.get, reverse=True):
+            order = sorted(
+                interference,
+                key=lambda run: (run.last_resort, interference[run]),
+                reverse=True,
+            )
+            for run in order:
                 added = interference[run]
                 if excess <= 0 or added <= NEGLIGIBLE_INTERFERENCE:
                     break
@@ -190,10 +212,8 @@
         run.task.throttled_ms += THROTTLE_PERIOD_MS * lost_percent / UNTHROTTLED_PERCENT
         if run.stopping:
             return
-        if (
-            run.low_throttle_since_ms
-            and now_ms - run.low_throttle_since_ms > LOW_THROTTLE_MS
-        ):
+        limit_ms = LAST_RESORT_LOW_THROTTLE_MS if run.last_resort else LOW_THROTTLE_MS
+        if run.low_throttle_since_ms and now_ms - run.low_throttle_since_ms > limit_ms:
             self.state.stop(run, "harms a serving task")
         elif run.throttle_percent != run.sent_throttle_percent:
             self._send(worker, run)
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -57,7 +57,8 @@
     ``acknowledged_ends`` holds ends as done that were acknowledged,
     ``ends_at_lease_expiry`` ends that were listed while the lease ended;
     ``failed_tasks`` are the tasks of which a run ended as failed. A worker that
-    has been ``replaced`` by one with another id doesn't come back.
+    has been ``replaced`` by one with another id doesn't come back. ``measurements`` are
+    those that it lists, by task.
     """
 
     worker_id: str
@@ -84,6 +85,7 @@
     crashes: list[Crash] = Factory(list)
     address: str = ""
     replaced: bool = False
+    measurements: dict[str, float] = Factory(dict)
 
     def __attrs_post_init__(self) -> None:
         """Set the address unless it is given."""
@@ -219,7 +221,13 @@
                 row for row in self.ends if row.number > command.acknowledged_end
             ]
         running = tuple(
-            RunningRow(run.task, run.number, f"s{run.number}", run.percent)
+            RunningRow(
+                run.task,
+                run.number,
+                f"s{run.number}",
+                run.percent,
+                self.measurements.get(run.task, 0.0),
+            )
             for run in self.runs.values()
         )
         return running, tuple(self.ends)
