Don't count an error for the job of the event before it

Callers would see a job that is in order charged with another job's error, and after two such errors set aside as failed, while the bad job ended one ownership more for each.

Cause: an error is counted for the job of the innermost function that was called with a job; only without any does a variable count. feed() and handle() are called with the event, and handle() then decides about all jobs. So an error in a function that has its job in a variable only was counted for the job of the event (JobStored, StartAnswered and others).

Change: an event counts only as a variable. A job, a part of one, a row or a command counts as an argument as before.

Why it works: a function that handles an event is inside handle(), so without anything more specific the event still names the job; in a decision after it the job at hand is in a variable further inside. Ruled out: variables and arguments alike, the innermost function first (a loop over a worker's runs inside a placement would name the wrong job).

--- a/poplarlb/coordination/jobs/bad_jobs.py
+++ b/poplarlb/coordination/jobs/bad_jobs.py
@@ -17,19 +17,29 @@
 from poplarlb.state.jobs import Job, JobSpec, Task, parse_task_name
 
 MAX_ERRORS = 2  # a job with so many is set aside
+EVENTS = (  # those about one job
+    events.JobStored,
+    events.CancelStored,
+    events.StartAnswered,
+    events.StopAnswered,
+    events.ThrottleAnswered,
+    events.AdviceAnswered,
+)
 
 
 def find_job_id(error: BaseException) -> str:
     """Return the id of the job that was being handled; empty if that isn't known.
 
     The innermost function counts that was called with a job, or with a part of one;
-    without any the innermost one that has one in a variable.
+    without any the innermost one that has one in a variable. An event counts only as a
+    variable: decisions about all jobs are made by functions that are called with it.
     """
     frames = list(_frames(error.__traceback__))[::-1]
-    for names in (_argument_names, _variable_names):
+    for names, ignored in ((_argument_names, EVENTS), (_variable_names, ())):
         for frame in frames:
             for name in names(frame):
-                job_id = _job_id_of(frame.f_locals.get(name))
+                value = frame.f_locals.get(name)
+                job_id = "" if isinstance(value, ignored) else _job_id_of(value)
                 if job_id:
                     return job_id
     return ""
--- a/tests/coordination/jobs/test_bad_jobs.py
+++ b/tests/coordination/jobs/test_bad_jobs.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections import Counter
+from unittest import mock
 
 from poplarlb.coordination.jobs.bad_jobs import (
     MAX_ERRORS,
@@ -10,8 +11,19 @@
     find_job_id,
 )
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
-from poplarlb.coordination.jobs.events import EndedRow
+from poplarlb.coordination.jobs.events import (
+    AdviceAnswered,
+    CallOutcome,
+    CancelStored,
+    EndedRow,
+    Event,
+    JobStored,
+    StartAnswered,
+    StopAnswered,
+    ThrottleAnswered,
+)
 from poplarlb.coordination.jobs.policy import JobPolicy
+from poplarlb.coordination.jobs.schedule import Scheduler
 from poplarlb.exceptions import BadAnswerError
 from poplarlb.state import job_records
 from poplarlb.state.jobs import Job, JobState, RunEnd
@@ -43,6 +55,29 @@
         handle_row(row)
 
 
+def decide(event: Event, jobs: list[Job]) -> None:
+    """Fail in a decision about all jobs that follows an event."""
+    loop_over(jobs)
+
+
+def fail_after(event: Event) -> None:
+    """Fail after an event with nothing else that names a job."""
+    fail_with()
+
+
+def events_about(job_id: str) -> tuple[Event, ...]:
+    """Return an event of each kind that names one job."""
+    task, done = f"{job_id}.0.0.0", CallOutcome.DONE
+    return (
+        JobStored(make_job(job_id)),
+        CancelStored(job_id),
+        StartAnswered("w0", task, 1, 0, done),
+        StopAnswered("w0", task, 1, 0, done),
+        ThrottleAnswered("w0", task, 1, 50, done),
+        AdviceAnswered((job_id, 0, 0), ("w0",), 0),
+    )
+
+
 def caught(function, *arguments) -> BaseException:
     """Return the error that a call raises."""
     try:
@@ -66,6 +101,34 @@
         self.assertEqual(find_job_id(caught(pass_on, other, [row])), BAD)
         self.assertEqual(find_job_id(caught(fail_with)), "")
 
+    # Guards against a job that fails because its events precede another's errors, while
+    # that one ends every ownership.
+    def test_decision_after_an_event(self) -> None:
+        """The job being decided about, not that of the event; else the event's."""
+        bad = Job(make_job(BAD))
+        for event in events_about(OTHER):
+            with self.subTest(event=type(event).__name__):
+                self.assertEqual(find_job_id(caught(decide, event, [bad])), BAD)
+                self.assertEqual(find_job_id(caught(fail_after, event)), OTHER)
+
+    def test_placement_when_another_job_arrives(self) -> None:
+        """A placement that fails names its job, whichever event preceded it."""
+        world = JobWorld()
+        world.new_owner()
+        world.add_workers(2)
+        world.run(200)
+        original = Scheduler._place_job
+
+        def place(*arguments) -> None:
+            if arguments[1].spec.job_id == BAD:
+                fail_with()
+            original(*arguments)
+
+        with mock.patch.object(Scheduler, "_place_job", place):
+            for job_id in (BAD, OTHER):
+                error = caught(world.feed, JobStored(make_job(job_id)))
+                self.assertEqual(find_job_id(error), BAD)
+
     def test_record(self) -> None:
         """It is read as written; a malformed one raises the product's error."""
         errors = Counter({BAD: 2, OTHER: 1})
