Let starved jobs take turns

Cause: jobs got their runs in the order in which they had begun to starve, and a run placed as a last resort doesn't end that. With more starved jobs than a worker's pause between such starts allows in a second, the first ones got every start again and again.

Change: those come first of which nothing at all has run for longest.

--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -29,15 +29,15 @@
 class StarvedJobs:
     """Knows since when nothing runs of each job that waits.
 
-    Runs that were placed as a last resort don't count, so that the next one follows at
-    once.
-
-    :ivar since_ms: by job, when that was first seen.
+    :ivar since_ms: by job, when that was first seen. Runs that were placed as a last
+        resort don't count, so that the next one follows at once.
+    :ivar idle_since_ms: the same, with those runs.
     :ivar free_services: the services of which most room is not reserved.
     """
 
     state: DispatcherState
     since_ms: dict[Job, int] = Factory(dict)
+    idle_since_ms: dict[Job, int] = Factory(dict)
     free_services: set[str] = Factory(set)
     next_check_ms: int = 0
     next_log_ms: int = 0
@@ -57,16 +57,20 @@
             self.free_services = self._find_free_services()
 
     def list_due(self) -> list[Job]:
-        """Return the jobs that must get a run now, those starved longest first."""
+        """Return the jobs that must get a run now, those idle longest first."""
         state = self.state
+        self.idle_since_ms = {
+            job: self.idle_since_ms.get(job, state.now_ms)
+            for job in self.since_ms
+            if is_idle(job)
+        }
         due = [
             job
-            for job, since_ms in self.since_ms.items()
-            if state.now_ms - since_ms >= MAX_STARVED_MS
-            and is_idle(job)
+            for job in self.idle_since_ms
+            if state.now_ms - self.since_ms[job] >= MAX_STARVED_MS
             and state.queue_of(job).service in self.free_services
         ]
-        return sorted(due, key=self.since_ms.get)
+        return sorted(due, key=self.idle_since_ms.get)
 
     def due_for_log(self) -> list[Job]:
         """Return once per period the jobs that have starved longest."""
--- a/tests/coordination/jobs/test_starved_jobs.py
+++ b/tests/coordination/jobs/test_starved_jobs.py
@@ -16,6 +16,7 @@
 MAX_WAIT_MS = 3_000  # without a run while most room is free, by the users' rules
 TARGET_MS = 40
 LONG_AGO_MS = 100_000
+STARVED_JOBS = 30  # twice as many as start in a second at all workers
 SERVING = "5" * 16
 STARVED = "b" * 16
 STEEP_SLOPE = 12.0  # two processors of 16 take 1.5 off a margin
@@ -111,6 +112,25 @@
         self.assertEqual(str(self.world.state(STARVED)), "done")
         self.assertLess(longest_idle_ms, MAX_WAIT_MS)
 
+    def test_many_starved_jobs_take_turns(self) -> None:
+        """Guards against starved jobs that go behind those that starved before them."""
+        self.learn_steep_slope()
+        self.world.work_ms = 100
+        jobs = [f"{number:016x}" for number in range(STARVED_JOBS)]
+        for job_id in jobs:
+            self.world.submit(best_effort_job(job_id, 20, 2_000))
+            self.world.run(20)
+        self.world.run(MAX_WAIT_MS)
+        last_run_ms = dict.fromkeys(jobs, self.world.now_ms)
+        longest_ms = 0
+        for _ in range(400):
+            self.world.run(20)
+            for job_id in jobs:
+                if self.count_runs(job_id):
+                    last_run_ms[job_id] = self.world.now_ms
+                longest_ms = max(longest_ms, self.world.now_ms - last_run_ms[job_id])
+        self.assertLess(longest_ms, MAX_WAIT_MS)
+
     def test_interfering_run_is_throttled_at_once(self) -> None:
         """Guards against a run that harms serving tasks until the next measurement."""
         self.learn_steep_slope()
