--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -106,7 +106,7 @@
             "job_starves",
             task=tasks[0].name,
             queue=job.spec.queue,
-            starved_ms=state.now_ms - self.starved_jobs.since_ms[job],
+            idle_ms=state.now_ms - self.starved_jobs.idle_since_ms[job],
             slack_ms=int(self._slack_ms(job)),
             position=order.index(job),
             waiting_jobs=len(order),
@@ -177,7 +177,7 @@
                 "starved_job_placed",
                 task,
                 task.run,
-                starved_ms=self.state.now_ms - self.starved_jobs.since_ms[job],
+                idle_ms=self.state.now_ms - self.starved_jobs.idle_since_ms[job],
                 last_resort=demand.last_resort,
             )
 
--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -21,7 +21,7 @@
 MAX_STARVED_MS = 1_500
 FREE_SERVICE_SHARE = 0.6  # a service with less of its room reserved is mostly free
 LOG_PERIOD_MS = 2_000
-LOGGED_JOBS = 2  # in each period, those that have starved longest
+LOGGED_JOBS = 2  # in each period, those that have been idle longest
 LOGGED_FROM_MS = 3_000  # without a run
 
 
@@ -73,17 +73,17 @@
         return sorted(due, key=self.idle_since_ms.get)
 
     def due_for_log(self) -> list[Job]:
-        """Return once per period the jobs that have starved longest."""
+        """Return once per period the jobs that have been idle longest."""
         now_ms = self.state.now_ms
         if now_ms < self.next_log_ms:
             return []
         self.next_log_ms = now_ms + LOG_PERIOD_MS
-        long_starved = [
+        long_idle = [
             job
-            for job, since_ms in self.since_ms.items()
+            for job, since_ms in self.idle_since_ms.items()
             if now_ms - since_ms >= LOGGED_FROM_MS and is_idle(job)
         ]
-        return sorted(long_starved, key=self.since_ms.get)[:LOGGED_JOBS]
+        return sorted(long_idle, key=self.idle_since_ms.get)[:LOGGED_JOBS]
 
     def _find_free_services(self) -> set[str]:
         """Return the services of which most room is not reserved."""
