Throttle harmful runs behind a harmless last resort

Cause: runs placed as a last resort are throttled first, and the loop over the runs ended at the first one that hardly interferes, which was the last of all only while they were sorted by that. A harmless last-resort run hid all runs that harm a serving task.

Change: a run that hardly interferes is left out, and the loop goes on.

The test has a light last-resort run and a steep ordinary one beside a serving task over its target: the steep one stayed at 100 % before ("100 not less than 50").

--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -173,8 +173,10 @@
             )
             for run in order:
                 added = interference[run]
-                if excess <= 0 or added <= NEGLIGIBLE_INTERFERENCE:
+                if excess <= 0:
                     break
+                if added <= NEGLIGIBLE_INTERFERENCE:
+                    continue
                 percent = (
                     int(max(1 - excess / added, 0.0) * UNTHROTTLED_PERCENT)
                     // THROTTLE_STEP_PERCENT
--- /dev/null
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -0,0 +1,92 @@
+"""What happens to runs of starved jobs after they were placed, and who gets none."""
+
+import unittest
+from unittest import mock
+
+from poplarlb.coordination.jobs.events import CallOutcome
+from poplarlb.coordination.jobs.interference import Estimate
+from poplarlb.state.jobs import JobState, StepSpec
+from poplarlb.state.models import Resources
+from tests.coordination.jobs import test_starved_jobs as starved
+from tests.coordination.jobs import test_throttling as throttling
+from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.coordination.jobs.job_world import JobWorld, make_job
+
+MAX_WAIT_MS, STARVED, TARGET_MS = (
+    starved.MAX_WAIT_MS,
+    starved.STARVED,
+    starved.TARGET_MS,
+)
+FULL_PERCENT = 100
+LONG_MS = 8_000  # of a run that goes on through a takeover
+HARMLESS = {"web": {"sum": Estimate(0.0, 0.01, 0)}}
+
+
+class ThrottleOrderTest(unittest.TestCase):
+    """One worker: a serving task, a run that harms it, and one of a last resort."""
+
+    def test_harmless_last_resort_hides_no_run(self) -> None:
+        """Guards against harm by runs after one that hardly interferes."""
+        world = throttling.ThrottlerTest()
+        world.setUp()
+        step = StepSpec(1, Resources(7_000, 1_000), image="light", fills=True)
+        light = world.place("c" * 16, step)
+        world.worker.remove(light)
+        light.last_resort = True
+        world.worker.add(light)
+        light.measurement = 7_000
+        model = world.state.interference
+        model.slopes = {
+            "web": {
+                "sum": Estimate(8.2, 0.01, 10_000),
+                "light": Estimate(0.3, 0.01, 10_000),
+            }
+        }
+        model.margins[world.serving.task.step_key] = Estimate(1.6, 0.01, 10_000)
+        world.measure(1.8)
+        self.assertLess(world.best_effort.wanted_throttle_percent, 50)
+
+
+class LastResortTest(unittest.TestCase):
+    """Four workers, each with a serving task; a fifth of the room is reserved."""
+
+    world: JobWorld
+
+    def setUp(self) -> None:
+        """Start the serving tasks, beside which the best-effort image interferes."""
+        self.parent = starved.StarvedJobTest()
+        self.parent.setUp()
+        self.world = self.parent.world
+        self.parent.learn_steep_slope()
+
+    def longest_idle_ms(self, duration_ms: int) -> int:
+        """Return for how long on end nothing of the job runs; it stays interfering."""
+        idle_ms = longest_ms = 0
+        for _ in range(duration_ms // 20):
+            self.parent.learn_steep_slope()
+            self.world.run(20)
+            if self.world.state(STARVED) is JobState.DONE:
+                break
+            idle_ms = 0 if self.parent.count_runs(STARVED) else idle_ms + 20
+            longest_ms = max(longest_ms, idle_ms)
+        return longest_ms
+
+    def measure(self, share: float) -> None:
+        """Let all serving tasks' tails be this share of their target."""
+        for worker in self.world.workers.values():
+            for task in worker.measurements:
+                worker.measurements[task] = share * TARGET_MS
+
+    def paces(self) -> list[int]:
+        """Return at what percentages the starved job's runs work."""
+        return [run.throttle_percent for run in self.parent.list_runs(STARVED)]
+
+    def submit_one_step(self, count: int, **fields) -> None:
+        """Submit a job of one step of best-effort tasks that interfere."""
+        size = Resources(2_000, 1_000)
+        step = StepSpec(count, size, estimate_ms=500, image="sum", fills=True, **fields)
+        self.world.submit(make_job(STARVED, step))
+
+
+if __name__ == "__main__":
+    unittest.main()
