Don't throttle a last resort where no serving task is

Found by the review, with a test: a last-resort run at a worker without serving tasks got two calls, one to 40 % and one back, and lost the time in between. There is nothing to protect there.

The test failed before: a run_paced line where none was expected.

--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -65,6 +65,8 @@
 
     def limit_new(self, worker: WorkerState) -> None:
         """Set the throttles as soon as a run has begun that may interfere."""
+        if not worker.serving_runs:
+            return
         serving, best_effort = self._list_runs(worker)
         mix = self._recent_mix(worker, best_effort)
         self._set_throttles(worker, serving, best_effort, mix)
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -87,6 +87,18 @@
         step = StepSpec(count, size, estimate_ms=500, image="sum", fills=True, **fields)
         self.world.submit(make_job(STARVED, step))
 
+    def test_run_without_serving_tasks_is_not_slowed(self) -> None:
+        """Guards against a limit, and two calls, where nothing can be harmed."""
+        self.world.cancel(starved.SERVING)
+        self.world.run(2_000)
+        self.world.work_ms = 4_000
+        self.world.submit(starved.best_effort_job("1" * 16, 16, 4_000, 100))
+        self.world.run(500)
+        self.world.submit(starved.best_effort_job(STARVED, 2, 8_000, 90_000))
+        self.parent.wait_for_run(STARVED)
+        self.world.run(1_000)
+        self.assertEqual(self.world.logged_events("run_paced"), [])
+
 
 if __name__ == "__main__":
     unittest.main()
