Send the throttle of best-effort runs that an earlier owner started

What callers could see: after a takeover a task goes on at the share that the former owner had set, for good; at 0 % it is never done (LOST).

Cause: the next owner took the throttle of an inherited run for 100 %, so it sent none while it wanted 100 %. Workers keep it across owners, and don't list it.

Change: the throttle of an inherited best-effort run isn't known, like one whose call has failed, so it is sent at the first poll.

Tests, before: [40] != [100] after a takeover; a job whose run was at 0 % still active after 20 s.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -34,7 +34,7 @@
     WorkerUnlisted,
     ZonesOut,
 )
-from poplarlb.coordination.jobs.fleet import Run, WorkerState
+from poplarlb.coordination.jobs.fleet import UNKNOWN_THROTTLE, Run, WorkerState
 from poplarlb.coordination.jobs.load_report import LoadReporter
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.coordination.jobs.poll_reader import PollReader
@@ -216,7 +216,7 @@
             return
         run = self.state.worker(event.worker_id).runs.get((event.task, event.run))
         if run is not None and event.outcome is not CallOutcome.DONE:
-            run.sent_throttle_percent = -1
+            run.sent_throttle_percent = UNKNOWN_THROTTLE
 
     def _handle_job_stored(self, spec: JobSpec) -> None:
         state = self.state
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -7,7 +7,12 @@
 
 from poplarlb.coordination.jobs.delays import divide_duration
 from poplarlb.coordination.jobs.events import Command, LogEvent, ProgressRecord
-from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.fleet import (
+    UNKNOWN_THROTTLE,
+    Run,
+    RunPhase,
+    WorkerState,
+)
 from poplarlb.coordination.jobs.interference import InterferenceModel
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state import job_records
@@ -269,6 +274,8 @@
                     self.now_ms,
                     progress_ms=self.now_ms,
                 )
+                if task.spec.fills:
+                    run.sent_throttle_percent = UNKNOWN_THROTTLE
                 worker.add(run)
                 if task.isolated_run == run.number:
                     worker.isolated_run = run
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -10,6 +10,8 @@
 from poplarlb.state.jobs import Task
 from poplarlb.state.models import Resources
 
+UNKNOWN_THROTTLE = -1  # must be sent: a call has failed, or an earlier owner sent it
+
 
 class RunPhase(enum.Enum):
     """How far the start of a run is known to have got."""
@@ -54,7 +56,7 @@
     # When percent_done last changed, or was listed while the run was throttled.
     progress_ms: int = 0
     throttle_percent: int = 100  # in force
-    sent_throttle_percent: int = 100  # last sent; -1: has failed, send again
+    sent_throttle_percent: int = 100  # last sent; or UNKNOWN_THROTTLE
     # The lowest that a serving task at the worker requires, of those considered so far.
     wanted_throttle_percent: int = 100
     # The task's name and the run's number, which name the run at the worker.
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -81,6 +81,33 @@
         """Return at what percentages the starved job's runs work."""
         return [run.throttle_percent for run in self.parent.list_runs(STARVED)]
 
+    # The next owner takes the pace of all runs for 100 % and so sends no other.
+    def test_next_owner_lifts_the_limit(self) -> None:
+        """Guards against runs that stay slow as their owner doesn't know that."""
+        self.world.work_ms = LONG_MS
+        self.world.submit(starved.best_effort_job(STARVED, 1, 2_000))
+        self.parent.wait_for_run(STARVED)
+        self.world.run(100)
+        self.assertLess(self.paces()[0], FULL_PERCENT)
+        self.world.new_owner()
+        self.world.owner.state.interference.slopes = HARMLESS
+        self.world.run(2_000)
+        self.assertEqual(self.paces(), [FULL_PERCENT])
+
+    def test_run_at_0_ends_after_a_takeover(self) -> None:
+        """Guards against a job that is never done, with a run that never works."""
+        self.world.submit(starved.best_effort_job(STARVED, 1, 2_000))
+        self.world.work_ms = 2_000
+        self.parent.wait_for_run(STARVED)
+        self.measure(1.5)
+        self.world.run(2_500)
+        self.assertEqual(self.paces(), [0])
+        self.measure(0.2)
+        self.world.new_owner()
+        self.world.owner.state.interference.slopes = HARMLESS
+        self.world.run(20_000)
+        self.assertIs(self.world.state(STARVED), JobState.DONE)
+
     def submit_one_step(self, count: int, **fields) -> None:
         """Submit a job of one step of best-effort tasks that interfere."""
         size = Resources(2_000, 1_000)
