Keep the wait of a starved job whose only start fails

Found by the review, with a test: a job whose last waiting task was placed as a last resort wasn't known as starved any more; if the worker refused the start, the job waited all over again.

Change: it stays known until it gets an ordinary run, as one with further tasks does.

--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -8,6 +8,7 @@
 """
 
 from collections import defaultdict
+from itertools import chain
 
 from attrs import Factory, define
 
@@ -50,8 +51,8 @@
         self.next_check_ms = now_ms + CHECK_PERIOD_MS
         self.since_ms = {
             job: self.since_ms.get(job, now_ms)
-            for job in self.state.unplaced
-            if all(run.last_resort for run in job.reserved_runs()) and list_ready(job)
+            for job in chain(self.state.unplaced, self.since_ms)
+            if is_starved(job)
         }
         if self.since_ms:
             self.free_services = self._find_free_services()
@@ -102,6 +103,13 @@
         }
 
 
+def is_starved(job: Job) -> bool:
+    """Return whether a job has only runs placed as a last resort, or waits for one."""
+    if job.final or not all(run.last_resort for run in job.reserved_runs()):
+        return False
+    return not is_idle(job) or bool(list_ready(job))
+
+
 def is_idle(job: Job) -> bool:
     """Return whether a job isn't final and nothing of it runs."""
     return not job.final and next(job.reserved_runs(), None) is None
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -108,6 +108,22 @@
         self.world.run(20_000)
         self.assertIs(self.world.state(STARVED), JobState.DONE)
 
+    # The job has no other waiting task, so it isn't known as starved any more.
+    def test_refused_start_of_the_only_task(self) -> None:
+        """Guards against a wait that begins anew though nothing has run."""
+        refused = []
+        start = FakeWorker.start
+
+        def refuse_once(worker, command, *arguments) -> CallOutcome:
+            if command.task.startswith(STARVED) and not refused:
+                refused.append(command)
+                return CallOutcome.NO_ROOM
+            return start(worker, command, *arguments)
+
+        with mock.patch.object(FakeWorker, "start", refuse_once):
+            self.world.submit(starved.best_effort_job(STARVED, 1, 2_000))
+            self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
+
     def submit_one_step(self, count: int, **fields) -> None:
         """Submit a job of one step of best-effort tasks that interfere."""
         size = Resources(2_000, 1_000)
