Include gangs and lasting best-effort tasks in the rule for starved jobs

Found by the review, with tests: best-effort tasks of a gang, or tasks that last, were still refused for interference without end.

Change: a starved gang of best-effort tasks is placed as a whole as a last resort, without the pause between starts at a worker, and so is a best-effort task that lasts. Other lasting tasks have a bounded wait of their own.

--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -163,16 +163,18 @@
             return "labels", 0.0
         if not has_capacity(worker, spec, demand.last_resort):
             return "no_capacity", 0.0
-        if demand.last_resort and (
-            worker.last_resort_ms
-            and self.now_ms - worker.last_resort_ms < LAST_RESORT_PAUSE_MS
-        ):
+        if demand.last_resort and not spec.gang and self._has_recent_start(worker):
             return "last_resort_pause", 0.0
         interference_cost = self.interference_cost(worker, demand)
         if interference_cost == math.inf:
             return "interference", 0.0
         return "", interference_cost
 
+    def _has_recent_start(self, worker: WorkerState) -> bool:
+        """Return whether the last start as a last resort may not be throttled yet."""
+        since_ms = self.now_ms - worker.last_resort_ms
+        return worker.last_resort_ms > 0 and since_ms < LAST_RESORT_PAUSE_MS
+
     def interference_cost(self, worker: WorkerState, demand: Demand) -> float:
         """Return the cost of a task's interference with the others at a worker.
 
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -157,38 +157,55 @@
                 self._commit_start(run)
 
     def _place_starved(self) -> None:
-        """Start one task of each job that has starved as long as it may."""
+        """Start a task or a gang of each job that has starved as long as it may."""
         for job in self.starved_jobs.list_due():
+            tasks = [task for task in list_ready(job) if self._may_end_starvation(task)]
             queue = self.state.queue_of(job)
-            task = next(filter(self._may_start_alone, list_ready(job)), None)
-            if task is None or not self._startable_again([task], queue):
+            if not tasks or not self._startable_again(tasks[:1], queue):
+                continue
+            task = tasks[0]
+            last_resort = self._place_starved_tasks(tasks, queue)
+            if last_resort is not None:
+                self.state.log_task(
+                    "starved_job_placed",
+                    task,
+                    task.run,
+                    idle_ms=self.state.now_ms - self.starved_jobs.idle_since_ms[job],
+                    last_resort=last_resort,
+                )
+
+    def _may_end_starvation(self, task: Task) -> bool:
+        """Return whether a waiting task is started as soon as its job has starved.
+
+        Tasks that last and aren't best-effort ones have a bounded wait of their own.
+        """
+        if task.spec.long_running and not task.spec.fills:
+            return False
+        return not task.reserved_runs and task not in self.state.suspects
+
+    def _place_starved_tasks(
+        self, tasks: list[Task], queue: QueueConfig
+    ) -> bool | None:
+        """Place the first task or its gang.
+
+        Return whether as a last resort; None if it fits nowhere.
+        """
+        task = tasks[0]
+        spec = task.spec
+        gang = [other for other in tasks if other.step_key == task.step_key]
+        for last_resort in (False, True) if spec.fills else (False,):
+            if spec.gang:
+                if self._place_gang(gang, spec, queue, last_resort):
+                    return last_resort
                 continue
             demand = self._demand(task, queue)
+            demand = attrs.evolve(demand, last_resort=last_resort)
             worker = self.chooser.rank(demand).take()
-            if worker is None and task.spec.fills:
-                demand = attrs.evolve(demand, last_resort=True)
-                worker = self.chooser.rank(demand).take()
-            if worker is None:
-                continue
-            run = self._reserve(task, worker, demand)
-            self.chooser.margins.pop(worker.worker_id, None)
-            self._commit_start(run)
-            self.state.log_task(
-                "starved_job_placed",
-                task,
-                task.run,
-                idle_ms=self.state.now_ms - self.starved_jobs.idle_since_ms[job],
-                last_resort=demand.last_resort,
-            )
-
-    def _may_start_alone(self, task: Task) -> bool:
-        """Return whether a waiting task may be started without others of its step."""
-        return not (
-            task.spec.gang
-            or task.spec.long_running
-            or task.reserved_runs
-            or task in self.state.suspects
-        )
+            if worker is not None:
+                self._commit_start(self._reserve(task, worker, demand))
+                self.chooser.margins.pop(worker.worker_id, None)
+                return last_resort
+        return None
 
     def urgency_key(self, job: Job) -> tuple:
         """Return a job's sort key; the most urgent job sorts first.
@@ -403,7 +420,11 @@
         state.mark_dirty(task.job)
 
     def _place_gang(
-        self, tasks: list[Task], spec: StepSpec, queue: QueueConfig
+        self,
+        tasks: list[Task],
+        spec: StepSpec,
+        queue: QueueConfig,
+        last_resort: bool = False,
     ) -> bool:
         """Place all tasks of a gang, a step whose tasks run together, or none.
 
@@ -423,6 +444,7 @@
             )
         for rack in racks:
             demand = self._demand(tasks[0], queue, rack)
+            demand = attrs.evolve(demand, last_resort=last_resort)
             ranking = self.chooser.rank(demand)
             runs = []
             for task in tasks:
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -124,6 +124,16 @@
             self.world.submit(starved.best_effort_job(STARVED, 1, 2_000))
             self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
 
+    def test_gang_does_not_starve(self) -> None:
+        """Guards against a gang that is refused for interference for minutes."""
+        self.submit_one_step(count=2, gang=True)
+        self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
+
+    def test_long_running_task_does_not_starve(self) -> None:
+        """Guards against a task that lasts and is refused for interference."""
+        self.submit_one_step(count=1, long_running=True)
+        self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
+
     def submit_one_step(self, count: int, **fields) -> None:
         """Submit a job of one step of best-effort tasks that interfere."""
         size = Resources(2_000, 1_000)
