Treat any address that can't be connected to as a call that wasn't sent

What callers saw: jobs that were innocent failed ("set aside"), and the ownership of the jobs changed hands again and again, while another writer's entry stood over a sound worker's key with a port out of range.

Cause: HttpClient._connect turns OSError and ValueError into CallNotSentError, but a port out of range raises OverflowError out of loop.create_connection. A start, a stop or a throttle lets it through, so it ended the ownership and was counted for the job in the command.

Change: the client checks the address before it connects: a printable ASCII host without spaces, and a port from 1 to 65535 in ASCII digits. All else is a CallNotSentError, whose text names at most 100 characters of the address.

Evidence: test_odd_address failed before for the ports -1 and 65536 (OverflowError: connect(): port must be 0-65535) and for addresses of 5,000 and 100,000 characters (errors of 5,152 and 100,069 characters). test_overwritten_address failed before: 2 takeovers instead of 1 in six rounds of 0.3 s, with that OverflowError. Both pass now.

--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -18,6 +18,9 @@
 MAX_IDLE_PER_ADDRESS = 4  # enough for a concurrent poll, start and stop
 PROVEN_S = 0.2  # an answer that is older may have come before a fault
 MAX_BODY_BYTES = 8 << 20  # above the store's largest page
+MAX_PORT = 65_535
+MAX_PORT_DIGITS = 5
+MAX_SHOWN_ADDRESS = 100  # characters of an address in an error
 
 
 @frozen
@@ -203,18 +206,20 @@
             if connection.usable:
                 return connection
             connection.close()
-        host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.connects += 1
         try:
+            host, port = parse_address(address)
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(
-                    ClientConnection, host, int(port)
+                    ClientConnection, host, port
                 )
         except TimeoutError:
-            raise CallNotSentError(f"{address}: connection timed out") from None
+            shown = address[:MAX_SHOWN_ADDRESS]
+            raise CallNotSentError(f"{shown}: connection timed out") from None
         except (OSError, ValueError) as error:
-            raise CallNotSentError(f"{address}: {error}") from None
+            shown = address[:MAX_SHOWN_ADDRESS]
+            raise CallNotSentError(f"{shown}: {error}") from None
         return connection
 
     def _close_unproven(self, address: str, started_s: float) -> None:
@@ -248,6 +253,21 @@
             connection.close()
 
 
+def parse_address(address: str) -> tuple[str, int]:
+    """Return the host and the port of an address ``HOST:PORT``.
+
+    :raises ValueError: it isn't one, or a request's header can't hold it.
+    """
+    host, _, port = address.rpartition(":")
+    if not host or not address.isascii() or not address.isprintable():
+        raise ValueError("not HOST:PORT")
+    if " " in host or not port.isdigit() or len(port) > MAX_PORT_DIGITS:
+        raise ValueError("not HOST:PORT")
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError("port out of range")
+    return host, int(port)
+
+
 def make_progress_handler(
     deadline: asyncio.Timeout,
     stall_timeout_s: float,
--- /dev/null
+++ b/tests/platform/test_odd_entries.py
@@ -0,0 +1,64 @@
+"""Entries of workers that another writer wrote, on real daemons."""
+
+import asyncio
+import base64
+import json
+import unittest
+
+from tests.platform.deployment import JOB, Deployment
+
+ROUNDS = 6
+ODD_S = 0.3  # how long a sound worker's entry is overwritten
+
+
+class OddEntryTest(unittest.IsolatedAsyncioTestCase):
+    """Two daemons and two workers; one entry is odd."""
+
+    async def asyncSetUp(self) -> None:
+        """Start them."""
+        self.deployment = Deployment()
+        await self.deployment.start(daemons=2)
+
+    async def asyncTearDown(self) -> None:
+        """Stop them."""
+        await self.deployment.stop()
+
+    def read_entry(self, worker_id: str) -> dict:
+        """Return a worker's entry."""
+        item = self.deployment.store.table.items[f"servers/{worker_id}"]
+        return json.loads(base64.b64decode(item.value))
+
+    def write_entry(self, worker_id: str, entry: dict | bytes) -> None:
+        """Write an entry as another writer does."""
+        value = entry if isinstance(entry, bytes) else json.dumps(entry).encode()
+        self.deployment.store.table.put(f"servers/{worker_id}", value)
+
+    def count_takeovers(self) -> int:
+        """Return how often an ownership began."""
+        return sum(item.ownership.takeovers for item in self.deployment.live())
+
+    def count_lines(self, event: str) -> int:
+        """Return how many lines of an event were logged."""
+        return sum(line["event"] == event for line in self.deployment.lines)
+
+    # Guards against an odd address that ends the ownership in a start, and is counted
+    # as an error of the job that was to be started.
+    async def test_overwritten_address(self) -> None:
+        """Jobs are done under one ownership while an entry has an odd port at times."""
+        sound = self.read_entry("w0")
+        jobs = []
+        for number in range(ROUNDS):
+            jobs += [f"{4 * number + item:016x}" for item in range(4)]
+            for job_id in jobs[-4:]:
+                await self.deployment.call("POST", f"/o/{job_id}", JOB)
+            self.write_entry("w0", {**sound, "addr": "127.0.0.1:70000"})
+            await asyncio.sleep(ODD_S)
+            self.write_entry("w0", sound)
+        for job_id in jobs:
+            await self.deployment.wait_for_state(job_id, "done", timeout_s=15.0)
+        self.assertEqual(self.count_takeovers(), 1)
+        self.assertEqual(self.count_lines("ownership_failed"), 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/tests/transport/test_http_client.py
+++ b/tests/transport/test_http_client.py
@@ -8,6 +8,32 @@
 from poplarlb.transport.http_server import HttpResponse, HttpServer
 from tests.platform.deployment import free_address
 
+ODD_ADDRESSES = (
+    "",
+    ":",
+    ":80",
+    "127.0.0.1",
+    "127.0.0.1:",
+    "127.0.0.1:x",
+    "127.0.0.1:0",
+    "127.0.0.1:-1",
+    "127.0.0.1:65536",
+    "127.0.0.1:" + "9" * 5_000,
+    "127.0.0.1:\u0668\u0660",
+    "127.0.0.1:8_0",
+    "127.0.0.1: 80",
+    "127.0.0.1:1e400",
+    "127.0.0.1\r\nX-Odd: 1:80",
+    "127.0.0.1 x:80",
+    "127.0.0.1\0:80",
+    "[::1:80",
+    "999.1.1.1:80",
+    "\ud800:80",
+    "ｘ．example:80",
+    "x" * 70 + ".invalid:80",
+    "x" * 100_000 + ":80",
+)
+
 
 class HttpClientTest(unittest.IsolatedAsyncioTestCase):
     """A server that echoes, sleeps or aborts connections."""
@@ -94,6 +120,17 @@
         with self.assertRaises(CallNotSentError):
             await self.call("/")
 
+    # Guards against an address that another writer put into a worker's entry: the error
+    # of connecting to it ended the ownership of the jobs.
+    async def test_odd_address(self) -> None:
+        """A call to an address that can't be connected to was not executed."""
+        for address in ODD_ADDRESSES:
+            with self.subTest(address=address[:40]):
+                self.address = address
+                with self.assertRaises(CallNotSentError) as raised:
+                    await self.call("/")
+                self.assertLess(len(raised.exception.detail), 300)
+
     async def test_connection_lost_before_the_call(self) -> None:
         """A call over a lost connection is not sent and fails as such."""
         with self.assertRaises(CallNotSentError):
