Log once why a worker's entry can't be used

What operators saw: a worker whose entry was overwritten by another writer was unlisted, and no line said that the entry was there and what was wrong with it.

Cause: decode_listing returned None for every fault, and PlatformWorkerDirectory turned that into WorkerUnlisted.

Change: decode_listing raises BadAnswerError with the field at fault, without its value, so that the line stays short. The directory writes entry_unusable with key, revision and error, once for each fault of an entry, however often it is written; a sound entry or a removal ends the fault.

test_foreign_entries_name_no_worker said that an odd entry is decoded to None. It is replaced by one that is as strict: any entry is decoded, or refused by BadAnswerError and nothing else, with a reason.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -53,6 +53,7 @@
         "worker_lost",
         "crash_counted",
         "change_missed",
+        "entry_unusable",
         "refresh_unanswered",
         "watch_failed",
         "renewal_failed",
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -159,7 +159,7 @@
             self.store,
             PlatformWorkers(self.client),
             PlatformAdvice(self.client, self.settings.advice_address),
-            PlatformWorkerDirectory(),
+            PlatformWorkerDirectory(self.log),
             committer,
             build_policy(self.settings),
             self.operator_watcher.view,
--- a/poplarlb/platform/operator.py
+++ b/poplarlb/platform/operator.py
@@ -18,25 +18,43 @@
 MAX_COMPARED_KEYS = 32  # rows of one transaction
 
 
-@define
+@define(eq=False)
 class PlatformWorkerDirectory:
-    """Decodes the entries by which workers register in the store."""
+    """Decodes the entries by which workers register in the store.
+
+    ``unusable`` holds the reason that was logged for each entry that can't be used.
+    """
 
+    log: EventLog
     prefix: str = WORKERS_PREFIX
+    unusable: dict[str, str] = Factory(dict)
 
-    def decode(self, change: StoredChange) -> events.Event | None:
+    def decode(self, change: StoredChange) -> events.Event:
         """Return the event for a changed entry.
 
-        An entry that can't be used counts as removed.
+        An entry that can't be used counts as removed. It is logged once, however often
+        it is written, until it can be used or has another fault.
         """
         worker_id = change.key.removeprefix(WORKERS_PREFIX)
         if change.value is None:
+            self.unusable.pop(worker_id, None)
             return events.WorkerUnlisted(worker_id)
-        listing = decode_listing(worker_id, change.value)
-        if listing is None:
+        try:
+            listing = decode_listing(worker_id, change.value)
+        except BadAnswerError as error:
+            self._note_unusable(worker_id, error.detail, change)
             return events.WorkerUnlisted(worker_id)
+        self.unusable.pop(worker_id, None)
         return events.WorkerListed(listing)
 
+    def _note_unusable(self, worker_id: str, reason: str, change: StoredChange) -> None:
+        if self.unusable.get(worker_id) == reason:
+            return
+        self.unusable[worker_id] = reason
+        self.log.write(
+            "entry_unusable", key=change.key, revision=change.revision, error=reason
+        )
+
 
 @define(eq=False)
 class OperatorView:
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -259,37 +259,38 @@
 
 # --- workers --------------------------------------------------------------------------
 
+DRAINING_BY_STATE = {"ready": False, "draining": True}
 
-def decode_listing(worker_id: str, value: bytes) -> WorkerListing | None:
-    """Return the listing in a worker's entry; None if the entry can't be used."""
+
+def decode_listing(worker_id: str, value: bytes) -> WorkerListing:
+    """Return the listing in a worker's entry.
+
+    :raises BadAnswerError: the entry can't be used; the reason quotes none of it.
+    """
     try:
         fields = parse_body(value, "server")
-        states = {"ready": False, "draining": True}
-        draining = states.get(fields.string("state", required=True))
+        state = fields.string("state", required=True)
+        if state not in DRAINING_BY_STATE:
+            raise BadRequestError("server.state: unknown")
         address = fields.string("addr", required=True)
-        service = fields.string("service", required=True)
-        capacity = decode_resources(Fields(fields.row.get("capacity"), "capacity"))
+        if ":" not in address:
+            raise BadRequestError("server.addr: not HOST:PORT")
         labels = fields.array("labels")
-        incarnation = fields.integer("born")
-        zone = fields.string("zone", required=True)
-        remaining_ms = fields.integer("remainingMs")
-    except BadRequestError:
-        return None
-    if draining is None or ":" not in address:
-        return None
-    if not all(isinstance(label, str) for label in labels):
-        return None
-    return WorkerListing(
-        worker_id,
-        incarnation,
-        address,
-        service,
-        zone,
-        draining,
-        capacity,
-        tuple(labels),
-        remaining_ms,
-    )
+        if not all(isinstance(label, str) for label in labels):
+            raise BadRequestError("server.labels: not strings")
+        return WorkerListing(
+            worker_id,
+            fields.integer("born"),
+            address,
+            fields.string("service", required=True),
+            fields.string("zone", required=True),
+            DRAINING_BY_STATE[state],
+            decode_resources(Fields(fields.row.get("capacity"), "server.capacity")),
+            tuple(labels),
+            fields.integer("remainingMs"),
+        )
+    except BadRequestError as error:
+        raise BadAnswerError(error.detail) from error
 
 
 def decode_running(rows: object) -> tuple[RunningRow, ...]:
