Take no entry for a worker whose address isn't an IP address and a port

What operators saw: an entry of another writer with a port out of range was listed as a worker and polled for ever (answer_unreadable at each poll); a name in it would have been looked up in a thread for each call, on a platform without name lookups.

Cause: decode_listing accepted any address with a colon.

Change: the entry's address is read with the client's parse_address, and the host must be an IP address. Any other entry can't be used and gets its one line.

--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import ipaddress
 
 import orjson
 
@@ -21,6 +22,7 @@
     StepSpec,
 )
 from poplarlb.state.models import Resources
+from poplarlb.transport.http_client import parse_address
 
 JOB_ID_LENGTH = 16
 HEX_DIGITS = frozenset("0123456789abcdefABCDEF")
@@ -272,16 +274,13 @@
         state = fields.string("state", required=True)
         if state not in DRAINING_BY_STATE:
             raise BadRequestError("server.state: unknown")
-        address = fields.string("addr", required=True)
-        if ":" not in address:
-            raise BadRequestError("server.addr: not HOST:PORT")
         labels = fields.array("labels")
         if not all(isinstance(label, str) for label in labels):
             raise BadRequestError("server.labels: not strings")
         return WorkerListing(
             worker_id,
             fields.integer("born"),
-            address,
+            decode_address(fields.string("addr", required=True)),
             fields.string("service", required=True),
             fields.string("zone", required=True),
             DRAINING_BY_STATE[state],
@@ -293,6 +292,19 @@
         raise BadAnswerError(error.detail) from error
 
 
+def decode_address(text: str) -> str:
+    """Return an address of a worker, which must be an IP address and a port.
+
+    The platform has no name lookups, and a lookup would delay the calls to others.
+    """
+    try:
+        host, _ = parse_address(text)
+        ipaddress.ip_address(host)
+    except ValueError as error:
+        raise BadRequestError("server.addr: not an IP address and a port") from error
+    return text
+
+
 def decode_running(rows: object) -> tuple[RunningRow, ...]:
     """Return the active runs that a worker lists.
 
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -7,6 +7,7 @@
 
 from tests.platform.deployment import JOB, Deployment
 
+ID = "0123456789abcdef"
 ROUNDS = 6
 ODD_S = 0.3  # how long a sound worker's entry is overwritten
 
@@ -59,6 +60,23 @@
         self.assertEqual(self.count_takeovers(), 1)
         self.assertEqual(self.count_lines("ownership_failed"), 0)
 
+    # Guards against an entry that is taken for a worker and polled for ever.
+    async def test_odd_address_under_its_own_key(self) -> None:
+        """The entry names no worker, jobs are done, and one line says why."""
+        sound = self.read_entry("w0")
+        for number in range(50):
+            entry = {**sound, "addr": "127.0.0.1:70000", "sequence": number}
+            self.write_entry("odd", entry)
+            await asyncio.sleep(0.02)
+        await self.deployment.call("POST", f"/o/{ID}", JOB)
+        await self.deployment.wait_for_state(ID, "done")
+        (owner,) = [item for item in self.deployment.live() if item.owns_jobs()]
+        workers = owner.ownership.owner.dispatcher.state.workers
+        self.assertEqual(sorted(workers), ["w0", "w1"])
+        self.assertEqual(self.count_takeovers(), 1)
+        self.assertEqual(self.count_lines("entry_unusable"), 1)
+        self.assertEqual(self.count_lines("answer_unreadable"), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -8,6 +8,7 @@
 from poplarlb.platform.operator import PlatformWorkerDirectory
 from poplarlb.protocol.store import StoredChange
 from tests.platform import test_wire
+from tests.transport.test_http_client import ODD_ADDRESSES
 
 KEY = "servers/i-1"
 SOUND = test_wire.EntryTest.ENTRY
@@ -59,6 +60,21 @@
                 self.assertEqual((line["key"], line["revision"]), (KEY, 7))
                 self.assertTrue(0 < len(line["error"]) < 200)
 
+    # Guards against entries that are taken for workers and polled for ever.
+    def test_odd_address(self) -> None:
+        """An entry whose address isn't an IP address and a port can't be used."""
+        for address in (*ODD_ADDRESSES, "localhost:80", "worker.example:80", 80):
+            with self.subTest(address=str(address)[:40]):
+                value = json.dumps({**SOUND, "addr": address}).encode()
+                self.assertEqual(self.decode(value), events.WorkerUnlisted("i-1"))
+        self.assertTrue(all(len(line["error"]) < 200 for line in self.read_lines()))
+
+    def test_sound_address(self) -> None:
+        """An address of either version of IP can be used."""
+        for address in ("10.0.0.9:1", "10.0.0.9:65535", "::1:80"):
+            value = json.dumps({**SOUND, "addr": address}).encode()
+            self.assertEqual(self.decode(value).listing.address, address)
+
     # Guards against a fault that isn't told any more once it was told.
     def test_fault_that_returns_is_logged_again(self) -> None:
         """A sound entry or a removal ends a fault; the next one is logged."""
