Take no entry for a worker whose key can't name one in a header

What could happen: a sound entry under a key with a line break in it was taken for a worker, and each call to its address carried the rest of the key as header lines of its own, as the id is sent in the header that names the incarnation.

Cause: the id is whatever follows servers/ in the key, and nothing checked it.

Change: an id must be printable ASCII without spaces; any other entry can't be used.

Evidence: test_odd_key failed before for all nine keys (WorkerListed), and passes now.

--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -270,6 +270,7 @@
     :raises BadAnswerError: the entry can't be used; the reason quotes none of it.
     """
     try:
+        check_worker_id(worker_id)
         fields = parse_body(value, "server")
         state = fields.string("state", required=True)
         if state not in DRAINING_BY_STATE:
@@ -292,6 +293,15 @@
         raise BadAnswerError(error.detail) from error
 
 
+def check_worker_id(text: str) -> None:
+    """Check that a worker's id can stand in a header of a call.
+
+    :raises BadRequestError: it can't.
+    """
+    if not text or " " in text or not text.isascii() or not text.isprintable():
+        raise BadRequestError("server: the key has no id, or one with odd characters")
+
+
 def decode_address(text: str) -> str:
     """Return an address of a worker, which must be an IP address and a port.
 
--- a/tests/platform/test_operator.py
+++ b/tests/platform/test_operator.py
@@ -75,6 +75,31 @@
             value = json.dumps({**SOUND, "addr": address}).encode()
             self.assertEqual(self.decode(value).listing.address, address)
 
+    # Guards against a key that puts lines of its own into the header of each call.
+    def test_odd_key(self) -> None:
+        """An entry whose key can't name a worker in a header can't be used."""
+        sound = json.dumps(SOUND).encode()
+        for name in (
+            "",
+            " ",
+            "a b",
+            "a\r\nX-Odd: 1",
+            "a\n",
+            "a\0",
+            "\x7f",
+            "é",
+            "\u2028",
+        ):
+            with self.subTest(name=name):
+                event = self.decode(sound, f"servers/{name}")
+                self.assertEqual(event, events.WorkerUnlisted(name))
+                (line,) = self.read_lines()
+                self.assertEqual(line["event"], "entry_unusable")
+        for name in ("i-1", "a/b", "a.b_c:1"):
+            self.assertIsInstance(
+                self.decode(sound, f"servers/{name}"), events.WorkerListed
+            )
+
     # Guards against a fault that isn't told any more once it was told.
     def test_fault_that_returns_is_logged_again(self) -> None:
         """A sound entry or a removal ends a fault; the next one is logged."""
