Refuse a queue's number that is out of range instead of overflowing

Cause: Fields.number accepted every float, though Fields.integer has a range. The deadline of a job is the critical path times the factor, which became infinite.

Change: Fields.number has the range of Fields.integer, 0 to 2**53.

Evidence: test_limit_out_of_range failed before for five values of stretch (no fault) and passes now.

--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -73,12 +73,14 @@
         return value
 
     def number(self, name: str) -> float:
-        """Return a number; 0 if it is absent."""
+        """Return a number of at least 0; 0 if it is absent."""
         value = self.row.get(name)
         if value is None:
             return 0.0
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise BadRequestError(f"{self.where}.{name}: not a number")
+        if not 0 <= value <= INTEGER_LIMIT:
+            raise BadRequestError(f"{self.where}.{name}: out of range")
         return float(value)
 
     def boolean(self, name: str) -> bool:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -122,6 +122,18 @@
             except BadAnswerError:
                 continue
 
+    # Guards against a queue's limit by which the deadlines of its jobs overflow, which
+    # ended the ownership and failed the jobs.
+    def test_limit_out_of_range(self) -> None:
+        """A queue with a number that is too large or negative has a fault for it."""
+        route = {"name": "orders", "prefix": "/o/", "service": "desk"}
+        for name in ("priority", "maxAttempts", "stretch", "sloMs"):
+            for value in (-1, 2**53 + 2, 2**63, 1e308, -1e308, "1", [], True):
+                with self.subTest(name=name, value=value):
+                    document = {"version": 1, "routes": [{**route, name: value}]}
+                    config = wire.decode_config(json.dumps(document).encode())
+                    self.assertIn(f"route.{name}", config.queues[0].fault)
+
     def test_ends(self) -> None:
         """Rows of ended runs are decoded; malformed ones are refused."""
         (row,) = wire.decode_ended([[58, f"{ID}.0.1.9", 1, "done", ""]])
