Refuse a worker's answer with a number that no call can hold

What callers would see: one worker whose answer to a poll had a clock, a start time or a run's number of 1e300 ended the ownership again and again, and innocent jobs were set aside.

Cause: the answer was decoded with int(), str() and float(), which take numbers of any size, texts that look like numbers, and nested lists. Such a clock makes the end of a lease, such a number a stop or a record, that orjson can't encode: TypeError: Integer exceeds 64-bit range, out of a start or a commit. "nan" and "inf" passed as measurements.

Change: decode_answer reads each field with its type and range, the rows of both lists too: whole numbers from 0 to 2**53, texts, task names of at most 100 characters. An answer with any other counts as unreadable, as a malformed one did; reasons quote nothing of it. A fractional clock or percentage and a negative measurement are still taken.

--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -3,11 +3,13 @@
 import base64
 import binascii
 import ipaddress
+from collections.abc import Iterator
 
 import orjson
 
 from poplarlb.coordination.jobs.events import (
     EndedRow,
+    PollAnswered,
     RunningRow,
     WorkerListing,
 )
@@ -72,14 +74,14 @@
             raise BadRequestError(f"{self.where}.{name}: out of range")
         return value
 
-    def number(self, name: str) -> float:
-        """Return a number of at least 0; 0 if it is absent."""
+    def number(self, name: str, required: bool = False, lowest: float = 0) -> float:
+        """Return a number of at least ``lowest``; 0 if it is absent."""
         value = self.row.get(name)
-        if value is None:
+        if value is None and not required:
             return 0.0
         if isinstance(value, bool) or not isinstance(value, int | float):
             raise BadRequestError(f"{self.where}.{name}: not a number")
-        if not 0 <= value <= INTEGER_LIMIT:
+        if not lowest <= value <= INTEGER_LIMIT:
             raise BadRequestError(f"{self.where}.{name}: out of range")
         return float(value)
 
@@ -264,6 +266,11 @@
 # --- workers --------------------------------------------------------------------------
 
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+# What the items of the rows in a worker's lists are.
+RUNNING_NAMES = ("task", "run", "saved", "percent", "figure")
+ENDED_NAMES = ("N", "task", "run", "how", "saved")
+RUN_ENDS = frozenset(RunEnd)
+TASK_NAME_LIMIT = 100  # characters; an id and three numbers are far fewer
 
 
 def decode_listing(worker_id: str, value: bytes) -> WorkerListing:
@@ -317,6 +324,25 @@
     return text
 
 
+def decode_answer(worker_id: str, sent_ms: int, body: bytes) -> PollAnswered:
+    """Return a worker's answer to a poll.
+
+    :raises BadAnswerError: the answer is malformed; the reason quotes none of it.
+    """
+    try:
+        fields = parse_body(body, worker_id)
+        return PollAnswered(
+            worker_id,
+            sent_ms,
+            fields.integer("born"),
+            int(fields.number("clockMs", required=True)),
+            decode_running(fields.array("running")),
+            decode_ended(fields.array("ended")),
+        )
+    except BadRequestError as error:
+        raise BadAnswerError(error.detail) from error
+
+
 def decode_running(rows: object) -> tuple[RunningRow, ...]:
     """Return the active runs that a worker lists.
 
@@ -325,16 +351,16 @@
     try:
         return tuple(
             RunningRow(
-                str(row[0]),
-                int(row[1]),
-                str(row[2] or ""),
-                int(row[3]),
-                float(row[4]) if len(row) > 4 and row[4] is not None else 0.0,
+                decode_task_name(fields),
+                fields.integer("run", required=True),
+                fields.string("saved"),
+                int(fields.number("percent", required=True)),
+                fields.number("figure", lowest=-INTEGER_LIMIT),
             )
-            for row in rows or ()
+            for fields in name_items(rows, RUNNING_NAMES, "running")
         )
-    except (TypeError, ValueError, IndexError) as error:
-        raise BadAnswerError(f"list of active runs: {error}") from error
+    except BadRequestError as error:
+        raise BadAnswerError(error.detail) from error
 
 
 def decode_ended(rows: object) -> tuple[EndedRow, ...]:
@@ -345,16 +371,42 @@
     try:
         return tuple(
             EndedRow(
-                int(row[0]),
-                str(row[1]),
-                int(row[2]),
-                RunEnd(row[3]),
-                str(row[4] or ""),
+                fields.integer("N", required=True),
+                decode_task_name(fields),
+                fields.integer("run", required=True),
+                decode_end(fields),
+                fields.string("saved"),
             )
-            for row in rows or ()
+            for fields in name_items(rows, ENDED_NAMES, "ended")
         )
-    except (TypeError, ValueError, IndexError) as error:
-        raise BadAnswerError(f"list of ended runs: {error}") from error
+    except BadRequestError as error:
+        raise BadAnswerError(error.detail) from error
+
+
+def name_items(rows: object, names: tuple[str, ...], where: str) -> Iterator[Fields]:
+    """Yield the items of each row as fields; those beyond the names are left out."""
+    if not isinstance(rows, list):
+        raise BadRequestError(f"{where}: not a list")
+    for row in rows:
+        if not isinstance(row, list):
+            raise BadRequestError(f"{where}: not a row")
+        yield Fields(dict(zip(names, row, strict=False)), where)
+
+
+def decode_end(fields: Fields) -> RunEnd:
+    """Return how a run has ended."""
+    how = fields.string("how", required=True)
+    if how not in RUN_ENDS:
+        raise BadRequestError(f"{fields.where}.how: unknown")
+    return RunEnd(how)
+
+
+def decode_task_name(fields: Fields) -> str:
+    """Return the name of the task in a row of a worker's list."""
+    name = fields.string("task", required=True)
+    if len(name) > TASK_NAME_LIMIT:
+        raise BadRequestError(f"{fields.where}.task: too long")
+    return name
 
 
 # --- the store ------------------------------------------------------------------------
--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -19,12 +19,11 @@
     ThrottleRun,
 )
 from poplarlb.exceptions import (
-    BadAnswerError,
     CallNotSentError,
     CallUnansweredError,
     OldEpochError,
 )
-from poplarlb.platform.wire import decode_ended, decode_running
+from poplarlb.platform.wire import decode_answer
 from poplarlb.transport.http_client import HttpClient
 
 CALL_TIMEOUT_S = 1.0  # workers answer at once; the call is retried after this
@@ -121,23 +120,13 @@
                 headers=(f"{INSTANCE_HEADER}: {command.worker_id}",),
                 verifies=True,
             )
-            if response.status == 409:
-                raise OldEpochError(command.worker_id)
-            if response.status != 200:
-                return PollFailed(command.worker_id, sent_ms)
-            row = orjson.loads(response.body)
-            return PollAnswered(
-                command.worker_id,
-                sent_ms,
-                int(row.get("born") or 0),
-                int(row["clockMs"]),
-                decode_running(row.get("running")),
-                decode_ended(row.get("ended")),
-            )
         except (CallNotSentError, CallUnansweredError):
             return PollFailed(command.worker_id, sent_ms)
-        except MALFORMED_ERRORS as error:
-            raise BadAnswerError(f"{command.worker_id}: {error}") from error
+        if response.status == 409:
+            raise OldEpochError(command.worker_id)
+        if response.status != 200:
+            return PollFailed(command.worker_id, sent_ms)
+        return decode_answer(command.worker_id, sent_ms, response.body)
 
     async def _send(
         self, command: StartRun | StopRun | ThrottleRun, path: str, body: dict
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -3,6 +3,8 @@
 None may end a process or an ownership: each is an error of the one call.
 """
 
+import asyncio
+import itertools
 import unittest
 
 import orjson
@@ -40,6 +42,13 @@
     "born",
     "good",
 )
+ODD_POLL_ANSWERS = (
+    {"clockMs": 1e300, "born": 1_000},
+    {"clockMs": 5, "born": 1e300},
+    {"clockMs": 5, "born": 1_000, "running": [[f"{ID}.0.0.0", 1e300, "", 0]]},
+    {"clockMs": 5, "born": 1_000, "running": [["x", 1e300, "", 0]]},
+    {"clockMs": 5, "born": 1_000, "ended": [[1e300, "x", 1, "done", ""]]},
+)
 
 
 def odd_bodies() -> list[bytes]:
@@ -162,6 +171,31 @@
         finally:
             await system.stop()
 
+    # Guards against a worker's numbers that no call and no record can hold.
+    async def test_numbers_out_of_range(self) -> None:
+        """No odd number ends the ownership or fails a job."""
+        system = Deployment()
+        await system.start(daemons=1, workers=2)
+        worker = system.workers.servers["w0"]
+        answer, polls = worker.handler, itertools.cycle(ODD_POLL_ANSWERS)
+
+        async def answer_odd(request: HttpRequest) -> HttpResponse:
+            if request.path == "/v1/hold":
+                return HttpResponse(200, orjson.dumps(next(polls)))
+            return await answer(request)
+
+        worker.handler = answer_odd
+        try:
+            jobs = [f"{number:016x}" for number in range(12)]
+            for job_id in jobs:
+                await system.call("POST", f"/o/{job_id}", JOB)
+                await asyncio.sleep(0.1)
+            for job_id in jobs:
+                await system.wait_for_state(job_id, "done", timeout_s=12.0)
+            self.assertEqual(system.daemons["d0"].ownership.takeovers, 1)
+        finally:
+            await system.stop()
+
 
 async def answer_with_a_list(request: HttpRequest) -> HttpResponse:
     """Answer any call with a list of numbers."""
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 
 import poplarlb
+from poplarlb.coordination.jobs import events
 from poplarlb.exceptions import BadAnswerError, BadRequestError
 from poplarlb.platform import wire
 from poplarlb.state.job_records import decode_job, encode_job
@@ -143,6 +144,63 @@
                 wire.decode_ended(rows)
 
 
+class WorkerAnswerTest(unittest.TestCase):
+    """Workers' answers to polls."""
+
+    SOUND = {
+        "clockMs": 482_113,
+        "born": 1_700_000_000_000,
+        "running": [[f"{ID}.0.1.17", 2, "00000bb87a21d94b", 41, 12.5]],
+        "ended": [[58, f"{ID}.0.1.9", 1, "done", ""]],
+    }
+
+    def decode(self, changed: dict) -> events.PollAnswered:
+        """Return an answer with some fields changed."""
+        body = json.dumps({**self.SOUND, **changed}).encode()
+        return wire.decode_answer("w0", 1, body)
+
+    def test_sound(self) -> None:
+        """Each field is decoded; rows may have fewer or more items, and None."""
+        answer = self.decode({})
+        self.assertEqual((answer.clock_ms, answer.incarnation), (482_113, 17 * 10**11))
+        row = events.RunningRow(f"{ID}.0.1.17", 2, "00000bb87a21d94b", 41, 12.5)
+        self.assertEqual(answer.running, (row,))
+        self.assertEqual(answer.ended[0].how, RunEnd.DONE)
+        for row in (["t", 1, None, 4], ["t", 1, "", 4.0, None], ["t", 1, "", 4, -1, 9]):
+            self.assertEqual(self.decode({"running": [row]}).running[0].percent, 4)
+        answer = self.decode({"running": None, "ended": None, "born": None})
+        self.assertEqual(
+            (answer.running, answer.ended, answer.incarnation), ((), (), 0)
+        )
+
+    # Guards against numbers that no call and no record can hold, which ended the
+    # ownership and failed the jobs that were about to start.
+    def test_odd_answers_are_refused(self) -> None:
+        """An odd field makes the answer unreadable, with a short reason."""
+        huge, deep = 1e300, json.loads("[" * 900 + "]" * 900)
+        cases = [{"clockMs": value} for value in (huge, -1, 2**63, "5", None, deep)]
+        cases += [{"born": value} for value in (huge, -1, 2**63, "5", True, deep)]
+        running = ["t", 1, "", 0, 0.0]
+        ended = [1, "t", 1, "done", ""]
+        odd = (huge, -huge, 2**63, deep, {}, True, "x" * 5_000)
+        for value in odd:
+            cases += [
+                {"running": [[*running[:number], value, *running[number + 1 :]]]}
+                for number in (0, 1, 3, 4)
+            ]
+            cases += [
+                {"ended": [[*ended[:number], value, *ended[number + 1 :]]]}
+                for number in (0, 1, 2, 3)
+            ]
+            cases += [{"running": value}, {"ended": value}, {"running": [value]}]
+        cases += [{"running": [["t", 1, deep, 0]]}, {"running": [["t", 1, "", "nan"]]}]
+        for case in cases:
+            with self.subTest(case=str(case)[:60]):
+                with self.assertRaises(BadAnswerError) as raised:
+                    self.decode(case)
+                self.assertLess(len(raised.exception.detail), 200)
+
+
 class BoundaryTest(unittest.TestCase):
     """The names of the wire format are used in one folder only."""
 
