Read deeply nested answers without writing them out

What callers would see: an answer with a list nested 1,000 deep where a number, a key, a ticket or a reason is expected ended the ownership, or the task that follows a prefix of the store, or a request.

Cause: orjson reads up to 1,024 levels, but repr() and str() of such a value raise RecursionError. The checks of the store's answers put the value into the text of their ValueError, and the answers of the advice service and the reasons of refusals were read with str(); RecursionError was caught in no such place.

Change: the store's checks name the type only. Advice and reasons are decoded in wire.py with the typed reads that workers' answers use. A ticket may be a text or a whole number, as before.

Evidence: with deeply nested fields among its bodies MalformedAnswerTest failed in 15 calls before (8 of the store, 7 of workers and the advice service; RecursionError: maximum recursion depth exceeded while getting the repr of an object), and passes now.

--- a/poplarlb/platform/advice.py
+++ b/poplarlb/platform/advice.py
@@ -4,8 +4,12 @@
 from attrs import define
 
 from poplarlb.coordination.jobs.events import AdviceAnswered, AskAdvice
-from poplarlb.exceptions import CallNotSentError, CallUnansweredError
-from poplarlb.platform.workers import MALFORMED_ERRORS
+from poplarlb.exceptions import (
+    BadAnswerError,
+    CallNotSentError,
+    CallUnansweredError,
+)
+from poplarlb.platform.wire import decode_advice
 from poplarlb.transport.http_client import HttpClient
 
 ANSWER_TIMEOUT_S = 5.0  # the service decides on each worker in turn before it answers
@@ -38,11 +42,7 @@
             )
             if response.status != 200:
                 return failed
-            row = orjson.loads(response.body)
-            tickets = tuple((str(item[0]), str(item[1])) for item in row["good"])
-            valid_ms = int(row["validMs"])
-        except (CallNotSentError, CallUnansweredError):
-            return failed
-        except (IndexError, *MALFORMED_ERRORS):
+            tickets, valid_ms = decode_advice(response.body)
+        except (CallNotSentError, CallUnansweredError, BadAnswerError):
             return failed
         return AdviceAnswered(command.step, command.workers, sent_ms, tickets, valid_ms)
--- a/poplarlb/platform/store.py
+++ b/poplarlb/platform/store.py
@@ -258,7 +258,7 @@
     :raises ValueError: it is something else.
     """
     if not isinstance(value, int) or isinstance(value, bool):
-        raise ValueError(f"{value!r} is not a whole number")
+        raise ValueError(f"not a whole number but of type {type(value).__name__}")
     return value
 
 
@@ -268,7 +268,7 @@
     :raises ValueError: it is something else.
     """
     if not isinstance(value, str):
-        raise ValueError(f"{value!r} is not a key")
+        raise ValueError(f"not a key but of type {type(value).__name__}")
     return value
 
 
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -409,6 +409,38 @@
     return name
 
 
+def decode_reason(body: bytes) -> str:
+    """Return a worker's reason for a refusal; empty if it gave none."""
+    try:
+        return parse_body(body, "refusal").string("reason")
+    except BadRequestError:
+        return ""
+
+
+def decode_advice(body: bytes) -> tuple[tuple[tuple[str, str], ...], int]:
+    """Return the workers that may run a step with their tickets, and how long in ms.
+
+    :raises BadAnswerError: the answer is malformed; the reason quotes none of it.
+    """
+    try:
+        fields = parse_body(body, "advice")
+        rows = fields.array("good", required=True)
+        tickets = tuple(
+            (row.string("worker", required=True), decode_ticket(row))
+            for row in name_items(rows, ("worker", "ticket"), "advice.good")
+        )
+        return tickets, int(fields.number("validMs", required=True))
+    except BadRequestError as error:
+        raise BadAnswerError(error.detail) from error
+
+
+def decode_ticket(row: Fields) -> str:
+    """Return a ticket, which the platform may also write as a whole number."""
+    if isinstance(row.row.get("ticket"), str):
+        return row.string("ticket")
+    return str(row.integer("ticket", required=True))
+
+
 # --- the store ------------------------------------------------------------------------
 
 
--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -23,14 +23,12 @@
     CallUnansweredError,
     OldEpochError,
 )
-from poplarlb.platform.wire import decode_answer
+from poplarlb.platform.wire import decode_answer, decode_reason
 from poplarlb.transport.http_client import HttpClient
 
 CALL_TIMEOUT_S = 1.0  # workers answer at once; the call is retried after this
 POLL_GRACE_S = 0.8  # added to the time that a poll may wait
 INSTANCE_HEADER = "X-Poplarlb-Expect-Instance"  # names the worker that is meant
-# Raised by decoding an answer that isn't what the protocol says.
-MALFORMED_ERRORS = (AttributeError, KeyError, OverflowError, TypeError, ValueError)
 REFUSAL_OUTCOMES = {  # by the reason that a worker gives with status 409
     "fence": CallOutcome.OLD_EPOCH,
     "old": CallOutcome.OLD_RUN,
@@ -147,15 +145,9 @@
         if response.status == 200:
             return CallOutcome.DONE
         if response.status == 409:
-            return REFUSAL_OUTCOMES.get(read_reason(response.body), CallOutcome.REFUSED)
+            return REFUSAL_OUTCOMES.get(
+                decode_reason(response.body), CallOutcome.REFUSED
+            )
         if response.status in (400, 421, 429, 503):
             return CallOutcome.REFUSED
         return CallOutcome.UNANSWERED
-
-
-def read_reason(body: bytes) -> str:
-    """Return a worker's reason for a refusal; empty if it gave none."""
-    try:
-        return str(orjson.loads(body).get("reason", ""))
-    except (orjson.JSONDecodeError, AttributeError):
-        return ""
--- a/tests/platform/test_malformed.py
+++ b/tests/platform/test_malformed.py
@@ -55,6 +55,17 @@
     """Return bodies of every kind that no caller expects."""
     bodies = [b"", b"\xff\xfe", b"{", b"[" * 3_000]
     bodies += [orjson.dumps(value) for value in ODD_VALUES]
+    deep = b"[" * 1_000 + b"]" * 1_000  # its repr() and str() raise RecursionError
+    bodies += [b'{"%s":%s}' % (field.encode(), deep) for field in FIELDS]
+    for name in (b"items", b"events", b"running", b"ended", b"good"):
+        for row in (deep, b"[%s,%s,%s,%s]" % (deep, deep, deep, deep)):
+            bodies.append(b'{"clockMs":5,"currentRev":7,"%s":[%s]}' % (name, row))
+        row = b'{"key":%s,"value":%s,"rev":%s}' % (deep, deep, deep)
+        bodies.append(b'{"clockMs":5,"currentRev":7,"%s":[%s]}' % (name, row))
+        row = b'{"key":"k","rev":%s}' % deep
+        bodies.append(b'{"clockMs":5,"currentRev":7,"%s":[%s]}' % (name, row))
+    bodies.append(b'{"good":[["w",%s]],"validMs":5}' % deep)
+    bodies.append(b'{"reason":%s}' % deep)
     for field in FIELDS:
         for value in ODD_VALUES:
             row = {"clockMs": 5, "currentRev": 7, "rev": 7, "items": [], "events": []}
