Log an unreadable worker once, not at each poll

Cause: JobOwner._poll logged every BadAnswerError, and the event belonged to no budget of lines.

Change: the owner keeps the workers whose last answer couldn't be read, and writes one line, now with the worker's id, until an answer can be read again. The event counts against the budget of failures, which also bounds the lines of unreadable answers to writes.

Evidence: test_logged_once failed before (a line for each of the 51 answers, without the worker's id) and passes now.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -52,6 +52,7 @@
         "worker_paused",
         "worker_lost",
         "crash_counted",
+        "answer_unreadable",
         "change_missed",
         "entry_unusable",
         "refresh_unanswered",
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -105,6 +105,7 @@
     ownership ends. ``calls`` counts the calls in flight by kind. ``errors`` are the
     numbers of unexpected errors by job, with those of earlier owners; after one the
     owner has ``failed``: it handles nothing more, as its state may be inconsistent.
+    ``unreadable`` are the workers whose last answer to a poll couldn't be read.
     """
 
     store: Store
@@ -122,6 +123,7 @@
     committing: bool = False
     errors: Counter[str] = field(factory=Counter)
     failed: bool = False
+    unreadable: set[str] = Factory(set)
 
     @classmethod
     async def load(
@@ -316,13 +318,23 @@
 
     async def _poll(self, command: events.PollWorker) -> None:
         sent_ms = boottime_ms()
+        worker_id = command.worker_id
         try:
-            self.feed(await self.workers.poll(command, sent_ms))
+            answer = await self.workers.poll(command, sent_ms)
         except OldEpochError:
-            self._execute(events.StepDown(f"{command.worker_id}: a higher epoch"))
+            self._execute(events.StepDown(f"{worker_id}: a higher epoch"))
+            return
         except BadAnswerError as error:
-            self.log.write("answer_unreadable", error=error.detail)
-            self.feed(events.PollFailed(command.worker_id, sent_ms))
+            if worker_id not in self.unreadable:
+                self.unreadable.add(worker_id)
+                self.log.write(
+                    "answer_unreadable", worker=worker_id, error=error.detail
+                )
+            self.feed(events.PollFailed(worker_id, sent_ms))
+            return
+        if isinstance(answer, events.PollAnswered):
+            self.unreadable.discard(worker_id)
+        self.feed(answer)
 
     async def _commit(self, command: events.Commit) -> None:
         sent_ms = boottime_ms()
--- a/tests/transport/test_job_owner.py
+++ b/tests/transport/test_job_owner.py
@@ -3,11 +3,20 @@
 import unittest
 from types import SimpleNamespace
 
+import orjson
+
 from poplarlb.coordination.jobs.dispatcher import Dispatcher
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
-from poplarlb.coordination.jobs.events import Commit
+from poplarlb.coordination.jobs.events import (
+    Commit,
+    Event,
+    PollAnswered,
+    PollFailed,
+    PollWorker,
+)
 from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.event_log import EventLog
+from poplarlb.exceptions import BadAnswerError
 from poplarlb.protocol.store import StoredItem, StoredList
 from poplarlb.transport.job_keys import CANCELS, JOBS, PROGRESS
 from poplarlb.transport.job_owner import JobOwner, find_leftovers
@@ -53,5 +62,58 @@
         self.assertEqual(find_leftovers(jobs, progress), list(IDS[1:]))
 
 
+class UnreadableAnswerTest(unittest.IsolatedAsyncioTestCase):
+    """A worker whose answers to polls can't be read."""
+
+    async def asyncSetUp(self) -> None:
+        """Create an owner whose workers answer as told."""
+        self.log = EventLog("d0", lambda: (0, 0))
+        self.owner = JobOwner(
+            None,
+            SimpleNamespace(poll=self.answer),
+            None,
+            None,
+            SimpleNamespace(epoch=1, commit=self.commit),
+            Dispatcher(DispatcherState(JobPolicy(), 1)),
+            self.log,
+        )
+
+    async def answer(self, command: PollWorker, sent_ms: int) -> Event:
+        """Return or raise the next answer."""
+        if isinstance(self.next_answer, Exception):
+            raise self.next_answer
+        return self.next_answer
+
+    async def commit(self, puts: list, deletes: list) -> None:
+        """Accept any records."""
+
+    async def poll(self, answer: Event | Exception, worker_id: str = "w0") -> None:
+        """Poll a worker that answers so."""
+        self.next_answer = answer
+        await self.owner._poll(PollWorker(worker_id, "127.0.0.1:1", 1, None, None, 0))
+
+    # Guards against a line for each poll of a worker that goes on answering oddly.
+    async def test_logged_once(self) -> None:
+        """One line, whatever the reason, until an answer can be read."""
+        for number in range(50):
+            await self.poll(BadAnswerError(f"fault {number}"))
+            await self.poll(PollFailed("w0", 0))
+        await self.poll(BadAnswerError("fault"), "w1")
+        self.assertEqual(self.read_workers(), ["w0", "w1"])
+        await self.poll(PollAnswered("w0", 0, 1, 5, (), ()))
+        await self.poll(BadAnswerError("fault"))
+        self.assertEqual(self.read_workers(), ["w0"])
+
+    def read_workers(self) -> list[str]:
+        """Return the workers in the lines logged since the last call."""
+        lines = [orjson.loads(line) for line in self.log.lines]
+        self.log.lines.clear()
+        return [
+            line.get("worker", "")
+            for line in lines
+            if line["event"] == "answer_unreadable"
+        ]
+
+
 if __name__ == "__main__":
     unittest.main()
