Read any deadline of a caller without an error

What callers saw: a submission or a cancellation whose X-Poplarlb-Deadline-Ms is a superscript digit or a number of 400 digits got status 500 instead of being answered.

Cause: caller_timeout_s took str.isdigit() as a check for int(), which refuses superscripts, and divided a whole number that no float can hold.

Change: only ASCII digits count, and they are read as a float, which has no such limit.

--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -162,9 +162,9 @@
 def caller_timeout_s(request: HttpRequest) -> float:
     """Return how long the caller of a request waits for the response."""
     text = request.headers.get(DEADLINE_HEADER, "")
-    if not text.isdigit():
+    if not (text.isascii() and text.isdigit()):
         return DEFAULT_TIMEOUT_S
-    return min(int(text) / 1000, MAX_TIMEOUT_S)
+    return min(float(text) / 1000, MAX_TIMEOUT_S)
 
 
 def response_to_write(result: WriteResult) -> HttpResponse:
