Refuse an odd settings file instead of ending the process

What operators would see: a settings file that is nested very deeply, or has a number that is infinite, not a number or too large, or an address whose port is a superscript digit, ended the daemon when it was read again (part_failed), instead of settings_refused.

Cause: the json module raises RecursionError and reads Infinity and NaN; read_field checked types only, and to_ms converts to int. is_address used str.isdigit() as a check for int() and accepted line breaks in a host.

Change: RecursionError is a SettingsError; numbers must be from 0 to 2**53; addresses are read with the HTTP client's parse_address.

Evidence: test_odd_files_are_refused failed before for 40 of 48 files (RecursionError, OverflowError, ValueError, or the file was accepted), and passes now.

--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -7,10 +7,12 @@
 from attrs import frozen
 
 from poplarlb.exceptions import SettingsError
+from poplarlb.transport.http_client import parse_address
 
 SETTINGS_VARIABLE = "POPLARLB_BOOT"
 DEFAULT_PATH = "/etc/poplarlb/local.json"
 MIN_CONFIG_MS = 500  # the operator's entries are listed three times within it
+MAX_NUMBER = 2**53  # larger whole numbers are not exact in JSON
 METRICS_PORT_VARIABLE = "POPLARLB_METRICS_PORT"
 
 
@@ -115,7 +117,7 @@
     """
     try:
         document = json.loads(path.read_text())
-    except (OSError, ValueError) as error:
+    except (OSError, RecursionError, ValueError) as error:
         raise SettingsError(f"{path}: {error}") from error
     if not isinstance(document, dict):
         raise SettingsError(f"{path}: not a JSON object")
@@ -137,7 +139,8 @@
 def read_field(document: dict, item: FieldSpec, faults: list[str]):
     """Return a field's value, or None.
 
-    A fault is added if a required field is missing, or a field is of the wrong type.
+    A fault is added if a required field is missing, or a field is of the wrong type or
+    out of range.
     """
     value = document
     for name in item.path:
@@ -150,13 +153,19 @@
     if not isinstance(value, item.kind) or isinstance(value, bool):
         faults.append(f"{where}: wrong type")
         return None
+    if item.kind is NUMBER and not 0 <= value <= MAX_NUMBER:
+        faults.append(f"{where}: out of range")
+        return None
     return value
 
 
 def is_address(text: str) -> bool:
     """Return whether a text is HOST:PORT."""
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit() and 0 < int(port) < 65_536
+    try:
+        parse_address(text)
+    except ValueError:
+        return False
+    return True
 
 
 def build_settings(values: dict) -> DaemonSettings:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -57,6 +57,35 @@
             policy = build_policy(self.load({**VALID, "bounds": bounds}))
             self.assertEqual(policy.max_view_age_ms, age_ms)
 
+    # Guards against a file that ends the process when it is read again.
+    def test_odd_files_are_refused(self) -> None:
+        """A file of any content is read or refused, with a short reason."""
+        texts = [
+            "[" * 100_000,
+            '{"node":' * 100_000,
+            "\x00",
+            '{"a":' + "9" * 5_000 + "}",
+        ]
+        for name in ("graceS", "stopMs", "holdMaxMs", "status_s", "configMs", "farX"):
+            for value in ("1e999", "-1e999", "NaN", "-1", "9" * 400, "1e300"):
+                bounds = f'{{"{name}": {value}}}'
+                texts.append(
+                    json.dumps({**VALID, "bounds": None}).replace("null", bounds)
+                )
+        for address in (
+            "10.0.0.1:\xb2",
+            "10.0.0.1:70000",
+            "10.0.0.1\r\nX: 1:80",
+            ":80",
+        ):
+            texts.append(json.dumps({**VALID, "platform": {"addr": address}}))
+            texts.append(json.dumps({**VALID, "advice": address}))
+        for text in texts:
+            with self.subTest(text=text[:40], end=text[-60:]):
+                with self.assertRaises(SettingsError) as raised:
+                    self.load(text)
+                self.assertLess(len(raised.exception.detail), 400)
+
     def test_configuration_is_listed_well_within_its_bound(self) -> None:
         """A listing that times out leaves a fifth of the bound for the next one."""
         for bound_ms in (500, 2_000, 3_000):
