Refuse a deeply nested record in every reader of records

What callers would see: a progress record whose state, or a record of learned interference whose rows, are nested 1,000 deep ended each ownership at its loading, and a query of the job got status 500.

Cause: the readers of records caught different lists of errors, and none RecursionError, which an enumeration raises when it writes out the value that it refuses, and an unpacking likewise.

Change: one list, job_records.UNREADABLE_ERRORS, with ArithmeticError and RecursionError, for the records of jobs, counts, leases, errors by job and learned interference.

Evidence: test_any_value_may_be_odd failed before in four of its records (RecursionError: maximum recursion depth exceeded while getting the repr of an object), and passes now.

--- a/poplarlb/coordination/jobs/bad_jobs.py
+++ b/poplarlb/coordination/jobs/bad_jobs.py
@@ -14,6 +14,7 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.coordination.jobs.fleet import Run
 from poplarlb.exceptions import BadAnswerError
+from poplarlb.state.job_records import UNREADABLE_ERRORS
 from poplarlb.state.jobs import Job, JobSpec, Task, parse_task_name
 
 MAX_ERRORS = 2  # a job with so many is set aside
@@ -99,5 +100,5 @@
     try:
         rows = orjson.loads(value).items()
         return Counter({str(job_id): int(count) for job_id, count in rows})
-    except (AttributeError, TypeError, ValueError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of errors by job: {error}") from error
--- a/poplarlb/coordination/jobs/interference.py
+++ b/poplarlb/coordination/jobs/interference.py
@@ -20,6 +20,7 @@
 
 from poplarlb.coordination.jobs.margin_forecast import MarginForecast
 from poplarlb.exceptions import BadAnswerError
+from poplarlb.state.job_records import UNREADABLE_ERRORS
 
 MAX_MARGIN = 5.0  # tail latencies far below their target all count alike
 MIN_LEARNED_MARGIN = 0.25  # below it a queue has built up; the tail shows only that
@@ -225,7 +226,7 @@
                 for job, occurrence, step, margin, variance, age_ms in record["margins"]
             }
             forecast = MarginForecast.decode(record["forecast"], written_ms)
-        except (ValueError, TypeError, AttributeError, LookupError) as error:
+        except UNREADABLE_ERRORS as error:
             raise BadAnswerError(
                 f"malformed record of learned interference: {error}"
             ) from error
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -35,7 +35,14 @@
 NEVER_RUN = 0  # the task waits and has had no run
 DONE = 2  # the task is done
 # Raised by reading a record that isn't in the format.
-UNREADABLE_ERRORS = (AttributeError, IndexError, KeyError, TypeError, ValueError)
+UNREADABLE_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    RecursionError,  # by writing out a deeply nested value
+    TypeError,
+    ValueError,
+)
 
 
 @frozen
@@ -58,7 +65,7 @@
     """
     try:
         return WaitingCounts(**orjson.loads(value))
-    except (ValueError, TypeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of waiting jobs: {error}") from error
 
 
@@ -88,7 +95,7 @@
             LeaseRemainder(worker_id, int(remaining_ms))
             for worker_id, remaining_ms in rows
         )
-    except (ValueError, TypeError, AttributeError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of unresponsive workers: {error}") from error
 
 
@@ -213,7 +220,7 @@
     """
     try:
         return JobState(orjson.loads(value)["state"])
-    except (ValueError, TypeError, KeyError) as error:
+    except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"progress record: {error}") from error
 
 
