Start beside an unreadable record of processors

What operators would see: a daemon that started while the record `strongest` was no number ended at once (part_failed); one that ran already failed at each claim.

Cause: decode_processors raised TypeError or ValueError, and the part that publishes the number catches errors of this product only.

Change: it raises BadAnswerError; an unreadable record is logged, counts as 0 and is replaced.

Evidence: test_odd_record_of_processors failed before (the daemon had ended) and passes now.

--- a/poplarlb/transport/ownership_loop.py
+++ b/poplarlb/transport/ownership_loop.py
@@ -16,7 +16,7 @@
 
 from poplarlb.coordination.jobs.events import OwnershipConfirmed
 from poplarlb.event_log import EventLog
-from poplarlb.exceptions import DeposedError, PoplarlbError
+from poplarlb.exceptions import BadAnswerError, DeposedError, PoplarlbError
 from poplarlb.protocol.store import (
     Applied,
     Conflict,
@@ -26,6 +26,7 @@
     StoredChange,
     Transaction,
 )
+from poplarlb.state.job_records import UNREADABLE_ERRORS
 from poplarlb.transport.clock import boottime_ms
 from poplarlb.transport.committer import Committer, decode_epoch, encode_chain
 from poplarlb.transport.job_keys import CHAIN, HOLDER, STRONGEST
@@ -167,7 +168,7 @@
         Return false if the write must be retried.
         """
         found = await self.store.get(STRONGEST)
-        if found is not None and decode_processors(found.value) >= self.processors:
+        if found is not None and self._read_strongest(found.value) >= self.processors:
             return True
         revision = found.revision if found else 0
         put = Put(STRONGEST, orjson.dumps(self.processors))
@@ -176,6 +177,14 @@
         )
         return isinstance(result, Applied)
 
+    def _read_strongest(self, value: bytes) -> float:
+        """Return the highest number of processors; 0 if the record is unreadable."""
+        try:
+            return decode_processors(value)
+        except BadAnswerError as error:
+            self.log.write("record_unreadable", key=STRONGEST, error=error.detail)
+            return 0.0
+
     async def _should_delay_claim(self) -> bool:
         """Return whether daemons with more processors should claim first."""
         try:
@@ -183,7 +192,7 @@
         except PoplarlbError as error:
             self.log.write("claim_failed", error=error.detail)
             return True
-        strongest = decode_processors(found.value) if found else 0.0
+        strongest = self._read_strongest(found.value) if found else 0.0
         if self.processors >= LOW_PROCESSOR_SHARE * strongest:
             return False
         self.log.write(
@@ -309,5 +318,11 @@
 
 
 def decode_processors(value: bytes) -> float:
-    """Return the number of processors in a value of the key ``STRONGEST``."""
-    return float(orjson.loads(value))
+    """Return the number of processors in a value of the key ``STRONGEST``.
+
+    :raises BadAnswerError: it isn't a number.
+    """
+    try:
+        return float(orjson.loads(value))
+    except UNREADABLE_ERRORS as error:
+        raise BadAnswerError(f"record of processors: {error}") from error
--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -77,6 +77,17 @@
         self.assertEqual(self.count_lines("entry_unusable"), 1)
         self.assertEqual(self.count_lines("answer_unreadable"), 0)
 
+    # Guards against a record by which a daemon ends when it starts.
+    async def test_odd_record_of_processors(self) -> None:
+        """A daemon starts beside an unreadable record, and replaces it."""
+        self.deployment.store.table.put("strongest", b"[]")
+        await self.deployment.start_daemon("d2")
+        await asyncio.sleep(ODD_S)
+        self.assertFalse(self.deployment.running["d2"].done())
+        self.assertEqual(self.count_lines("part_failed"), 0)
+        item = self.deployment.store.table.items["strongest"]
+        self.assertGreater(json.loads(base64.b64decode(item.value)), 0)
+
 
 if __name__ == "__main__":
     unittest.main()
