Refuse counts of waiting jobs that aren't numbers

What callers would see: status 500 for a queue's count while the record `waiting` had a text or a list for its time or its counts.

Cause: decode_waiting_counts checked the names of the fields only, and the gateway subtracted the time.

Change: the time and the counts are read as whole numbers; otherwise the record is unreadable, is logged, and the jobs are counted from their records.

Evidence: test_types failed before for all eleven records (no BadAnswerError), and passes now.

--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -64,7 +64,9 @@
     :raises BadAnswerError: the record is not in this format.
     """
     try:
-        return WaitingCounts(**orjson.loads(value))
+        row = orjson.loads(value)
+        queues = {str(queue): int(count) for queue, count in row["queues"].items()}
+        return WaitingCounts(int(row["utc_ms"]), queues)
     except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of waiting jobs: {error}") from error
 
--- a/tests/state/test_odd_job_records.py
+++ b/tests/state/test_odd_job_records.py
@@ -70,6 +70,26 @@
                             continue
 
 
+class WaitingCountsTest(unittest.TestCase):
+    """The counts of waiting jobs, which requests are answered by."""
+
+    # Guards against counts that pass as read and fail a request with status 500.
+    def test_types(self) -> None:
+        """A time and counts that aren't numbers are refused."""
+        record = {"utc_ms": 1, "queues": {"q": 1}}
+        for value in (DEEP, b"null", b'"x"', b"{}", b"[]"):
+            for name in (b'"utc_ms":1', b'"q":1'):
+                key = name[:-1]
+                with self.subTest(key=key, value=value[:20]):
+                    changed = orjson.dumps(record).replace(name, key + value)
+                    with self.assertRaises(BadAnswerError):
+                        job_records.decode_waiting_counts(changed)
+        with self.assertRaises(BadAnswerError):
+            job_records.decode_waiting_counts(b'{"utc_ms":1,"queues":[]}')
+        counts = job_records.decode_waiting_counts(orjson.dumps(record))
+        self.assertEqual((counts.utc_ms, counts.queues), (1, {"q": 1}))
+
+
 def restore_progress(record: bytes) -> None:
     """Restore a job's progress."""
     job_records.restore_progress(Job(SPEC), record)
