Bound the length of a log line

What operators would see: a line of a megabyte, the store's limit for a value, for a worker whose entry has a text that long for its zone, and the buffer of 2,000 lines without a limit in bytes.

Cause: EventLog bounded the number of lines, and the length only of those that JSON can't hold.

Change: a line above 64 KiB is replaced by one with its event, its length (too_long) and the first 1,000 bytes of its text.

Evidence: test_line_is_bounded failed before (a line of 1,000,074 bytes instead of fewer than 8,000) and passes now.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -22,7 +22,8 @@
 ROUTINE_LINES_PER_S = 10.0  # long-run rate; operators limit a daemon to 20 in all
 FAILURE_LINES_PER_S = 6.0
 SUMMARY_PERIOD_MS = 2_000
-MAX_REPR_CHARACTERS = 1_000  # of fields that JSON can't hold
+MAX_REPR_CHARACTERS = 1_000  # of fields that JSON can't hold, or a line has no room for
+MAX_LINE_BYTES = 64 * 1024  # of a line; some fields are texts that others wrote
 WRITE_LINES = 200  # at most so many are joined into one write
 # Events of successes. ``job_final`` holds the trail of a job that fails or is late.
 ROUTINE_EVENTS = frozenset(
@@ -125,6 +126,9 @@
         except orjson.JSONEncodeError as error:
             text = repr(fields)[:MAX_REPR_CHARACTERS]
             line = orjson.dumps(row | {"not_encoded": str(error), "fields": text})
+        if len(line) > MAX_LINE_BYTES:
+            text = line[:MAX_REPR_CHARACTERS].decode("utf-8", "replace")
+            line = orjson.dumps(row | {"too_long": len(line), "fields": text})
         self.lines.append(line)
 
     def flush(self) -> None:
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -73,6 +73,16 @@
             written += len(self.read())
         self.assertLess((written - 2 * BURST_LINES) / 300, 20)
 
+    # Guards against a line as long as a text in another writer's entry, its zone say.
+    def test_line_is_bounded(self) -> None:
+        """Of fields that are too long the line has the beginning."""
+        self.log.write("worker_listed", worker="w0", zone="é" * 500_000)
+        self.assertLess(len(self.log.lines[0]), 8_000)
+        (line,) = self.read()
+        self.assertEqual(line["event"], "worker_listed")
+        self.assertGreater(line["too_long"], 500_000)
+        self.assertIn('"worker":"w0"', line["fields"])
+
     def test_unread_pipe_does_not_block(self) -> None:
         """Lines that can't be written are dropped and counted, without blocking."""
         for _ in range(3 * BUFFER_LINES):
