--- a/tests/platform/test_odd_entries.py
+++ b/tests/platform/test_odd_entries.py
@@ -6,6 +6,8 @@
 import unittest
 
 from tests.platform.deployment import JOB, Deployment
+from tests.platform.test_operator import ODD_VALUES
+from tests.transport.test_http_client import ODD_ADDRESSES
 
 ID = "0123456789abcdef"
 ROUNDS = 6
@@ -77,6 +79,29 @@
         self.assertEqual(self.count_lines("entry_unusable"), 1)
         self.assertEqual(self.count_lines("answer_unreadable"), 0)
 
+    # Guards against any other odd entry, over a sound one or beside it.
+    async def test_every_odd_value(self) -> None:
+        """Jobs are done under one ownership, and the overwritten worker comes back."""
+        sound = self.read_entry("w0")
+        huge = {"cpu": 2**53, "memMb": 2**53, "gpu": 2**53}
+        odd = [*ODD_VALUES, {**sound, "born": 2**53}, {**sound, "capacity": huge}]
+        odd += [{**sound, "addr": address} for address in ODD_ADDRESSES]
+        jobs = [f"{number:016x}" for number in range(len(odd))]
+        for job_id, value in zip(jobs, odd, strict=True):
+            self.write_entry("w0", value)
+            self.write_entry(f"odd{job_id}", value)
+            await self.deployment.call("POST", f"/o/{job_id}", JOB)
+            await asyncio.sleep(0.05)
+            self.write_entry("w0", sound)
+            await asyncio.sleep(0.05)
+        for job_id in jobs:
+            await self.deployment.wait_for_state(job_id, "done", timeout_s=15.0)
+        self.assertEqual(self.count_takeovers(), 1)
+        self.assertEqual(self.count_lines("ownership_failed"), 0)
+        (owner,) = [item for item in self.deployment.live() if item.owns_jobs()]
+        worker = owner.ownership.owner.dispatcher.state.workers["w0"]
+        await self.deployment.wait_until(lambda: worker.is_reachable)
+
     # Guards against a record by which a daemon ends when it starts.
     async def test_odd_record_of_processors(self) -> None:
         """A daemon starts beside an unreadable record, and replaces it."""
