--- a/tests/coordination/jobs/test_injected_faults.py
+++ b/tests/coordination/jobs/test_injected_faults.py
@@ -170,7 +170,7 @@
 INJECTED_FAULTS = {
     acknowledge_early: (11, USUAL),
     ignore_unanswered_start: (1, USUAL),
-    halve_lease: (34, USUAL),
+    halve_lease: (27, USUAL),
     skip_inherited_leases: (62, USUAL),
     release_at_stop: (14, USUAL),
     mix_incarnations: (1, USUAL),
