Try each ready step of a starved job

Found by the review, with two tests: only a job's first ready task was tried. If it fits nowhere, or may not be started again while its limit of attempts isn't known, it hid the tasks of the job that can run.

Change: the first startable task of each ready step is tried.

--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -1,6 +1,7 @@
 """Chooses which waiting tasks start next and places them."""
 
-from itertools import chain
+from itertools import chain, groupby
+from operator import attrgetter
 
 import attrs
 from attrs import Factory, define
@@ -159,20 +160,12 @@
     def _place_starved(self) -> None:
         """Start a task or a gang of each job that has starved as long as it may."""
         for job in self.starved_jobs.list_due():
-            tasks = [task for task in list_ready(job) if self._may_end_starvation(task)]
             queue = self.state.queue_of(job)
-            if not tasks or not self._startable_again(tasks[:1], queue):
-                continue
-            task = tasks[0]
-            last_resort = self._place_starved_tasks(tasks, queue)
-            if last_resort is not None:
-                self.state.log_task(
-                    "starved_job_placed",
-                    task,
-                    task.run,
-                    idle_ms=self.state.now_ms - self.starved_jobs.idle_since_ms[job],
-                    last_resort=last_resort,
-                )
+            ready = filter(self._may_end_starvation, list_ready(job))
+            for _, step_tasks in groupby(ready, key=attrgetter("step_key")):
+                tasks = self._startable_again(list(step_tasks), queue)
+                if job.final or (tasks and self._place_starved_tasks(tasks, queue)):
+                    break
 
     def _may_end_starvation(self, task: Task) -> bool:
         """Return whether a waiting task is started as soon as its job has starved.
@@ -183,29 +176,36 @@
             return False
         return not task.reserved_runs and task not in self.state.suspects
 
-    def _place_starved_tasks(
-        self, tasks: list[Task], queue: QueueConfig
-    ) -> bool | None:
-        """Place the first task or its gang.
-
-        Return whether as a last resort; None if it fits nowhere.
-        """
+    def _place_starved_tasks(self, tasks: list[Task], queue: QueueConfig) -> bool:
+        """Place the first task of a step, or its gang; return whether it fitted."""
         task = tasks[0]
-        spec = task.spec
-        gang = [other for other in tasks if other.step_key == task.step_key]
-        for last_resort in (False, True) if spec.fills else (False,):
-            if spec.gang:
-                if self._place_gang(gang, spec, queue, last_resort):
-                    return last_resort
-                continue
-            demand = self._demand(task, queue)
-            demand = attrs.evolve(demand, last_resort=last_resort)
-            worker = self.chooser.rank(demand).take()
-            if worker is not None:
-                self._commit_start(self._reserve(task, worker, demand))
-                self.chooser.margins.pop(worker.worker_id, None)
-                return last_resort
-        return None
+        for last_resort in (False, True) if task.spec.fills else (False,):
+            if task.spec.gang:
+                placed = self._place_gang(tasks, task.spec, queue, last_resort)
+            else:
+                placed = self._place_starved_task(task, queue, last_resort)
+            if placed:
+                idle_since_ms = self.starved_jobs.idle_since_ms[task.job]
+                self.state.log_task(
+                    "starved_job_placed",
+                    task,
+                    task.run,
+                    idle_ms=self.state.now_ms - idle_since_ms,
+                    last_resort=last_resort,
+                )
+                return True
+        return False
+
+    def _place_starved_task(
+        self, task: Task, queue: QueueConfig, last_resort: bool
+    ) -> bool:
+        demand = attrs.evolve(self._demand(task, queue), last_resort=last_resort)
+        worker = self.chooser.rank(demand).take()
+        if worker is None:
+            return False
+        self._commit_start(self._reserve(task, worker, demand))
+        self.chooser.margins.pop(worker.worker_id, None)
+        return True
 
     def urgency_key(self, job: Job) -> tuple:
         """Return a job's sort key; the most urgent job sorts first.
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -3,6 +3,8 @@
 import unittest
 from unittest import mock
 
+import attrs
+
 from poplarlb.coordination.jobs.events import CallOutcome
 from poplarlb.coordination.jobs.interference import Estimate
 from poplarlb.state.jobs import JobState, StepSpec
@@ -134,6 +136,35 @@
         self.submit_one_step(count=1, long_running=True)
         self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
 
+    def wait_for_start(self, task: str) -> int:
+        """Return how long a task waits for its first start, 10 s at most."""
+        for waited_ms in range(0, 10_000, 20):
+            if self.world.starts[task]:
+                return waited_ms
+            self.parent.learn_steep_slope()
+            self.world.run(20)
+        return 10_000
+
+    def test_step_that_fits_nowhere_hides_no_other(self) -> None:
+        """Guards against a ready task that waits behind another that can't run."""
+        large = StepSpec(1, Resources(starved.CPU_MILLIS + 1, 1_000), estimate_ms=500)
+        size = Resources(2_000, 1_000)
+        small = StepSpec(1, size, estimate_ms=500, image="sum", fills=True)
+        self.world.submit(make_job(STARVED, large, small))
+        self.assertLess(self.wait_for_start(f"{STARVED}.0.1.0"), MAX_WAIT_MS)
+
+    def test_failed_task_without_known_limit_hides_no_other(self) -> None:
+        """Guards against tasks that wait behind one that may not start again yet."""
+        first = f"{STARVED}.0.0.0"
+        self.world.failing.add(first)
+        self.world.submit(starved.best_effort_job(STARVED, 3, 6_000))
+        self.wait_for_start(first)
+        self.world.configure(attrs.evolve(self.world.queue, max_attempts=0))
+        while self.parent.count_runs(STARVED):
+            self.parent.learn_steep_slope()
+            self.world.run(20)
+        self.assertLess(self.wait_for_start(f"{STARVED}.0.0.1"), MAX_WAIT_MS)
+
     def submit_one_step(self, count: int, **fields) -> None:
         """Submit a job of one step of best-effort tasks that interfere."""
         size = Resources(2_000, 1_000)
