Place nothing as a last resort at a worker whose capacity has shrunk

Found by the review, by reading: such a worker's reservations may exceed its capacity; a run placed there is released before its start ("capacity has shrunk"), and placed there again.

Change: reserved processors must fit in the capacity, as for other best-effort tasks.

The test failed before: runs were placed at the worker, too.

--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -340,7 +340,7 @@
     if not spec.fills:
         return size.cpu_millis + reserved.cpu_millis <= capacity.cpu_millis
     if last_resort:
-        return True
+        return reserved.cpu_millis <= capacity.cpu_millis
     used = reserved.cpu_millis - int(worker.serving_cpu * (1 - SERVING_USE_SHARE))
     unused = capacity.cpu_millis - used - worker.best_effort_cpu
     return reserved.cpu_millis <= capacity.cpu_millis and unused >= size.cpu_millis
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -126,6 +126,22 @@
             self.world.submit(starved.best_effort_job(STARVED, 1, 2_000))
             self.assertLess(self.longest_idle_ms(10_000), MAX_WAIT_MS)
 
+    def test_shrunken_worker_gets_no_run(self) -> None:
+        """Guards against runs that are placed and released again and again."""
+        worker = self.world.workers["w0"]
+        shrunken = Resources(1_000, worker.capacity.memory_mb)
+        self.world.resize("w0", shrunken, unwritten_ms=0)
+        self.world.run(1_000)
+        self.world.logged.clear()
+        for number in range(2 * len(self.world.workers)):
+            job = starved.best_effort_job(f"{number:016x}", 3, 2_000)
+            self.world.submit(job)
+        self.world.run(2 * MAX_WAIT_MS)
+        placed = {
+            event.fields["worker"] for event in self.world.logged_events("task_placed")
+        }
+        self.assertEqual(placed, {"w1", "w2", "w3"})
+
     def test_gang_does_not_starve(self) -> None:
         """Guards against a gang that is refused for interference for minutes."""
         self.submit_one_step(count=2, gang=True)
