Bound how many starved jobs a round tries on a large fleet

Change: a round ranks at most 8,000 workers for starved jobs, so 16 jobs at 500 workers and all at the small sites; those that waited longest for a turn come first. The line of a starving job has the age of the oldest answer of a worker instead of the newest, which said little.

The test fails without the bound: 20 jobs are due at once instead of 4, five times.

--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -118,9 +118,9 @@
             suspected=tasks[0] in state.suspects,
             usable_workers=len(workers),
             refused_workers=self.chooser.count_refusals(demand),
-            view_age_ms=state.now_ms - max(item.answered_ms for item in workers)
-            if workers
-            else -1,
+            oldest_answer_ms=max(
+                (state.now_ms - item.answered_ms for item in workers), default=-1
+            ),
         )
 
     def _split_workers(
@@ -159,7 +159,8 @@
 
     def _place_starved(self) -> None:
         """Start a task or a gang of each job that has starved as long as it may."""
-        for job in self.starved_jobs.list_due():
+        worker_count = sum(map(len, self.chooser.workers.values()))
+        for job in self.starved_jobs.list_due(worker_count):
             queue = self.state.queue_of(job)
             ready = filter(self._may_end_starvation, list_ready(job))
             for _, step_tasks in groupby(ready, key=attrgetter("step_key")):
--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -21,6 +21,7 @@
 # in time.
 MAX_STARVED_MS = 1_500
 FREE_SERVICE_SHARE = 0.6  # a service with less of its room reserved is mostly free
+MAX_RANKED_WORKERS = 8_000  # in a round; bounds how long the owner is busy with it
 LOG_PERIOD_MS = 2_000
 LOGGED_JOBS = 2  # in each period, those that have been idle longest
 LOGGED_FROM_MS = 3_000  # without a run
@@ -33,12 +34,14 @@
     :ivar since_ms: by job, when that was first seen. Runs that were placed as a last
         resort don't count, so that the next one follows at once.
     :ivar idle_since_ms: the same, with those runs.
+    :ivar tried_ms: when an idle job was last due for a run.
     :ivar free_services: the services of which most room is not reserved.
     """
 
     state: DispatcherState
     since_ms: dict[Job, int] = Factory(dict)
     idle_since_ms: dict[Job, int] = Factory(dict)
+    tried_ms: dict[Job, int] = Factory(dict)
     free_services: set[str] = Factory(set)
     next_check_ms: int = 0
     next_log_ms: int = 0
@@ -57,8 +60,13 @@
         if self.since_ms:
             self.free_services = self._find_free_services()
 
-    def list_due(self) -> list[Job]:
-        """Return the jobs that must get a run now, those idle longest first."""
+    def list_due(self, worker_count: int) -> list[Job]:
+        """Return the jobs that must get a run now, those idle longest first.
+
+        On a large fleet not all may be due at once; the others come first next time.
+
+        :param worker_count: how many workers are ranked for each job.
+        """
         state = self.state
         self.idle_since_ms = {
             job: self.idle_since_ms.get(job, state.now_ms)
@@ -71,7 +79,19 @@
             if state.now_ms - self.since_ms[job] >= MAX_STARVED_MS
             and state.queue_of(job).service in self.free_services
         ]
-        return sorted(due, key=self.idle_since_ms.get)
+        due.sort(key=self._waited_since)
+        due = due[: max(MAX_RANKED_WORKERS // max(worker_count, 1), 1)]
+        self.tried_ms = {
+            job: at_ms
+            for job, at_ms in self.tried_ms.items()
+            if job in self.idle_since_ms
+        } | dict.fromkeys(due, state.now_ms)
+        return due
+
+    def _waited_since(self, job: Job) -> tuple[int, bool]:
+        """Return since when a job has waited for its turn, and whether it had one."""
+        since_ms = self.tried_ms.get(job, self.idle_since_ms[job])
+        return since_ms, job in self.tried_ms
 
     def due_for_log(self) -> list[Job]:
         """Return once per period the jobs that have been idle longest."""
--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -1,12 +1,14 @@
 """What happens to runs of starved jobs after they were placed, and who gets none."""
 
 import unittest
+from itertools import chain
 from unittest import mock
 
 import attrs
 
 from poplarlb.coordination.jobs.events import CallOutcome
 from poplarlb.coordination.jobs.interference import Estimate
+from poplarlb.coordination.jobs.starvation import MAX_RANKED_WORKERS, StarvedJobs
 from poplarlb.state.jobs import JobState, StepSpec
 from poplarlb.state.models import Resources
 from tests.coordination.jobs import test_starved_jobs as starved
@@ -142,6 +144,20 @@
         }
         self.assertEqual(placed, {"w1", "w2", "w3"})
 
+    def test_few_are_due_at_once_on_a_large_fleet(self) -> None:
+        """Guards against an owner that is busy for a second with starved jobs."""
+        jobs = [f"{number:016x}" for number in range(20)]
+        for job_id in jobs:
+            self.world.submit(starved.best_effort_job(job_id, 20, 2_000))
+        starved_jobs = self.world.owner.scheduler.starved_jobs
+        with mock.patch.object(StarvedJobs, "list_due", return_value=[]):
+            self.world.run(2_500)
+        workers = MAX_RANKED_WORKERS // 4
+        rounds = [starved_jobs.list_due(workers) for _ in range(5)]
+        self.assertEqual([len(due) for due in rounds], [4] * 5)
+        due = {job.spec.job_id for job in chain.from_iterable(rounds)}
+        self.assertEqual(due, set(jobs))
+
     def test_gang_does_not_starve(self) -> None:
         """Guards against a gang that is refused for interference for minutes."""
         self.submit_one_step(count=2, gang=True)
