Ask for advice on each job in turn

Cause: the steps to ask for were taken in the order of a set, four requests at a time. Wide jobs ask again as their tickets expire, so small jobs might never be asked for: the same class as starved jobs, an order without a bound on the wait.

Change: jobs never asked for come first, then those asked for longest ago; of these the older one.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -37,12 +37,14 @@
 
     :ivar denied: the workers for which the service gave no ticket, by step.
     :ivar open_requests: the steps for which a request is in flight.
+    :ivar asked_ms: when the service was last asked for a job, by the job's id.
     """
 
     state: DispatcherState
     tickets: dict[StepKey, dict[str, Ticket]] = Factory(dict)
     denied: dict[StepKey, set[str]] = Factory(dict)
     open_requests: set[StepKey] = Factory(set)
+    asked_ms: dict[str, int] = Factory(dict)
 
     def allowed(self, step: StepKey) -> dict[str, Ticket]:
         """Return the valid tickets of a step, by worker."""
@@ -60,10 +62,9 @@
         :param workers: the workers that may get new runs, by service.
         """
         state = self.state
-        for job in state.unplaced:
+        jobs = [job for job in state.unplaced if state.queue_of(job).needs_advice]
+        for job in sorted(jobs, key=self._turn):
             queue = state.queue_of(job)
-            if not queue.needs_advice:
-                continue
             for step, waiting in unplaced_steps(job):
                 if len(self.open_requests) >= MAX_OPEN_REQUESTS:
                     return
@@ -72,6 +73,11 @@
                         step, waiting, workers.get(queue.service, ())
                     )
 
+    def _turn(self, job: Job) -> tuple[int, int]:
+        """Return a job's sort key; jobs never asked for and older ones come first."""
+        job_id = job.spec.job_id
+        return self.asked_ms.get(job_id, 0), job.spec.accepted_utc_ms
+
     def _request_if_too_few(self, step: StepKey, waiting: int, workers) -> None:
         allowed = self.allowed(step)
         if len(allowed) >= waiting + SPARE_TICKETS:
@@ -87,6 +93,7 @@
         unknown.sort(key=lambda worker: -worker.free_capacity().cpu_millis)
         names = tuple(worker.worker_id for worker in unknown[:WORKERS_PER_REQUEST])
         self.open_requests.add(step)
+        self.asked_ms[step[0]] = self.state.now_ms
         self.state.log("advice_asked", job=step[0], step=step[2], workers=len(names))
         self.state.commands.append(AskAdvice(step, names))
 
@@ -112,12 +119,14 @@
 
     def forget_final(self) -> None:
         """Drop the tickets and denials for jobs that are final or forgotten."""
-        for step in [step for step in self.tickets if self._is_final(step)]:
+        for step in [step for step in self.tickets if self._is_final(step[0])]:
             del self.tickets[step]
             self.denied.pop(step, None)
+        for job_id in [name for name in self.asked_ms if self._is_final(name)]:
+            del self.asked_ms[job_id]
 
-    def _is_final(self, step: StepKey) -> bool:
-        job = self.state.jobs.get(step[0])
+    def _is_final(self, job_id: str) -> bool:
+        job = self.state.jobs.get(job_id)
         return job is None or job.final
 
 
