--- a/poplarlb/coordination/jobs/starvation.py
+++ b/poplarlb/coordination/jobs/starvation.py
@@ -79,14 +79,15 @@
             if state.now_ms - self.since_ms[job] >= MAX_STARVED_MS
             and state.queue_of(job).service in self.free_services
         ]
-        due.sort(key=self._waited_since)
-        due = due[: max(MAX_RANKED_WORKERS // max(worker_count, 1), 1)]
+        limit = max(MAX_RANKED_WORKERS // max(worker_count, 1), 1)
+        if len(due) > limit:
+            due = sorted(due, key=self._waited_since)[:limit]
         self.tried_ms = {
             job: at_ms
             for job, at_ms in self.tried_ms.items()
             if job in self.idle_since_ms
         } | dict.fromkeys(due, state.now_ms)
-        return due
+        return sorted(due, key=self.idle_since_ms.get)
 
     def _waited_since(self, job: Job) -> tuple[int, bool]:
         """Return since when a job has waited for its turn, and whether it had one."""
