Check each entry of the host list by itself

What callers saw: one odd host among sound ones (a field of another type, NaN, bytes that aren't UTF-8, an unknown state) made the whole list unread, without a log line; hosts that joined or left were not noticed. Ports out of range, negative and huge capacities, booleans for numbers, control characters and lone surrogates were taken over as they were; a surrogate in an id can't be encoded later, and a number over 64 bits leaves the CBOR range.

Cause: the entries were decoded in one expression without checks, and any error gave None.

Now an entry is decoded by itself, each field against its range. An odd one counts as not listed, and one line names the host and the field when the fault begins; further readings of the same list log nothing, and one reading logs at most 21 lines. A body that is no list of hosts leaves the last list in force, with one line.

--- a/poplarlb/transport/platform.py
+++ b/poplarlb/transport/platform.py
@@ -3,20 +3,21 @@
 The host list names the workers with their capacities and addresses.
 """
 
-import json
-
 import urllib3
+from loguru import logger
 
 from poplarlb.exceptions import ProtocolError
-from poplarlb.protocol import codec, ports
+from poplarlb.protocol import codec, hosts, ports
 from poplarlb.settings import PlatformSettings
-from poplarlb.state.models import HostState, Resources, Worker
+
+FAULTS_LOGGED = 20  # of one host list; the others are counted in one more line
 
 
 class PlatformAdapter:
     """Reads the host list and calls workers; blocks the calling thread.
 
     ``list_tag`` is the entity tag of ``listed``, the host list that was last read.
+    ``logged`` holds the faults of the last reading, which are logged when they begin.
 
     :param settings: addresses, periods and timeouts.
     """
@@ -27,12 +28,13 @@
         self.pool = urllib3.PoolManager(num_pools=2_000, maxsize=4, retries=False)
         self.list_tag = ""
         self.listed = ports.HostsListed(())
+        self.logged: frozenset[hosts.HostFault] = frozenset()
 
     def read_hosts(self) -> ports.HostsListed | None:
         """Return the host list, or ``None`` if it can't be read.
 
         The request is conditional on the entity tag (RFC 9110), so that an unchanged
-        list is not transferred again.
+        list is not transferred again. An odd entry counts as not listed.
         """
         url = f"http://{self.settings.hosts_address}/v1/hosts"
         timeout_s = self.settings.worker_timeout_ms / 1000
@@ -43,12 +45,27 @@
                 return self.listed
             if response.status != 200:
                 return None
-            items = json.loads(response.data)["hosts"]
-            self.listed = ports.HostsListed(tuple(_parse_host(item) for item in items))
-            self.list_tag = response.headers.get("ETag", "")
-            return self.listed
-        except (urllib3.exceptions.HTTPError, KeyError, ValueError, TypeError):
+            found = hosts.parse_hosts(response.data)
+        except urllib3.exceptions.HTTPError:
+            return None
+        except ProtocolError as error:
+            self._log_faults((hosts.HostFault("all", error.detail),))
             return None
+        self._log_faults(found.faults)
+        self.listed = ports.HostsListed(found.workers)
+        self.list_tag = response.headers.get("ETag", "")
+        return self.listed
+
+    def _log_faults(self, faults: tuple[hosts.HostFault, ...]) -> None:
+        """Log the faults that the last reading didn't have, within a limit."""
+        new = [item for item in faults if item not in self.logged]
+        self.logged = frozenset(faults)
+        for item in new[:FAULTS_LOGGED]:
+            line = logger.bind(host=item.host, fault=item.fault, outcome="not used")
+            line.warning("entry {} of the host list is odd: {}", item.host, item.fault)
+        left = len(new) - FAULTS_LOGGED
+        if left > 0:
+            logger.warning("{} more entries of the host list are odd", left)
 
     def call_worker(
         self, address: str, batch: ports.WorkerBatch
@@ -67,17 +84,3 @@
             return codec.decode(response.data, ports.WorkerAnswer)
         except (urllib3.exceptions.HTTPError, ProtocolError) as error:
             return ports.WorkerFailed(f"{type(error).__name__}: {error}")
-
-
-def _parse_host(item: dict) -> Worker:
-    size = Resources(item["cpu_millis"], item["memory_mb"], item["accelerators"])
-    return Worker(
-        item["id"],
-        item["zone"],
-        item["rack"],
-        item["address"],
-        size,
-        item["slots"],
-        item["connections"],
-        HostState(item["state"]),
-    )
