Leave out parts of the host list that are nested too deeply

What callers saw: a body or a field of the host list nested some thousand levels deep ended the reading with a RecursionError, which left read_hosts for a thread pool whose result nobody reads. The list was read again a period later with the same result; hosts that joined or left were no longer noticed, and no line said so.

Cause: json.loads recurses once for each level, and RecursionError wasn't among the errors that were expected. Catching it alone would leave the whole list unread for one host's field.

Now each part below 32 levels is replaced by null before the list is decoded, so that only the entry that holds it is odd.

Seen before: test_deeply_nested_body_leaves_the_list_followed and test_deeply_nested_field_costs_one_host ended with "RecursionError: maximum recursion depth exceeded while decoding a JSON array from a unicode string".

--- a/poplarlb/protocol/hosts.py
+++ b/poplarlb/protocol/hosts.py
@@ -16,10 +16,12 @@
 NAME_LIMIT = 253  # characters of an id, a zone or a rack
 AMOUNT_LIMIT = 10**9  # of a host's resources, slots and connections
 PORT_LIMIT = 65_535
+DEPTH_LIMIT = 32  # of arrays and objects in one another; deeper ones are left out
 
 _LABEL = r"[A-Za-z0-9_](?:[A-Za-z0-9_-]{0,61}[A-Za-z0-9_])?"
 _HOST_NAME = re.compile(rf"{_LABEL}(?:\.{_LABEL})*")
 _PORT = re.compile(r"[0-9]{1,5}")
+_BRACKET_OR_STRING = re.compile(r'[\[\]{}]|"(?:[^"\\]|\\.)*+"?')
 
 
 @frozen
@@ -57,7 +59,7 @@
     # A byte that isn't UTF-8 becomes a surrogate, which no field may contain.
     text = data.decode(errors="surrogateescape")
     try:
-        table = json.loads(text, parse_int=_read_integer)
+        table = json.loads(_cut_deep_parts(text), parse_int=_read_integer)
     except json.JSONDecodeError as error:
         raise ProtocolError(f"not JSON: {error.msg}") from error
     if not isinstance(table, dict) or not isinstance(table.get("hosts"), list):
@@ -65,6 +67,27 @@
     return table["hosts"]
 
 
+def _cut_deep_parts(text: str) -> str:
+    """Return JSON with ``null`` for each part that is nested too deeply to be decoded.
+
+    So only the entry that holds the part is odd, not the whole list.
+    """
+    parts = []
+    depth = kept_until = 0
+    for match in _BRACKET_OR_STRING.finditer(text):
+        if match[0] in "[{":
+            depth += 1
+            if depth == DEPTH_LIMIT + 1:
+                parts.extend((text[kept_until : match.start()], "null"))
+        elif match[0] in "]}":
+            if depth == DEPTH_LIMIT + 1:
+                kept_until = match.end()
+            depth -= 1
+    if depth <= DEPTH_LIMIT:
+        parts.append(text[kept_until:])
+    return "".join(parts)
+
+
 def _read_integer(digits: str) -> int | None:
     """Return the number, or ``None`` if it has more digits than any allowed one."""
     return int(digits) if len(digits) <= len(str(AMOUNT_LIMIT)) else None
--- a/tests/transport/test_platform.py
+++ b/tests/transport/test_platform.py
@@ -11,6 +11,7 @@
 from poplarlb.transport.platform import PlatformAdapter
 from tests.standins.http import Answer, serve
 
+DEPTH = 100_000
 SPOILED_FIELDS = (
     ("id", 7),
     ("id", ""),
@@ -97,6 +98,28 @@
         self.logs.truncate()
         return lines
 
+    def test_deeply_nested_body_leaves_the_list_followed(self) -> None:
+        """Guards against a RecursionError that ends the reading of the host list."""
+        self.assertEqual(self.read(encode_list(make_host("w1"))), ["w1"])
+        for body in (b"[" * DEPTH, b'{"hosts":' * DEPTH, b"[" * DEPTH + b"]" * DEPTH):
+            for _ in range(3):
+                self.assertIsNone(self.read(body))
+            self.assertEqual(len(self.take_lines()), 1)
+            self.assertEqual(self.read(encode_list(make_host("w2"))), ["w2"])
+
+    def test_deeply_nested_field_costs_one_host(self) -> None:
+        """Guards against one host's deeply nested field that makes the list unread."""
+        deep = b"[" * DEPTH + b"]" * DEPTH
+        sound = encode_list(
+            make_host("w1"), make_host("w2", slots="@"), make_host("w3")
+        )
+        for _ in range(3):
+            read = self.read(sound.replace(b'"@"', deep))
+            self.assertEqual(read, ["w1", "w3"])
+        lines = self.take_lines()
+        self.assertEqual([line["host"] for line in lines], ["w2"])
+        self.assertIn("slots", lines[0]["fault"])
+
     def test_odd_field_costs_one_host(self) -> None:
         """Guards against one odd field of one host that makes the list unread or used.
 
