Use one entry of the host list for each id

What callers saw: with a second entry under a listed worker's id the worker stood twice in its shard's list, and calls went to the address of the later entry; the comparison with the list before never held, so that the tables were built again at each reading.

Now the entry with the address that the worker had before is used, else the first, and one line names the id.

Seen before: test_id_listed_twice_is_used_once failed with "['w1', 'w1'] != ['w1']".

--- a/poplarlb/protocol/hosts.py
+++ b/poplarlb/protocol/hosts.py
@@ -40,19 +40,31 @@
     faults: tuple[HostFault, ...] = ()
 
 
-def parse_hosts(data: bytes) -> HostList:
+def parse_hosts(data: bytes, known: tuple[Worker, ...] = ()) -> HostList:
     """Return the host list that the bytes encode.
 
+    Of several sound entries with one id, that with the known worker's address is used,
+    else the first.
+
+    :param known: the workers of the list that was read before.
     :raises ProtocolError: if they aren't a JSON object with a list of hosts.
     """
-    workers: list[Worker] = []
+    addresses = {worker.worker_id: worker.address for worker in known}
+    workers: dict[str, Worker] = {}
     faults: list[HostFault] = []
     for index, item in enumerate(_load_items(data)):
         try:
-            workers.append(_parse_host(item))
+            worker = _parse_host(item)
         except ValueError as error:
             faults.append(HostFault(_name_of(item, index), str(error)))
-    return HostList(tuple(workers), tuple(faults))
+            continue
+        used = workers.setdefault(worker.worker_id, worker)
+        if used is not worker:
+            faults.append(HostFault(worker.worker_id, "id: listed more than once"))
+            known_address = addresses.get(worker.worker_id)
+            if worker.address == known_address != used.address:
+                workers[worker.worker_id] = worker
+    return HostList(tuple(workers.values()), tuple(faults))
 
 
 def _load_items(data: bytes) -> list:
--- a/poplarlb/transport/platform.py
+++ b/poplarlb/transport/platform.py
@@ -45,7 +45,7 @@
                 return self.listed
             if response.status != 200:
                 return None
-            found = hosts.parse_hosts(response.data)
+            found = hosts.parse_hosts(response.data, self.listed.workers)
         except urllib3.exceptions.HTTPError:
             return None
         except ProtocolError as error:
--- a/tests/transport/test_platform.py
+++ b/tests/transport/test_platform.py
@@ -167,6 +167,17 @@
                 self.assertEqual(len(self.take_lines()), 1)
                 self.read(encode_list())
 
+    def test_id_listed_twice_is_used_once(self) -> None:
+        """Guards against a second entry that replaces a listed worker's address."""
+        self.assertEqual(self.read(encode_list(make_host("w1"))), ["w1"])
+        other = make_host("w1", address="127.0.0.1:9")
+        for hosts in ((make_host("w1"), other), (other, make_host("w1"))):
+            for _ in range(2):
+                self.assertEqual(self.read(encode_list(*hosts)), ["w1"])
+                address = self.adapter.listed.workers[0].address
+                self.assertEqual(address, "127.0.0.1:8080")
+        self.assertEqual(len(self.take_lines()), 1)
+
     def test_lines_about_many_odd_hosts_are_bounded(self) -> None:
         """Guards against a line for each of many odd hosts, or for each new value."""
         for number in range(5):
