Report and answer calls on the pools that fail unexpectedly

What callers saw: an unexpected error in a call to the store, to a worker or in the reading of the host list vanished: the pools' futures are read by nobody. Membership and ownership wait for the answer of their last call before they send the next one (by reading the code), so one such error ended the reads of members or owners, or the renewal of the registration, for good.

Now each such call logs its error and answers it as a failure, which every caller handles: a write is then ambiguous.

Seen before: test_unexpected_error_of_the_host_list_is_logged failed with "[] != ['RecursionError: injected']"; test_unexpected_error_of_a_store_call_is_answered and test_unexpected_error_of_a_worker_call_is_answered got no answer within 10 s.

--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -16,6 +16,7 @@
 from poplarlb.metrics import Metrics
 from poplarlb.protocol import api, ports
 from poplarlb.settings import Settings
+from poplarlb.transport.error_reports import ErrorReporter
 from poplarlb.transport.metrics_recorder import MetricsRecorder
 from poplarlb.transport.peers import PeerTransport
 from poplarlb.transport.platform import PlatformAdapter
@@ -57,6 +58,7 @@
         self.draining = False
         self.metrics = Metrics()
         self.metrics_recorder = MetricsRecorder(self.metrics)
+        self.errors = ErrorReporter()
 
     async def run(self, api_address: str) -> None:
         """Run until the node has stopped.
@@ -181,16 +183,31 @@
             case ports.Stopped():
                 self.stopped.set()
 
+    # Nobody reads the results of the pools, so each call reports its own errors, and a
+    # call that failed is answered: its caller waits for the answer.
+
     def _call_store(self, call: ports.StoreCall) -> None:
-        result = self.store.execute(call.operation)
+        try:
+            result = self.store.execute(call.operation)
+        except Exception as error:
+            self.errors.report(f"store call {type(call.operation).__name__}")
+            result = ports.StoreFailed(f"unexpected {type(error).__name__}")
         self._post_event(ports.StoreReplied(call.call_id, result))
 
     def _call_worker(self, call: ports.WorkerCall) -> None:
-        result = self.platform.call_worker(call.address, call.batch)
+        try:
+            result = self.platform.call_worker(call.address, call.batch)
+        except Exception as error:
+            self.errors.report(f"call of worker {call.worker_id}")
+            result = ports.WorkerFailed(f"unexpected {type(error).__name__}")
         self._post_event(ports.WorkerReplied(call.call_id, call.worker_id, result))
 
     def _read_hosts(self) -> None:
-        listed = self.platform.read_hosts()
+        try:
+            listed = self.platform.read_hosts()
+        except Exception:
+            self.errors.report("reading of the host list")
+            return
         if listed is not None:
             self._post_event(listed)
 
