Go on with the ticks after a command that fails

What callers saw: a command that couldn't be executed, such as a message with a lone surrogate, which CBOR can't encode, ended the task that ticks: the daemon then renewed no registration and no ownership and read no host list, while it still answered on its addresses. The commands after it were dropped too. The task's exception was read by nobody.

Cause: dispatch caught errors of the state machines only, not those of its commands.

Now each command, and the recording of metrics, fails by itself, with a line and a count.

Seen before: test_command_that_fails_ends_no_ticks failed with "1 not greater than or equal to 20" ticks.

--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -132,23 +132,38 @@
         self.loop.call_later(limit_s, self.stopped.set)
 
     def dispatch(self, event: ports.Event) -> None:
-        """Pass an event to the node and execute its commands."""
+        """Pass an event to the node and execute its commands.
+
+        An event or a command that fails costs only itself.
+        """
         try:
             commands = self.node.handle(event, now_ms())
         except Exception:
-            logger.exception("event of type {} failed", type(event).__name__)
-            self.metrics.count_failed_event(type(event).__name__)
+            self._report_failure("event", event)
             return
         self._report_faults()
-        self.metrics_recorder.record(event, commands)
+        try:
+            self.metrics_recorder.record(event, commands)
+        except Exception:
+            self._report_failure("metrics of an event", event)
         for command in commands:
-            self._execute(command)
+            try:
+                self._execute(command)
+            except Exception:
+                self._report_failure("command", command)
+
+    def _report_failure(self, what: str, item: ports.Event | ports.Command) -> None:
+        kind = type(item).__name__
+        self.errors.report(f"{what} of type {kind}")
+        self.metrics.count_failed_event(kind)
 
     def _report_faults(self) -> None:
         while self.node.owned.faults:
             fault = self.node.owned.faults.popleft()
-            logger.error("shard {} has failed:\n{}", fault.shard, fault.detail)
             self.metrics.count_failed_event("shard")
+            place = fault.detail.rsplit("\n", 2)[0]  # without the error's text
+            if self.errors.is_due(("shard", fault.shard, place)):
+                logger.error("shard {} has failed:\n{}", fault.shard, fault.detail)
 
     def _start_call(self, body: api.ApiBody, future: concurrent.futures.Future) -> None:
         call_id = self.node.context.next_call()
--- a/tests/transport/test_runtime.py
+++ b/tests/transport/test_runtime.py
@@ -1,4 +1,4 @@
-"""Tests of the runtime with adapters that raise unexpected errors."""
+"""Tests of the runtime with adapters and commands that raise unexpected errors."""
 
 import asyncio
 import io
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from poplarlb.logs import configure_logs
-from poplarlb.protocol import ports
+from poplarlb.protocol import messages, ports
 from poplarlb.settings import LogSettings, Settings
 from poplarlb.transport.runtime import Runtime
 
@@ -104,6 +104,22 @@
         self.assertIsInstance(replies[0].result, ports.WorkerFailed)
         self.assertEqual(len(self.lines()), 1)
 
+    async def test_command_that_fails_ends_no_ticks(self) -> None:
+        """Guards against a command that can't be executed and ends the ticks for good.
+
+        The commands after it are executed.
+        """
+        wanted = messages.ViewWanted("\ud800")
+        self.runtime.stopped = asyncio.Event()
+        send = ports.SendPeer("d2", "127.0.0.1:1", wanted)
+        await self.tick(send, lambda: self.node.count(ports.Tick) >= TICKS)
+        self.assertGreaterEqual(self.node.count(ports.Tick), TICKS)
+        self.assertEqual(len(self.lines()), 1)
+        self.node.commands.append(ports.Stopped())
+        self.runtime.dispatch(ports.Tick())
+        self.assertTrue(self.runtime.stopped.is_set())
+        await self.runtime.peers.stop()
+
 
 if __name__ == "__main__":
     unittest.main()
