Refuse numbers beyond 2**53 and those that aren't finite when decoding

What callers saw: one worker's answer with a huge throttle percentage, latency or number of requests (CBOR has integers of any length) failed the owner of its shard with an OverflowError as soon as the policy computed with it. The shard was recovered under a new epoch, read the same answer again and failed again. NaN and infinities were learned as latencies.

Cause: the codec checks the types of values, not their amounts.

Now every decoded number, of workers, daemons, operators and the store, must be finite and at most 2**53. An answer with another one is no valid answer, as one of a wrong type before.

--- a/poplarlb/protocol/codec.py
+++ b/poplarlb/protocol/codec.py
@@ -17,6 +17,7 @@
 
 TYPE_TAG = "_type"
 MAX_MESSAGE_BYTES = 1 << 20
+NUMBER_LIMIT = 1 << 53  # of any number's amount: exact as a float, and in JSON
 
 _UNIONS = (
     api.ApiBody,
@@ -30,6 +31,8 @@
 def make_converter(unions: tuple = _UNIONS) -> cattrs.Converter:
     """Return a converter that refuses unknown fields and values of another type.
 
+    It also refuses numbers beyond ``NUMBER_LIMIT`` and those that aren't finite.
+
     :param unions: the unions whose values are tagged.
     """
     converter = cattrs.Converter(forbid_extra_keys=True)
@@ -55,6 +58,8 @@
         if not isinstance(value, accepted):
             found = type(value).__name__
             raise TypeError(f"expected {expected.__name__}, not {found}")
+        if isinstance(value, int | float) and not abs(value) <= NUMBER_LIMIT:
+            raise ValueError(f"expected an amount of at most {NUMBER_LIMIT}")
         return value
 
     return check
