Check the numbers and the result in the store's answers

What callers saw: a number such as 1e400 in an answer of the store left the adapter as an OverflowError; the call was never answered, so that reads of members or owners that waited for it ended (by reading the code). Negative and fractional revisions, booleans and numbers of any length counted as revisions, and any text or number in "succeeded" as a write that was applied.

Cause: int() and bool() convert nearly everything, and int(inf) raises an error of another kind than the expected ones.

Now a number is digits, as a number or as text, of at most 63 bits, and "succeeded" a boolean; anything else is an answer that isn't valid, as other malformed answers before.

Seen before: test_numbers_out_of_range ended ten times with "OverflowError: cannot convert float infinity to integer" and failed for the other numbers but NaN, such as "StoreEntries(entries=(), revision=-3) is not an instance of StoreFailed"; test_success_of_another_type failed for its three values ("StoreWritten(applied=True, version=1)").

--- a/poplarlb/transport/store.py
+++ b/poplarlb/transport/store.py
@@ -4,6 +4,7 @@
 import binascii
 import collections
 import json
+import re
 import threading
 
 import urllib3
@@ -15,6 +16,9 @@
 
 ANSWER_LIMIT_BYTES = 64 << 20  # a longer answer is a failure
 READ_CHUNK_BYTES = 1 << 16  # of an answer, read at once
+NUMBER_LIMIT = 1 << 63
+
+_DIGITS = re.compile(r"[0-9]{1,19}")
 
 
 @define
@@ -92,10 +96,12 @@
                 return self._transact(key, expected, {"request_delete_range": delete})
             case ports.StoreLeaseGrant(ttl_s=ttl_s):
                 answer = self._post("lease/grant", {"TTL": str(ttl_s)})
-                return ports.StoreLease(int(answer["ID"]), int(answer["TTL"]))
+                return ports.StoreLease(
+                    _read_number(answer["ID"]), _read_number(answer["TTL"])
+                )
             case ports.StoreLeaseRenew(lease_id=lease_id):
                 answer = self._post("lease/keepalive", {"ID": str(lease_id)})
-                ttl_s = int(answer["result"].get("TTL", 0))
+                ttl_s = _read_number(answer["result"].get("TTL", 0))
                 return ports.StoreLease(lease_id, ttl_s)
         raise TypeError(f"not a store operation: {operation!r}")
 
@@ -110,7 +116,7 @@
         entries = tuple(_read_entry(item) for item in answer.get("kvs", ()))
         if not all(entry.key.startswith(operation.prefix) for entry in entries):
             raise ValueError("answer contains a key outside the prefix")
-        return ports.StoreEntries(entries, int(answer["header"]["revision"]))
+        return ports.StoreEntries(entries, _read_number(answer["header"]["revision"]))
 
     def _transact(
         self, key: str, expected_version: int, change: dict
@@ -122,8 +128,10 @@
             "mod_revision": str(expected_version),
         }
         answer = self._post("kv/txn", {"compare": [compare], "success": [change]})
-        applied = bool(answer.get("succeeded", False))
-        return ports.StoreWritten(applied, int(answer["header"]["revision"]))
+        applied = answer.get("succeeded") or False
+        if not isinstance(applied, bool):
+            raise TypeError("succeeded is not true or false")
+        return ports.StoreWritten(applied, _read_number(answer["header"]["revision"]))
 
     def _post(self, path: str, body: dict) -> dict:
         data = json.dumps(body).encode()
@@ -175,11 +183,24 @@
     return base64.b64decode(text, validate=True)
 
 
+def _read_number(value: object) -> int:
+    """Return a number that the store may send as text: at most 64 bits, not negative.
+
+    :raises ValueError: if it is none.
+    """
+    if isinstance(value, str) and _DIGITS.fullmatch(value):
+        value = int(value)
+    is_integer = isinstance(value, int) and not isinstance(value, bool)
+    if is_integer and 0 <= value < NUMBER_LIMIT:
+        return value
+    raise ValueError("not a number that the store may send")
+
+
 def _read_entry(item: dict) -> ports.StoreEntry:
     return ports.StoreEntry(
         _decode(item["key"]).decode(),
         _decode(item.get("value", "")),
-        int(item["mod_revision"]),
+        _read_number(item["mod_revision"]),
     )
 
 
--- a/tests/transport/test_store.py
+++ b/tests/transport/test_store.py
@@ -120,6 +120,36 @@
                     result = adapter.execute(operation)
                     self.assertIsInstance(result, ports.StoreFailed)
 
+    def test_numbers_out_of_range(self) -> None:
+        """Guards against a number in an answer that ends the call with an error."""
+        bodies = [b""]
+        server = serve(lambda *_: Answer(body=bodies[-1]))
+        self.addCleanup(server.stop)
+        adapter = self.connect(server.address)
+        odd = ("1e400", "-1e400", "NaN", "true", "1.5", "-3", '"-3"', '"1_0"', "9" * 20)
+        for number in odd:
+            body = (
+                '{"header": {"revision": @}, "ID": @, "TTL": @, "result": {"TTL": @}}'
+            )
+            bodies.append(body.replace("@", number).encode())
+            for operation in OPERATIONS:
+                with self.subTest(number=number, operation=operation):
+                    result = adapter.execute(operation)
+                    self.assertIsInstance(result, ports.StoreFailed)
+
+    def test_success_of_another_type(self) -> None:
+        """Guards against a text or a number that counts as a write's success."""
+        bodies = [b""]
+        server = serve(lambda *_: Answer(body=bodies[-1]))
+        self.addCleanup(server.stop)
+        adapter = self.connect(server.address)
+        for value in ("7", '"false"', "[0]"):
+            body = '{"header": {"revision": "1"}, "succeeded": @}'
+            bodies.append(body.replace("@", value).encode())
+            with self.subTest(value=value):
+                result = adapter.execute(OPERATIONS[1])
+                self.assertIsInstance(result, ports.StoreFailed)
+
     def test_oversized_answer(self) -> None:
         """An answer over the size limit is a failure."""
         body = json.dumps({"header": {"revision": "1"}, "kvs": [], "x": "y" * 99_999})
