Leave out a key of the store that is no text

Now the entry is left out, and one line names its key.

Seen before: test_key_that_is_no_text_costs_itself failed with "StoreFailed(detail='bad answer: UnicodeDecodeError ...') != StoreEntries(...)".

--- a/poplarlb/transport/store.py
+++ b/poplarlb/transport/store.py
@@ -9,6 +9,7 @@
 
 import urllib3
 from attrs import Factory, define
+from loguru import logger
 
 from poplarlb.exceptions import StoreUnavailableError
 from poplarlb.protocol import ports
@@ -17,6 +18,8 @@
 ANSWER_LIMIT_BYTES = 64 << 20  # a longer answer is a failure
 READ_CHUNK_BYTES = 1 << 16  # of an answer, read at once
 NUMBER_LIMIT = 1 << 63
+ODD_KEYS_KEPT = 100  # of keys that are no text; further ones aren't logged
+ODD_KEY_SHOWN_BYTES = 200
 
 _DIGITS = re.compile(r"[0-9]{1,19}")
 
@@ -50,6 +53,8 @@
 class StoreAdapter:
     """Executes store operations; blocks the calling thread.
 
+    ``odd_keys`` holds the keys that are no text and have been logged.
+
     :param settings: address and timeout of the store.
     :param answer_limit_bytes: a longer answer is treated as a failure.
     """
@@ -62,6 +67,7 @@
         self.answer_limit_bytes = answer_limit_bytes
         self.counters = StoreCounters()
         self.pool = urllib3.PoolManager(maxsize=8, retries=False)
+        self.odd_keys: set[bytes] = set()
 
     def execute(self, operation: ports.StoreOperation) -> ports.StoreResult:
         """Execute an operation; return ``StoreFailed`` if there is no valid answer."""
@@ -113,10 +119,36 @@
         if operation.newer_than:
             body["min_mod_revision"] = str(operation.newer_than + 1)
         answer = self._post("kv/range", body)
-        entries = tuple(_read_entry(item) for item in answer.get("kvs", ()))
-        if not all(entry.key.startswith(operation.prefix) for entry in entries):
+        entries = [
+            self._read_entry(item, operation.prefix) for item in answer.get("kvs", ())
+        ]
+        return ports.StoreEntries(
+            tuple(filter(None, entries)), _read_number(answer["header"]["revision"])
+        )
+
+    def _read_entry(self, item: dict, prefix: str) -> ports.StoreEntry | None:
+        """Return an entry, or ``None`` if its key, which others wrote, is no text.
+
+        :raises ValueError: if the key is outside the prefix.
+        """
+        key = _decode(item["key"])
+        if not key.startswith(prefix.encode()):
             raise ValueError("answer contains a key outside the prefix")
-        return ports.StoreEntries(entries, _read_number(answer["header"]["revision"]))
+        value = _decode(item.get("value", ""))
+        version = _read_number(item["mod_revision"])
+        try:
+            return ports.StoreEntry(key.decode(), value, version)
+        except UnicodeDecodeError:
+            self._log_odd_key(key)
+            return None
+
+    def _log_odd_key(self, key: bytes) -> None:
+        if key in self.odd_keys or len(self.odd_keys) >= ODD_KEYS_KEPT:
+            return
+        self.odd_keys.add(key)
+        shown = repr(key[:ODD_KEY_SHOWN_BYTES])
+        line = logger.bind(key=shown, outcome="not used")
+        line.warning("the store holds a key that is no text: {}", shown)
 
     def _transact(
         self, key: str, expected_version: int, change: dict
@@ -196,14 +228,6 @@
     raise ValueError("not a number that the store may send")
 
 
-def _read_entry(item: dict) -> ports.StoreEntry:
-    return ports.StoreEntry(
-        _decode(item["key"]).decode(),
-        _decode(item.get("value", "")),
-        _read_number(item["mod_revision"]),
-    )
-
-
 def _encode_key(key: str) -> str:
     return _encode(key.encode())
 
--- a/tests/transport/test_store.py
+++ b/tests/transport/test_store.py
@@ -1,12 +1,17 @@
 """Tests of the store adapter over sockets, with valid and invalid answers."""
 
+import base64
+import io
 import json
 import socket
 import threading
 import unittest
 
+from loguru import logger
+
+from poplarlb.logs import configure_logs
 from poplarlb.protocol import ports
-from poplarlb.settings import StoreSettings
+from poplarlb.settings import LogSettings, StoreSettings
 from poplarlb.transport.store import StoreAdapter
 from tests.standins.http import Answer, serve
 from tests.standins.store import VALUE_LIMIT_BYTES, FakeStoreServer, KeyTable
@@ -150,6 +155,24 @@
                 result = adapter.execute(OPERATIONS[1])
                 self.assertIsInstance(result, ports.StoreFailed)
 
+    def test_key_that_is_no_text_costs_itself(self) -> None:
+        """Guards against another writer's key that makes a whole prefix unread."""
+        logs = io.StringIO()
+        configure_logs(LogSettings(json=True), "d1", logs)
+        self.addCleanup(logger.remove)
+        item = {"key": base64.b64encode(b"a/\xff\xfe").decode(), "mod_revision": "5"}
+        sound = {"key": base64.b64encode(b"a/1").decode(), "mod_revision": "6"}
+        body = {"header": {"revision": "6"}, "kvs": [item, sound]}
+        server = serve(lambda *_: Answer.of(body))
+        self.addCleanup(server.stop)
+        adapter = self.connect(server.address)
+        for _ in range(3):
+            result = adapter.execute(READ)
+            self.assertEqual(
+                result, ports.StoreEntries((ports.StoreEntry("a/1", b"", 6),), 6)
+            )
+        self.assertEqual(len(logs.getvalue().splitlines()), 1)
+
     def test_oversized_answer(self) -> None:
         """An answer over the size limit is a failure."""
         body = json.dumps({"header": {"revision": "1"}, "kvs": [], "x": "y" * 99_999})
