Leave out a member record that can't be read

What callers saw: one odd record among those of the members (nested deeply, a number too large, a field of another type) failed the handling of every full read of the members. A daemon that had left was then never found to have left, so its shards stayed without an owner, and members that registered were not seen. A sound record under a wrong key replaced that member's addresses.

Cause: the records were decoded in one expression, after the revision of the read had been noted.

Now a record that can't be read, or that belongs to another key, counts as absent, as one that was deleted; a member that still sends heartbeats isn't dead by that.

Seen before: test_odd_member_record_costs_that_record ended with a ProtocolError for seven of eight values, and failed for the eighth, a record under a wrong key, with "'d3:1' != 'd2:1'". test_unreadable_record_is_logged_once is about the new note.

--- a/poplarlb/coordination/membership/context.py
+++ b/poplarlb/coordination/membership/context.py
@@ -2,16 +2,34 @@
 
 import collections
 import itertools
+import typing
+from collections.abc import Callable
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 
 from poplarlb.coordination.membership.sharding import ShardMap
+from poplarlb.exceptions import ProtocolError
+from poplarlb.protocol import codec, ports
 from poplarlb.settings import Settings
 from poplarlb.state.changes import Change
 from poplarlb.state.models import Worker
 from poplarlb.state.templates import ConfigView
 
 STAGED_LIMIT = 5_000
+UNREADABLE_KEPT = 100  # records that the caller has not removed yet
+NOTED_LIMIT = 1_000  # unreadable records whose versions are known
+PROBLEM_LIMIT = 300  # characters
+
+T = typing.TypeVar("T")
+
+
+@frozen
+class UnreadableRecord:
+    """A record of the store that isn't used, since another writer left it odd."""
+
+    key: str
+    version: int
+    problem: str
 
 
 @define
@@ -34,6 +52,10 @@
         lambda: collections.deque(maxlen=STAGED_LIMIT)
     )
     call_ids: itertools.count = Factory(lambda: itertools.count(1))
+    unreadable: collections.deque[UnreadableRecord] = Factory(
+        lambda: collections.deque(maxlen=UNREADABLE_KEPT)
+    )
+    noted_versions: dict[str, int] = Factory(dict)
 
     def set_workers(self, workers: tuple[Worker, ...], shards: ShardMap) -> None:
         """Replace the worker list; an unchanged list costs only a comparison."""
@@ -46,6 +68,37 @@
                 worker
             )
 
+    def decode_record(
+        self,
+        entry: ports.StoreEntry,
+        kind: type[T],
+        key_of: Callable[[T], str] | None = None,
+    ) -> T | None:
+        """Return a record of the store, or ``None`` after noting it as unreadable.
+
+        :param key_of: returns the key under which a record has to be.
+        """
+        try:
+            record = codec.decode(entry.value, kind)
+        except ProtocolError as error:
+            self.note_unreadable(entry, error.detail)
+            return None
+        if key_of is not None and key_of(record) != entry.key:
+            self.note_unreadable(entry, "the record belongs to another key")
+            return None
+        return record
+
+    def note_unreadable(self, entry: ports.StoreEntry, problem: str) -> None:
+        """Add a record to ``unreadable``, once for each of its versions."""
+        if self.noted_versions.get(entry.key) == entry.version:
+            return
+        if len(self.noted_versions) >= NOTED_LIMIT:
+            self.noted_versions.clear()
+        self.noted_versions[entry.key] = entry.version
+        self.unreadable.append(
+            UnreadableRecord(entry.key, entry.version, problem[:PROBLEM_LIMIT])
+        )
+
     def next_call(self) -> int:
         """Return a call id that this daemon has not used."""
         return next(self.call_ids)
--- a/poplarlb/coordination/membership/membership.py
+++ b/poplarlb/coordination/membership/membership.py
@@ -6,7 +6,7 @@
 from poplarlb.coordination.membership.gossip import Gossip
 from poplarlb.coordination.membership.registration import Registration
 from poplarlb.coordination.membership.sharding import Member
-from poplarlb.protocol import codec, messages, ports
+from poplarlb.protocol import messages, ports
 
 READ_PERIOD_MS = 1_500
 # A full read of the member records is made at the earliest ``FULL_READ_MS_PER_PEER``
@@ -227,10 +227,21 @@
     def _record_contact(self, sent_ms: int) -> None:
         self.store_contact_ms = max(self.store_contact_ms, sent_ms)
 
+    def _key_of(self, member: Member) -> str:
+        return f"{self.context.settings.store.prefix}members/{member.member_id}"
+
     def _apply_members(self, result: ports.StoreEntries, now_ms: int) -> None:
         self.read_revision = result.revision
-        found = [codec.decode(entry.value, Member) for entry in result.entries]
-        others = {m.member_id: m for m in found if m.member_id != self.own.member_id}
+        found = [
+            self.context.decode_record(entry, Member, self._key_of)
+            for entry in result.entries
+        ]
+        # An unreadable record counts as absent.
+        others = {
+            member.member_id: member
+            for member in found
+            if member is not None and member.member_id != self.own.member_id
+        }
         for name, member in others.items():
             self._apply_member(name, member, now_ms)
         if not self.read_full:
--- a/poplarlb/transport/runtime.py
+++ b/poplarlb/transport/runtime.py
@@ -164,6 +164,11 @@
             place = fault.detail.rsplit("\n", 2)[0]  # without the error's text
             if self.errors.is_due(("shard", fault.shard, place)):
                 logger.error("shard {} has failed:\n{}", fault.shard, fault.detail)
+        while self.node.context.unreadable:
+            record = self.node.context.unreadable.popleft()
+            if self.errors.is_due(("record", record.key)):
+                line = logger.bind(key=record.key, outcome="not used")
+                line.warning("a record can't be read: {}", record.problem)
 
     def _start_call(self, body: api.ApiBody, future: concurrent.futures.Future) -> None:
         call_id = self.node.context.next_call()
--- a/tests/coordination/membership/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import cbor2
 from attrs import evolve
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -138,6 +139,41 @@
         )
         self.assertIn("d3", {command.member_id for command in self.sent[-20:]})
 
+    def test_odd_member_record_costs_that_record(self) -> None:
+        """Guards against one odd record that leaves the other members unread."""
+        sound = cbor2.loads(codec.encode(make_member("d3"), Member))
+        odd_values = (
+            b"",
+            b"\xff\xfe",
+            b"\x81" * 100_000,
+            cbor2.dumps([sound]),
+            cbor2.dumps({**sound, "incarnation": 10**30}),
+            cbor2.dumps({**sound, "incarnation": float("inf")}),
+            cbor2.dumps({**sound, "member_id": "d2"}),
+            cbor2.dumps({**sound, "zone": None}),
+        )
+        key = f"{SETTINGS.store.prefix}members/d3"
+        for value in odd_values:
+            with self.subTest(value=value[:40]):
+                self.setUp()
+                self.add_peer("d2")
+                self.table.put(key, codec.encode(make_member("d3"), Member), 0)
+                self.run_for(5_000)
+                self.assertEqual(set(self.membership.peers), {"d2", "d3"})
+                self.table.put(key, value, 0)
+                self.add_peer("d4")
+                self.run_for(5_000)
+                self.assertIn("d4", self.membership.peers)
+                self.assertEqual(self.membership.address_of("d2"), "d2:1")
+                for _ in range(240):
+                    self.step()
+                    self.deliver_heartbeat("d4")
+                self.assertTrue(self.membership.is_dead("d2", self.now_ms))
+                self.assertTrue(self.membership.is_dead("d3", self.now_ms))
+                self.assertTrue(self.membership.registered)
+                unreadable = self.membership.context.unreadable
+                self.assertEqual([item.key for item in unreadable], [key])
+
     def test_stopping_peer_is_not_live(self) -> None:
         """A peer that announces its stop is not a candidate owner."""
         self.add_peer("d2")
--- a/tests/transport/test_runtime.py
+++ b/tests/transport/test_runtime.py
@@ -10,6 +10,7 @@
 from attrs import Factory, define
 from loguru import logger
 
+from poplarlb.coordination.membership.context import NodeContext
 from poplarlb.logs import configure_logs
 from poplarlb.protocol import messages, ports
 from poplarlb.settings import LogSettings, Settings
@@ -26,6 +27,7 @@
 
     commands: list[ports.Command] = Factory(list)
     events: list[ports.Event] = Factory(list)
+    context: NodeContext = Factory(lambda: NodeContext(Settings("d1", "kochi")))
     owned: types.SimpleNamespace = Factory(lambda: types.SimpleNamespace(faults=()))
 
     def handle(self, event: ports.Event, now_ms: int) -> list[ports.Command]:
@@ -104,6 +106,17 @@
         self.assertIsInstance(replies[0].result, ports.WorkerFailed)
         self.assertEqual(len(self.lines()), 1)
 
+    async def test_unreadable_record_is_logged_once(self) -> None:
+        """Guards against a record of another writer that no log line names."""
+        for version in range(5):
+            entry = ports.StoreEntry("p/members/d3", b"\x81" * 100_000, version)
+            self.node.context.note_unreadable(entry, "x" * 100_000)
+        self.runtime.platform.read_hosts = lambda: None
+        await self.tick(ports.ReadHosts(), lambda: self.node.count(ports.Tick) >= TICKS)
+        lines = self.lines()
+        self.assertEqual([line["key"] for line in lines], ["p/members/d3"])
+        self.assertLess(len(json.dumps(lines[0])), 1_000)
+
     async def test_command_that_fails_ends_no_ticks(self) -> None:
         """Guards against a command that can't be executed and ends the ticks for good.
 
