Replace an odd record under the daemon's own key

What callers saw: with an odd record under its own key the error left the handling of each read of it, so that a daemon that registers or deregisters didn't learn whether the record was its own.

Now an unreadable record is replaced or deleted like that of an earlier incarnation, and logged.

Seen before: test_odd_record_of_our_own_is_replaced ended with "ProtocolError: not a Member: maximum container nesting depth (400) exceeded".

--- a/poplarlb/coordination/membership/registration.py
+++ b/poplarlb/coordination/membership/registration.py
@@ -122,8 +122,11 @@
             self.deregistered = self.deregistering
             self.version = 0
             return
-        member = codec.decode(found.value, Member)
-        self.superseded = member.incarnation > self.own.incarnation
+        member = self.context.decode_record(found, Member)
+        # An unreadable record is replaced like one of an earlier incarnation.
+        self.superseded = (
+            member is not None and member.incarnation > self.own.incarnation
+        )
         if self.deregistering:
             self.version = found.version
             self.deregistered = self.superseded
--- a/tests/coordination/membership/test_membership.py
+++ b/tests/coordination/membership/test_membership.py
@@ -174,6 +174,17 @@
                 unreadable = self.membership.context.unreadable
                 self.assertEqual([item.key for item in unreadable], [key])
 
+    def test_odd_record_of_our_own_is_replaced(self) -> None:
+        """Guards against an odd record under our key that ends the registration."""
+        self.table.put(KEY, b"\x81" * 100_000, 0)
+        self.run_for(5_000)
+        found = codec.decode(self.table.items[KEY].value, Member)
+        self.assertEqual(found, self.membership.own)
+        self.table.put(KEY, b"\xff", 0)
+        self.membership.deregister()
+        self.run_for(5_000)
+        self.assertTrue(self.membership.deregistered)
+
     def test_stopping_peer_is_not_live(self) -> None:
         """A peer that announces its stop is not a candidate owner."""
         self.add_peer("d2")
