Tell a shard's own keys from others under its prefix

Now a key of the log counts only if its name is that of a slot, of a ring of any size, so that a changed ring_slots is still found; others are noted and logged once. The head and a slot are looked up by their whole key.

Seen before: test_keys_of_another_writer_end_no_ownership and test_key_beside_a_slot_is_not_read_as_the_slot ended with a ProtocolError; test_key_beside_the_head_delays_no_recovery failed with "RECOVERING is not OPEN".

--- a/poplarlb/coordination/journal/journal.py
+++ b/poplarlb/coordination/journal/journal.py
@@ -321,7 +321,8 @@
             case ports.StoreWritten():
                 self.append.ambiguous = True
             case ports.StoreEntries(entries=entries):
-                return self._resolve_append(entries[0] if entries else None, now_ms)
+                key = self.keys.slot(self.append.entry.sequence)
+                return self._resolve_append(ports.find_entry(entries, key), now_ms)
             case _:
                 self.append.ambiguous = True
                 self.backoff.record_failure(now_ms)
--- a/poplarlb/coordination/journal/recovery.py
+++ b/poplarlb/coordination/journal/recovery.py
@@ -109,7 +109,9 @@
                 consistent = self._handle_log(result.entries)
                 self.phase = RecoveryPhase.CONFIRM
             case _:
-                consistent = not result.entries
+                # The read also returns keys that only begin with that of the head.
+                changed = {entry.key for entry in result.entries}
+                consistent = self.keys.snapshot_head not in changed
                 self.phase = RecoveryPhase.DONE
         if consistent:
             self.backoff.reset()
@@ -130,7 +132,11 @@
         sizes = [len(self.parts[key].value) for key in referenced if key in self.parts]
         return len(sizes) == len(referenced) and sum(sizes) == self.head.size_bytes
 
-    def _handle_log(self, found: tuple[ports.StoreEntry, ...]) -> bool:
+    def _handle_log(self, entries: tuple[ports.StoreEntry, ...]) -> bool:
+        found = [entry for entry in entries if self.keys.is_slot(entry.key)]
+        for entry in entries:
+            if not self.keys.is_slot(entry.key):
+                self.context.note_unreadable(entry, "the key is not that of a slot")
         self.versions = {entry.key: entry.version for entry in found}
         read = [(e.key, codec.decode(e.value, JournalEntry)) for e in found]
         for key, entry in read:
--- a/poplarlb/coordination/journal/ring.py
+++ b/poplarlb/coordination/journal/ring.py
@@ -4,10 +4,13 @@
 entry.
 """
 
+import re
 from collections.abc import Iterable
 
 from attrs import frozen
 
+_SLOT_NAME = re.compile(r"[0-9]{4,}")
+
 
 @frozen
 class JournalEntry:
@@ -75,6 +78,10 @@
         """Return the key of the slot that holds an entry."""
         return f"{self.log}{sequence % self.ring_slots:04d}"
 
+    def is_slot(self, key: str) -> bool:
+        """Return whether a key below ``log`` is that of a slot, of any ring."""
+        return _SLOT_NAME.fullmatch(key.removeprefix(self.log)) is not None
+
     def parts(self, head: SnapshotHead) -> list[str]:
         """Return the keys of all parts of a head's snapshot, in order."""
         name = f"{head.epoch:010d}-{head.sequence:012d}-{head.attempt:06d}"
--- a/poplarlb/coordination/journal/snapshots.py
+++ b/poplarlb/coordination/journal/snapshots.py
@@ -216,7 +216,8 @@
                 self.pending.ambiguous = True
             case ports.StoreEntries(entries=entries):
                 self.pending.ambiguous = False
-                self._resolve_head(entries[0] if entries else None)
+                key = self.keys.snapshot_head
+                self._resolve_head(ports.find_entry(entries, key))
 
     def _resolve_head(self, entry: ports.StoreEntry | None) -> None:
         if entry is None or entry.version == self.head_version:
--- a/poplarlb/protocol/ports.py
+++ b/poplarlb/protocol/ports.py
@@ -117,6 +117,11 @@
 StoreResult = StoreEntries | StoreWritten | StoreLease | StoreFailed
 
 
+def find_entry(entries: tuple[StoreEntry, ...], key: str) -> StoreEntry | None:
+    """Return the entry of a key; a read also returns longer keys that begin with it."""
+    return next((entry for entry in entries if entry.key == key), None)
+
+
 # --- workers --------------------------------------------------------------------
 
 
--- a/tests/coordination/journal/test_journal.py
+++ b/tests/coordination/journal/test_journal.py
@@ -329,6 +329,51 @@
         world.kill(new)
         world.finish()
 
+    def test_keys_of_another_writer_end_no_ownership(self) -> None:
+        """Guards against a foreign key under the shard's prefix that fails recovery."""
+        for value in (b"\x81" * 100_000, b"\xff", b""):
+            with self.subTest(value=value[:10]):
+                world = JournalWorld()
+                owner = world.add(offers_snapshots=True)
+                keys = owner.journal.keys
+                for name in ("note", "0001x", "-001", "00 1"):
+                    world.table.put(f"{keys.log}{name}", value, 0)
+                world.run(owner, 5)
+                self.assertIs(owner.journal.phase, JournalPhase.OPEN)
+                for _ in range(3 * RING.ring_slots):
+                    world.stage(owner, 20, True)
+                    world.run(owner, 3)
+                noted = {item.key for item in owner.journal.context.unreadable}
+                self.assertLessEqual(len(noted), 4)
+                world.finish()
+
+    def test_key_beside_the_head_delays_no_recovery(self) -> None:
+        """Guards against a foreign key that is taken for the snapshot's head."""
+        world = JournalWorld()
+        old = world.add(offers_snapshots=True)
+        keys = old.journal.keys
+        world.run(old, 2)
+        new = world.add(offers_snapshots=True)
+        for step in range(60):
+            world.table.put(f"{keys.snapshot_head}-copy", b"\xff%d" % step, 0)
+            world.run(new, 1)
+        self.assertIs(new.journal.phase, JournalPhase.OPEN)
+
+    def test_key_beside_a_slot_is_not_read_as_the_slot(self) -> None:
+        """Guards against a foreign key that resolves an append with a lost answer."""
+        world = JournalWorld()
+        owner = world.add(offers_snapshots=False)
+        world.run(owner, 2)
+        key = owner.journal.keys.slot(owner.journal.next_sequence)
+        world.table.put(f"{key}-copy", b"\xff", 0)
+        world.stage(owner, 20, True)
+        world.tick(owner, 100)
+        owner.pending.clear()
+        call_id = owner.journal.append.call_id
+        world.feed(owner, ports.StoreReplied(call_id, ports.StoreFailed()))
+        world.run(owner, 40)
+        self.assertEqual(owner.journal.committed_ticket, 1)
+
     def test_group_commit(self) -> None:
         """Items of one commit period share an entry; urgent ones don't wait."""
         world = JournalWorld()
