Log a record of the configuration that can't be read

What callers saw: an unreadable head or part left the view unconfirmed, so that no task was started, and no line named the record.

Now both are noted like other unreadable records. The view stays unconfirmed as before: what the record says isn't known.

Seen before: test_odd_record_of_the_configuration_is_noted failed for the part and the head with "[] != [('poplarlb/config/head', 4)]".

--- a/poplarlb/coordination/configuration/config.py
+++ b/poplarlb/coordination/configuration/config.py
@@ -5,13 +5,11 @@
 """
 
 import collections
-import contextlib
 
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.configuration.config_change import ChangeInProgress, Step
 from poplarlb.coordination.membership.context import NodeContext
-from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import api, codec, messages, ports
 from poplarlb.state.models import Reason
 from poplarlb.state.templates import ConfigHead, ConfigView, PartRef, TeamTemplate
@@ -162,9 +160,8 @@
         )
         if entry is None or entry.version <= self.head_revision:
             return self._finish_read(reading, now_ms)
-        try:
-            reading.head = codec.decode(entry.value, ConfigHead)
-        except ProtocolError:
+        reading.head = self.context.decode_record(entry, ConfigHead)
+        if reading.head is None:
             self.reading = None
             return []
         reading.revision = entry.version
@@ -207,8 +204,8 @@
                 continue
             # A part that can't be decoded counts as missing, so the view
             # stays unconfirmed.
-            with contextlib.suppress(ProtocolError):
-                template = codec.decode(entry.value, TeamTemplate)
+            template = self.context.decode_record(entry, TeamTemplate)
+            if template is not None:
                 self.parts[refs[entry.key]] = template
 
     def _finish_read(self, reading: HeadRead, now_ms: int) -> list[ports.Command]:
--- a/tests/coordination/configuration/test_config.py
+++ b/tests/coordination/configuration/test_config.py
@@ -426,6 +426,35 @@
         self.assertEqual(context.view.version, 1)
         self.assertFalse(context.view_is_fresh(world.now_ms))
 
+    def test_odd_record_of_the_configuration_is_noted(self) -> None:
+        """Guards against an unreadable head or part that no log line names.
+
+        The view stays as it is, unconfirmed, until the record is replaced.
+        """
+        world = self.world
+        world.ask(0, self.change("c1", 0, 1.0))
+        world.run(3_000)
+        keys = [key for key in world.store.items if "/parts/" in key]
+        for key in (*keys, next(k for k in world.store.items if k.endswith("head"))):
+            with self.subTest(key=key):
+                sound = world.store.items[key]
+                for value in (b"\x81" * 100_000, b"\xff"):
+                    world.store.revision += 1
+                    version = world.store.revision
+                    world.store.items[key] = ports.StoreEntry(key, value, version)
+                    world.restart(1)
+                    world.run(5_000)
+                    context = world.managers[1].context
+                    noted = [(item.key, item.version) for item in context.unreadable]
+                    self.assertEqual(noted, [(key, version)])
+                    self.assertFalse(context.view_is_fresh(world.now_ms))
+                world.store.revision += 1
+                version = world.store.revision
+                entry = ports.StoreEntry(key, sound.value, version)
+                world.store.items[key] = entry
+                world.run(3_000)
+                self.assertTrue(context.view_is_fresh(world.now_ms))
+
     def test_reused_change_id(self) -> None:
         """A change id can't be used for another change."""
         self.world.ask(0, self.change("c1", 0, 1.0))
