Keep the sender of an address after an unexpected error

What callers saw: a member whose address had a port out of range, or was none, ended the task that sends to it, also if the TLS files couldn't be read once; its messages piled up to 2,000, and no line said so.

Cause: only errors of sockets and of WebSocket were expected, the exception of the task is read by nobody, and the task is started only once for an address.

Seen before: test_odd_address_ends_no_sender failed for its eight addresses ("True is not false": the sender was done), with "ValueError: Port out of range 0-65535", "UnicodeError: label too long" and others unread in the task.

--- a/poplarlb/transport/peers.py
+++ b/poplarlb/transport/peers.py
@@ -15,12 +15,14 @@
 from poplarlb.protocol.messages import PeerMessage
 from poplarlb.settings import PeerSettings
 from poplarlb.transport import tls
+from poplarlb.transport.error_reports import ErrorReporter
 
 PROTOCOL_VERSION = "poplarlb.1"
 SECRET_HEADER = "Poplarlb-Secret"
 MEMBER_HEADER = "Poplarlb-Member"
 QUEUE_LIMIT = 2_000  # messages to one address
 RECONNECT_DELAY_S = 0.5  # after a failed connection
+SHOWN_LIMIT = 100  # characters of an address in a log line
 
 
 class PeerTransport:
@@ -50,6 +52,7 @@
         self.rejected: collections.Counter[str] = collections.Counter()
         self.sent_bytes = 0
         self.server = None
+        self.errors = ErrorReporter()
 
     async def start(self) -> str:
         """Listen and return the bound address."""
@@ -99,10 +102,10 @@
             MEMBER_HEADER: self.member_id,
         }
         queue = self.queues[address]
-        context = tls.make_peer_client_context(self.settings)
-        scheme = "wss" if context else "ws"
         while True:
             try:
+                context = tls.make_peer_client_context(self.settings)
+                scheme = "wss" if context else "ws"
                 async with connect(
                     f"{scheme}://{address}",
                     ssl=context,
@@ -116,7 +119,11 @@
                         await socket.send(await queue.get())
             except (OSError, websockets.WebSocketException, TimeoutError):
                 _clear_queue(queue)
-                await asyncio.sleep(RECONNECT_DELAY_S)
+            except Exception:
+                # Another daemon chose the address, so it may be none.
+                _clear_queue(queue)
+                self.errors.report(f"connection to {ascii(address[:SHOWN_LIMIT])}")
+            await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _accept(self, socket: ServerConnection) -> None:
         sender = socket.request.headers.get(MEMBER_HEADER, "")
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -1,16 +1,31 @@
 """Tests of the peer transport: valid messages are received, others rejected."""
 
+import asyncio
+import io
 import unittest
+import unittest.mock
 
 import websockets
+from loguru import logger
 from websockets.asyncio.client import connect
 
+from poplarlb.logs import configure_logs
 from poplarlb.protocol import codec, messages
-from poplarlb.settings import PeerSettings
+from poplarlb.settings import LogSettings, PeerSettings
 from poplarlb.transport import peers
 
 SECRET = "correct horse"
 HEARTBEAT = messages.Heartbeat(1, 2, 3)
+ODD_ADDRESSES = (
+    "127.0.0.1:99999",
+    "127.0.0.1:-1",
+    "127.0.0.1:x",
+    "127.0.0.1:80\r\nX: y",
+    "\ud800:80",
+    "x" * 300 + ":80",
+    "a..b:80",
+    "[::1:80",
+)
 
 
 class PeerTransportTest(unittest.IsolatedAsyncioTestCase):
@@ -72,6 +87,24 @@
         await self.send()
         self.assertEqual(self.received, [("d2", HEARTBEAT)])
 
+    async def test_odd_address_ends_no_sender(self) -> None:
+        """Guards against a member's odd address that ends its sender without a line."""
+        logs = io.StringIO()
+        configure_logs(LogSettings(json=True), "d1", logs)
+        self.addCleanup(logger.remove)
+        with unittest.mock.patch.object(peers, "RECONNECT_DELAY_S", 0.01):
+            for address in ODD_ADDRESSES:
+                with self.subTest(address=ascii(address)[:40]):
+                    logs.seek(0)
+                    logs.truncate()
+                    for _ in range(5):
+                        self.assertTrue(self.transport.send(address, HEARTBEAT))
+                        await asyncio.sleep(0.02)
+                    self.assertFalse(self.transport.senders[address].done())
+                    self.assertTrue(self.transport.queues[address].empty())
+                    self.assertEqual(len(logs.getvalue().splitlines()), 1)
+                    self.assertLess(len(logs.getvalue()), 2_000)
+
     async def test_other_protocol_version(self) -> None:
         """A connection with another protocol version is rejected."""
         headers = {peers.SECRET_HEADER: SECRET, peers.MEMBER_HEADER: "d2"}
