Refuse connections whose member id is no name

What callers saw: a daemon that was named twice in the headers of a connection, or whose secret wasn't ASCII, ended the handler with an error and a traceback on standard error; any other text was taken for a member's id.

Now the id must be a name as in the settings, and each header sent once; else the connection is refused like one without the secret.

Seen before: test_odd_names_are_rejected failed for six names ("1000 != 1008") and for the header that was sent twice ("1011 != 1008").

--- a/poplarlb/transport/peers.py
+++ b/poplarlb/transport/peers.py
@@ -14,6 +14,7 @@
 from poplarlb.protocol import codec
 from poplarlb.protocol.messages import PeerMessage
 from poplarlb.settings import PeerSettings
+from poplarlb.settings_checks import NAME_PATTERN
 from poplarlb.transport import tls
 from poplarlb.transport.error_reports import ErrorReporter
 
@@ -22,7 +23,7 @@
 MEMBER_HEADER = "Poplarlb-Member"
 QUEUE_LIMIT = 2_000  # messages to one address
 RECONNECT_DELAY_S = 0.5  # after a failed connection
-SHOWN_LIMIT = 100  # characters of an address in a log line
+SHOWN_LIMIT = 200  # characters of an address or a problem in a log line
 
 
 class PeerTransport:
@@ -126,8 +127,10 @@
             await asyncio.sleep(RECONNECT_DELAY_S)
 
     async def _accept(self, socket: ServerConnection) -> None:
-        sender = socket.request.headers.get(MEMBER_HEADER, "")
-        secret = socket.request.headers.get(SECRET_HEADER, "")
+        sender = _read_header(socket, MEMBER_HEADER)
+        secret = _read_header(socket, SECRET_HEADER)
+        if not NAME_PATTERN.fullmatch(sender):
+            sender = ""
         if not sender or not _secrets_match(secret, self.settings.secret):
             self.rejected["unauthorized"] += 1
             await socket.close(1008, "unauthorized")
@@ -149,8 +152,16 @@
         self.receive(sender, message)
 
 
+def _read_header(socket: ServerConnection, name: str) -> str:
+    """Return a header's value, or an empty string if it isn't sent exactly once."""
+    values = socket.request.headers.get_all(name)
+    return values[0] if len(values) == 1 else ""
+
+
 def _secrets_match(given: str, expected: str) -> bool:
-    return hmac.compare_digest(given.encode(), expected.encode())
+    # Bytes of the header that aren't ASCII are surrogates.
+    given_bytes = given.encode(errors="surrogateescape")
+    return hmac.compare_digest(given_bytes, expected.encode())
 
 
 def _clear_queue(queue: asyncio.Queue[bytes]) -> None:
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -40,9 +40,21 @@
         self.address = await self.transport.start()
         self.addAsyncCleanup(self.transport.stop)
 
-    async def send(self, *frames: bytes | str, secret: str = SECRET) -> int | None:
-        """Send frames and a valid one; return the code with which the server closed."""
-        headers = {peers.SECRET_HEADER: secret, peers.MEMBER_HEADER: "d2"}
+    async def send(
+        self,
+        *frames: bytes | str,
+        secret: str = SECRET,
+        name: str = "d2",
+        headers: list[tuple[str, str]] | None = None,
+    ) -> int | None:
+        """Send frames and a valid one; return the code with which the server closed.
+
+        :param headers: of the handshake, instead of those with secret and name.
+        """
+        headers = headers or [
+            (peers.SECRET_HEADER, secret),
+            (peers.MEMBER_HEADER, name),
+        ]
         async with connect(
             f"ws://{self.address}",
             subprotocols=[peers.PROTOCOL_VERSION],
@@ -87,6 +99,19 @@
         await self.send()
         self.assertEqual(self.received, [("d2", HEARTBEAT)])
 
+    async def test_odd_names_are_rejected(self) -> None:
+        """Guards against a sender's name that ends the handling or is used as it is."""
+        for name in ("", "D2", "d2 d3", "d" * 64, "d\xe9", "../d2", "-d2"):
+            with self.subTest(name=name):
+                rejected = self.transport.rejected["unauthorized"]
+                self.assertEqual(await self.send(name=name), 1008)
+                self.assertEqual(self.transport.rejected["unauthorized"], rejected + 1)
+        twice = [(peers.MEMBER_HEADER, "d2"), (peers.MEMBER_HEADER, "d3")]
+        self.assertEqual(await self.send(headers=twice), 1008)
+        odd_secret = [(peers.MEMBER_HEADER, "d2"), (peers.SECRET_HEADER, "\xe9")]
+        self.assertEqual(await self.send(headers=odd_secret), 1008)
+        self.assertEqual(self.received, [])
+
     async def test_odd_address_ends_no_sender(self) -> None:
         """Guards against a member's odd address that ends its sender without a line."""
         logs = io.StringIO()
