Log refused messages and connections of daemons

What callers saw: a message that couldn't be decoded, or a connection with a wrong secret, was only counted; no line named the sender.

Now a line names the sender of a refused message, once in 60 s for each, and one in 60 s is about refused connections, whose senders aren't known for sure. The secret isn't logged.

Seen before: test_bad_messages_are_logged_once failed with "[] != [('d2', 'message refused'), ('d2', 'connection refused')]".

--- a/poplarlb/transport/peers.py
+++ b/poplarlb/transport/peers.py
@@ -133,6 +133,9 @@
             sender = ""
         if not sender or not _secrets_match(secret, self.settings.secret):
             self.rejected["unauthorized"] += 1
+            if self.errors.is_due(("connection",)):
+                line = logger.bind(sender=sender, outcome="connection refused")
+                line.warning("a connection has no member id or a wrong secret")
             await socket.close(1008, "unauthorized")
             return
         try:
@@ -146,8 +149,11 @@
             if isinstance(data, str):
                 raise ProtocolError("text frame; expected a binary one")
             message = codec.decode(data, PeerMessage)
-        except ProtocolError:
+        except ProtocolError as error:
             self.rejected["bad_message"] += 1
+            if self.errors.is_due(("message", sender)):
+                line = logger.bind(sender=sender, outcome="message refused")
+                line.warning("a message is malformed: {}", error.detail[:SHOWN_LIMIT])
             return
         self.receive(sender, message)
 
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import io
+import json
 import unittest
 import unittest.mock
 
@@ -112,6 +113,22 @@
         self.assertEqual(await self.send(headers=odd_secret), 1008)
         self.assertEqual(self.received, [])
 
+    async def test_bad_messages_are_logged_once(self) -> None:
+        """Guards against refused messages and connections that no log line names."""
+        logs = io.StringIO()
+        configure_logs(LogSettings(json=True), "d1", logs)
+        self.addCleanup(logger.remove)
+        for _ in range(3):
+            await self.send(b"\x81" * 100_000, b"\xff" * 1_000)
+            await self.send(secret="wrong-guess")
+        lines = [json.loads(line) for line in logs.getvalue().splitlines()]
+        reasons = [(line["sender"], line["outcome"]) for line in lines]
+        self.assertEqual(
+            reasons, [("d2", "message refused"), ("d2", "connection refused")]
+        )
+        self.assertNotIn("wrong-guess", logs.getvalue())
+        self.assertLess(len(logs.getvalue()), 2_000)
+
     async def test_odd_address_ends_no_sender(self) -> None:
         """Guards against a member's odd address that ends its sender without a line."""
         logs = io.StringIO()
