Refuse bodies with a lone surrogate

What callers saw: a change of the configuration that names a team with a lone surrogate (JSON allows "\ud800") was accepted by the checks and failed at each read of the head, when its digest is computed. Changes of other operators waited behind it until it expired.

Seen before: test_text_that_cannot_be_stored_is_refused failed for the three changes that name teams to remove or zones (they reached the runtime, or the answer was no JSON).

--- a/poplarlb/transport/operators.py
+++ b/poplarlb/transport/operators.py
@@ -293,6 +293,10 @@
         raise TooLargeError(f"request body exceeds {BODY_LIMIT_BYTES} bytes")
     try:
         table = json.loads(data)
+        # A lone surrogate can be neither sent to another daemon nor stored.
+        json.dumps(table, ensure_ascii=False).encode()
+    except UnicodeEncodeError as error:
+        raise BadRequestError("request body contains a lone surrogate") from error
     except (ValueError, RecursionError) as error:
         raise BadRequestError(f"request body is not JSON: {error}") from error
     if not isinstance(table, dict):
--- a/tests/transport/test_operators.py
+++ b/tests/transport/test_operators.py
@@ -115,6 +115,19 @@
                 self.assertIn("code", answer)
         self.assertEqual(self.runtime.asked, [])
 
+    def test_text_that_cannot_be_stored_is_refused(self) -> None:
+        """Guards against a change with a lone surrogate that holds up later changes."""
+        for change in (
+            {**APPLY, "removed": ["\ud800"]},
+            {**APPLY, "teams": [], "removed": ["a", "\udfff"]},
+            {**APPLY, "teams": [{**TEAM, "zones": ["\ud800"]}]},
+            {**APPLY, "\ud800": 1},
+        ):
+            with self.subTest(change=ascii(change)[:200]):
+                status, answer = self.call("POST", "/v1/config", change)
+                self.assertEqual((status, answer["code"]), (400, "bad_request"))
+        self.assertEqual(self.runtime.asked, [])
+
     def test_body_over_the_server_limit(self) -> None:
         """A body over the server's own limit is refused before it is read."""
         url = f"http://{self.server.address}/v1/config"
