Hand over the shards if a server fails to stop

What callers saw: an unexpected error of an HTTP server while it stops ended the task of the graceful shutdown, whose exception nobody reads: the daemon stayed up, not ready, with its shards.

Now the error is logged and the shards are handed over.

--- a/poplarlb/daemon.py
+++ b/poplarlb/daemon.py
@@ -79,9 +79,12 @@
     runtime.draining = True
     await asyncio.sleep(runtime.settings.stop.drain_ms / 1000)
     loop = asyncio.get_running_loop()
-    await asyncio.gather(
-        *(loop.run_in_executor(None, server.stop) for server in servers)
+    results = await asyncio.gather(
+        *(loop.run_in_executor(None, server.stop) for server in servers),
+        return_exceptions=True,
     )
+    for error in (item for item in results if isinstance(item, BaseException)):
+        logger.opt(exception=error).error("graceful shutdown: a server failed to stop")
     logger.info("graceful shutdown: in-flight requests are finished")
     runtime.hand_over()
 
--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -1,6 +1,7 @@
 """End-to-end tests with real daemon processes, and fakes of the platform."""
 
 import concurrent.futures
+import io
 import json
 import pathlib
 import subprocess
@@ -8,9 +9,14 @@
 import tempfile
 import time
 import unittest
+import unittest.mock
 
 import urllib3
+from loguru import logger
 
+from poplarlb import daemon
+from poplarlb.logs import configure_logs
+from poplarlb.settings import LogSettings, Settings, StopSettings
 from poplarlb.state.models import Resources
 from tests.standins.http import serve
 from tests.standins.platform import FakePlatform
@@ -46,6 +52,26 @@
 }
 
 
+class StopTest(unittest.IsolatedAsyncioTestCase):
+    """A graceful shutdown with a server that fails."""
+
+    async def test_failed_server_ends_no_shutdown(self) -> None:
+        """Guards against a server's error while it stops, which keeps the shards."""
+        logs = io.StringIO()
+        configure_logs(LogSettings(json=True), "d1", logs)
+        self.addCleanup(logger.remove)
+        stop = StopSettings(drain_ms=0)
+        runtime = unittest.mock.Mock(settings=Settings("d1", "kochi", stop=stop))
+        failing, sound = unittest.mock.Mock(), unittest.mock.Mock()
+        failing.stop.side_effect = RecursionError("injected")
+        await daemon._stop(runtime, [failing, sound])
+        sound.stop.assert_called_once_with()
+        runtime.hand_over.assert_called_once_with()
+        lines = [json.loads(line) for line in logs.getvalue().splitlines()]
+        errors = [line["error"] for line in lines if "error" in line]
+        self.assertEqual(errors, ["RecursionError: injected"])
+
+
 class DaemonTest(unittest.TestCase):
     """Two daemons in two zones, with a fake store and fake workers."""
 
