Bound the texts in JSON log lines

What callers saw: a line about an error was as long as the text that the error quotes, up to the size of a message.

Now of a text above 6,000 characters a JSON line has only both ends and the length; the end of a traceback stays. Lines in the text format, which is for people, aren't cut.

Seen before: test_line_about_a_large_error_is_bounded failed with "6000131 not less than 50000" (the limit is 60,000 now: an escaped surrogate takes six characters).

--- a/poplarlb/logs.py
+++ b/poplarlb/logs.py
@@ -8,6 +8,7 @@
 
 from poplarlb.settings import LogSettings
 
+TEXT_LIMIT = 6_000  # characters of each text in a JSON line, about
 TEXT_FORMAT = "{time:YYYY-MM-DDTHH:mm:ss.SSS!UTC}Z {level: <7} {message}"
 
 
@@ -40,10 +41,18 @@
     line = {
         "time_ms": int(record["time"].timestamp() * 1000),
         "level": record["level"].name,
-        "message": record["message"],
-        **record["extra"],
+        "message": _cut(record["message"]),
+        **{name: _cut(value) for name, value in record["extra"].items()},
     }
     if record["exception"] is not None:
         error = record["exception"]
-        line["error"] = f"{error.type.__name__}: {error.value}"
+        line["error"] = _cut(f"{error.type.__name__}: {error.value}")
     return json.dumps(line, default=str)
+
+
+def _cut(value: object) -> object:
+    """Return the value; of a long text, which may quote others, only both ends."""
+    if not isinstance(value, str) or len(value) <= TEXT_LIMIT:
+        return value
+    half = TEXT_LIMIT // 2
+    return f"{value[:half]} [{len(value)} characters] {value[-half:]}"
--- a/tests/transport/test_runtime.py
+++ b/tests/transport/test_runtime.py
@@ -45,6 +45,11 @@
     raise RecursionError("injected")
 
 
+def fail_at_length(*_: object) -> None:
+    """Raise an error whose text quotes a large message."""
+    raise ValueError("\ud800" * 1_000_000)
+
+
 class FailingCallTest(unittest.IsolatedAsyncioTestCase):
     """An unexpected error is logged, and the periodic work goes on."""
 
@@ -106,6 +111,17 @@
         self.assertIsInstance(replies[0].result, ports.WorkerFailed)
         self.assertEqual(len(self.lines()), 1)
 
+    async def test_line_about_a_large_error_is_bounded(self) -> None:
+        """Guards against a log line as long as the message that an error quotes."""
+        self.runtime.platform.read_hosts = fail_at_length
+        await self.tick(ports.ReadHosts(), lambda: self.node.count(ports.Tick) >= TICKS)
+        logger.bind(operator="x" * 100_000).info("y" * 100_000)
+        lines = self.logs.getvalue().splitlines()
+        self.assertEqual(len(lines), 2)
+        for line in lines:
+            self.assertLess(len(line), 60_000)
+            json.loads(line)
+
     async def test_unreadable_record_is_logged_once(self) -> None:
         """Guards against a record of another writer that no log line names."""
         for version in range(5):
