Take a task in an unknown state for running

What callers saw: a worker that reported a task in a state that the protocol doesn't have ended the attempt at its owner, as if the worker had stopped it, while the task ran on; it was started a second time elsewhere. Such a task without a record wasn't stopped as an orphan either.

Cause: every state that isn't one of four was handled as "stopped", and only "running" counted as running.

The worker's other tasks aren't affected.

Seen before: test_unknown_state_ends_no_attempt failed with "2 != 1" starts; test_unknown_state_is_logged_once with "[] != ['127.0.0.1:35865']".

--- a/poplarlb/coordination/workers/reports.py
+++ b/poplarlb/coordination/workers/reports.py
@@ -5,7 +5,7 @@
 from poplarlb.coordination.workers.leases import PendingBatch, WorkerContact
 from poplarlb.coordination.workers.reservations import Reservations
 from poplarlb.protocol import ports
-from poplarlb.state.models import Reason, TaskOutcome, TaskReport
+from poplarlb.state.models import ENDED_STATES, Reason, TaskOutcome, TaskReport
 from poplarlb.state.shard_state import AttemptKey, ReservationRecord
 
 # Added to the time at which something is expected to be over, for the call after it.
@@ -54,7 +54,7 @@
         return tuple(
             key
             for key, item in reported.items()
-            if item.state == "running" and key not in known
+            if item.state not in ENDED_STATES and key not in known
         )
 
     def _handle_task(
@@ -62,8 +62,6 @@
     ) -> None:
         self.reservations.calls.progress[key] = item
         match item.state:
-            case "running":
-                self._handle_running(key, reservation)
             case "succeeded":
                 self._observe_end(reservation, item, True)
                 self.reservations.end(key, TaskOutcome.SUCCEEDED, Reason.EXITED)
@@ -76,9 +74,12 @@
                 self.reservations.end(
                     key, None, Reason.START_REFUSED, detail=item.detail
                 )
-            case _:
+            case "stopped":
                 reason = reservation.stopping or Reason.LEASE_EXPIRED
                 self.reservations.end(key, None, reason, item.checkpoint, item.detail)
+            case _:
+                # Only a state that is known to be final ends an attempt.
+                self._handle_running(key, reservation)
 
     def _handle_running(self, key: AttemptKey, reservation: ReservationRecord) -> None:
         worker_id = reservation.attempt.worker_id
--- a/poplarlb/state/models.py
+++ b/poplarlb/state/models.py
@@ -233,13 +233,16 @@
     alternatives: tuple[Alternative, ...] = ()
 
 
+ENDED_STATES = frozenset({"succeeded", "failed", "stopped", "refused"})
+
+
 @frozen
 class TaskReport:
     """One task in a worker's report.
 
-    ``state`` is ``running``, ``succeeded``, ``failed``, ``stopped`` or
-    ``refused``; ``used`` lags behind the current usage. ``progress_ms`` is its run time
-    at full speed.
+    ``state`` is ``running`` or one of ``ENDED_STATES``; a task in any other state
+    counts as running. ``used`` lags behind the current usage. ``progress_ms`` is its
+    run time at full speed.
     """
 
     key: TaskKey
--- a/poplarlb/transport/platform.py
+++ b/poplarlb/transport/platform.py
@@ -9,8 +9,12 @@
 from poplarlb.exceptions import ProtocolError
 from poplarlb.protocol import codec, hosts, ports
 from poplarlb.settings import PlatformSettings
+from poplarlb.state.models import ENDED_STATES
+from poplarlb.transport.error_reports import ErrorReporter
 
 FAULTS_LOGGED = 20  # of one host list; the others are counted in one more line
+SHOWN_LIMIT = 200  # characters of what a worker sent, in a log line
+TASK_STATES = ENDED_STATES | {"running"}
 
 
 class PlatformAdapter:
@@ -29,6 +33,7 @@
         self.list_tag = ""
         self.listed = ports.HostsListed(())
         self.logged: frozenset[hosts.HostFault] = frozenset()
+        self.errors = ErrorReporter()
 
     def read_hosts(self) -> ports.HostsListed | None:
         """Return the host list, or ``None`` if it can't be read.
@@ -81,6 +86,17 @@
             )
             if response.status != 200:
                 return ports.WorkerFailed(f"status {response.status}")
-            return codec.decode(response.data, ports.WorkerAnswer)
+            answer = codec.decode(response.data, ports.WorkerAnswer)
+            self._log_unknown_states(address, answer)
+            return answer
         except (urllib3.exceptions.HTTPError, ProtocolError) as error:
             return ports.WorkerFailed(f"{type(error).__name__}: {error}")
+
+    def _log_unknown_states(self, address: str, answer: ports.WorkerAnswer) -> None:
+        odd = [item for item in answer.report.tasks if item.state not in TASK_STATES]
+        if not odd or not self.errors.is_due(("state", address)):
+            return
+        task = f"{odd[0].key.team}/{odd[0].key.task_id}"[:SHOWN_LIMIT]
+        line = logger.bind(worker=address, task=task, outcome="taken for running")
+        state = odd[0].state[:SHOWN_LIMIT]
+        line.warning("{} tasks of a worker are in unknown states: {}", len(odd), state)
--- a/tests/coordination/shards/test_shard.py
+++ b/tests/coordination/shards/test_shard.py
@@ -1,6 +1,7 @@
 """Scripted tests of shards under faults, one shard alone or two together."""
 
 import unittest
+import unittest.mock
 
 from attrs import define, evolve, field
 
@@ -15,11 +16,13 @@
     TaskPhase,
     TaskSpec,
     WorkClass,
+    WorkerReport,
     ZoneState,
 )
 from poplarlb.state.templates import ServiceTemplate
 from tests.coordination.shards.shard_world import ShardWorld
 from tests.harness import oracle
+from tests.standins.worker import WorkerModel
 
 
 def key_at(world: ShardWorld, shard: str, number: int = 0) -> TaskKey:
@@ -102,6 +105,37 @@
         self.assertIs(self.show(key).phase, TaskPhase.ENDED)
 
 
+class OddReportTest(ShardCase):
+    """Reports of workers with odd entries."""
+
+    def test_unknown_state_ends_no_attempt(self) -> None:
+        """Guards against a task in an unknown state that is started a second time."""
+        key = key_at(self.world, "a/0")
+        other = key_at(self.world, "a/0", 1)
+        self.world.submit(make_spec(key))
+        self.world.submit(make_spec(other))
+        self.world.run(2_000)
+        report = WorkerModel.report
+
+        def report_oddly(model: WorkerModel, now_ms: int) -> WorkerReport:
+            sound = report(model, now_ms)
+            tasks = tuple(
+                evolve(item, state="resting")
+                if item.key == key and item.state == "running"
+                else item
+                for item in sound.tasks
+            )
+            return evolve(sound, tasks=tasks)
+
+        with unittest.mock.patch.object(WorkerModel, "report", report_oddly):
+            self.world.run(20_000)
+        self.world.run(20_000)
+        for name in (key, other):
+            self.assertEqual(len(self.starts(name)), 1)
+            self.assertIs(self.show(name).outcome, TaskOutcome.SUCCEEDED)
+        self.assertEqual(oracle.check_single_run(self.world), [])
+
+
 class StartTest(ShardCase):
     """Submissions, up to the start or the end without one."""
 
--- a/tests/transport/test_platform.py
+++ b/tests/transport/test_platform.py
@@ -7,7 +7,9 @@
 from loguru import logger
 
 from poplarlb.logs import configure_logs
+from poplarlb.protocol import codec, ports
 from poplarlb.settings import LogSettings, PlatformSettings
+from poplarlb.state.models import TaskKey, TaskReport, WorkerReport
 from poplarlb.transport.platform import PlatformAdapter
 from tests.standins.http import Answer, serve
 
@@ -186,5 +188,30 @@
         self.assertLess(len(self.take_lines()), 30)
 
 
+class WorkerAnswerTest(unittest.TestCase):
+    """Answers of workers, over sockets."""
+
+    def test_unknown_state_is_logged_once(self) -> None:
+        """Guards against a task in an unknown state that no log line names."""
+        logs = io.StringIO()
+        configure_logs(LogSettings(json=True), "d1", logs)
+        self.addCleanup(logger.remove)
+        tasks = tuple(
+            TaskReport(TaskKey("dairy", f"j{n}"), 1, 1, state * 1_000)
+            for n, state in enumerate(("resting", "running"))
+        )
+        answer = ports.WorkerAnswer((), WorkerReport("w1", 1, 1, tasks))
+        data = codec.encode(answer, ports.WorkerAnswer)
+        server = serve(lambda *_: Answer(200, data, "application/cbor"))
+        self.addCleanup(server.stop)
+        adapter = PlatformAdapter(PlatformSettings(server.address))
+        batch = ports.WorkerBatch("kochi/0", 1, 0)
+        for _ in range(3):
+            self.assertEqual(adapter.call_worker(server.address, batch), answer)
+        lines = [json.loads(line) for line in logs.getvalue().splitlines()]
+        self.assertEqual([line["worker"] for line in lines], [server.address])
+        self.assertLess(len(logs.getvalue()), 2_000)
+
+
 if __name__ == "__main__":
     unittest.main()
