Count an endpoint without a valid address as not reached

What callers saw: a grant whose address had no port, or none that is a number, failed the request with status 500 instead of an attempt at another endpoint; one whose host is no name was answered as if the request might have run. Such a grant comes from another daemon's host list.

Now the address is checked as in the host list, before a connection pool is made for it, and an odd one counts as an endpoint that wasn't reached.

--- a/poplarlb/protocol/hosts.py
+++ b/poplarlb/protocol/hosts.py
@@ -167,14 +167,19 @@
 
 def _read_address(item: object) -> str:
     value = _read_field(item, "address")
-    if isinstance(value, str):
-        host, _, port = value.rpartition(":")
-        in_range = _PORT.fullmatch(port) and 1 <= int(port) <= PORT_LIMIT
-        if in_range and (_is_host_name(host) or _is_ipv6(host)):
-            return value
+    if isinstance(value, str) and is_address(value):
+        return value
     raise ValueError(f"address: HOST:PORT with a port from 1 to {PORT_LIMIT}")
 
 
+def is_address(text: str) -> bool:
+    """Return whether a text is the HOST:PORT of a worker."""
+    host, _, port = text.rpartition(":")
+    if not _PORT.fullmatch(port) or not 1 <= int(port) <= PORT_LIMIT:
+        return False
+    return _is_host_name(host) or _is_ipv6(host)
+
+
 def _is_host_name(host: str) -> bool:
     return len(host) <= NAME_LIMIT and _HOST_NAME.fullmatch(host) is not None
 
--- a/poplarlb/transport/endpoints.py
+++ b/poplarlb/transport/endpoints.py
@@ -9,7 +9,7 @@
 from attrs import Factory, define, frozen
 from urllib3.util import SKIP_HEADER, Timeout
 
-from poplarlb.protocol import api
+from poplarlb.protocol import api, hosts
 from poplarlb.transport.bodies import CHUNK_BYTES, RequestBody
 
 CONNECT_TIMEOUT_S = 1.0
@@ -98,6 +98,8 @@
         :raises RequestNotSentError: if the endpoint could not be reached.
         :raises ExchangeBrokenError: if the exchange failed after that.
         """
+        if not hosts.is_address(grant.address):
+            raise RequestNotSentError("the endpoint has no valid address")
         pool = self._make_pool(grant.address, 0) if fresh else self._pool_for(grant)
         started_s = time.perf_counter()
         try:
