Test the accounts, the limit and the end of last-resort runs

The review took parts of the rule for starved jobs out and found which of them no test misses. No code changes.

--- a/tests/coordination/jobs/test_last_resort.py
+++ b/tests/coordination/jobs/test_last_resort.py
@@ -9,6 +9,7 @@
 from poplarlb.coordination.jobs.events import CallOutcome
 from poplarlb.coordination.jobs.interference import Estimate
 from poplarlb.coordination.jobs.starvation import MAX_RANKED_WORKERS, StarvedJobs
+from poplarlb.coordination.jobs.throttling import LAST_RESORT_PERCENT
 from poplarlb.state.jobs import JobState, StepSpec
 from poplarlb.state.models import Resources
 from tests.coordination.jobs import test_starved_jobs as starved
@@ -51,6 +52,39 @@
         self.assertLess(world.best_effort.wanted_throttle_percent, 50)
 
 
+class LastResortRunTest(unittest.TestCase):
+    """One worker: a serving task, and the best-effort run as a last resort."""
+
+    def setUp(self) -> None:
+        """Place the best-effort task as a last resort."""
+        self.world = throttling.ThrottlerTest()
+        self.world.setUp()
+        self.worker, self.run = self.world.worker, self.world.best_effort
+        self.worker.remove(self.run)
+        self.run.last_resort = True
+        self.worker.add(self.run)
+
+    def test_makes_way_in_the_accounts(self) -> None:
+        """Guards against ordinary tasks that find no room beside a last resort."""
+        self.assertEqual(self.worker.best_effort_cpu, 0)
+        self.assertEqual(self.worker.best_effort_mix(), {})
+        self.assertEqual(self.worker.last_resort_runs, 1)
+        self.worker.remove(self.run)
+        self.assertEqual(self.worker.best_effort_cpu, 0)
+        self.assertEqual(self.worker.last_resort_runs, 0)
+
+    def test_leaves_headroom_to_others(self) -> None:
+        """Guards against last resorts that use up what ordinary tasks could use."""
+        self.assertEqual(self.world.measure(0.2, times=3), [LAST_RESORT_PERCENT])
+
+    def test_goes_on_at_a_low_throttle_for_some_seconds(self) -> None:
+        """Guards against starved jobs that lose the run that they have got."""
+        self.world.measure(1.5, times=10)
+        self.assertEqual(self.run.stopping, "")
+        self.world.measure(1.5, times=20)
+        self.assertEqual(self.run.stopping, "harms a serving task")
+
+
 class LastResortTest(unittest.TestCase):
     """Four workers, each with a serving task; a fifth of the room is reserved."""
 
