--- a/review/bed/workers.py
+++ b/review/bed/workers.py
@@ -47,13 +47,14 @@
         self.address = free_address()
         self.server = Server(self.address, self.handle)
         self.capacity = dict(fleet.capacity)
+        self.time_ahead_ms = 0  # of its time of day, while that has jumped
         self.alive = False
         self.entry_task: asyncio.Task | None = None
         self.reset()
 
     def reset(self) -> None:
         """Forget all, as a process does that starts."""
-        self.born = int(time.time() * 1000)
+        self.born = int(time.time() * 1000) + self.time_ahead_ms
         self.began_s = time.monotonic()
         self.fence = 0
         self.lease_end_ms = 0.0
@@ -153,7 +154,8 @@
         if self.fleet.saves(run.task):
             count = int(run.done_s / self.fleet.save_s)
             if count:
-                run.saved = f"{count:08x}{self.name}".ljust(self.fleet.saved_size, ".")
+                saved = f"{count:08x}{run.task[4:12]}"
+                run.saved = saved.ljust(self.fleet.saved_size, ".")
 
     def end(self, key: tuple[str, int], how: str) -> None:
         """End a run, and list that."""
