--- a/review/bed/bench.py
+++ b/review/bed/bench.py
@@ -292,6 +292,8 @@
         async def run() -> str:
             bed = Bed(pathlib.Path(temporary), record, capacity)
             bed.note("begin", trouble=trouble)
+            loop, task = asyncio.get_running_loop(), asyncio.current_task()
+            loop.add_signal_handler(signal.SIGTERM, task.cancel)
             try:
                 await bed.store.server.start()
                 return await case(bed, trouble)
@@ -302,7 +304,7 @@
             broken = asyncio.run(run())
             status = BROKEN if broken else HELD
             verdict = f"BROKEN: {broken}" if broken else "HELD"
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             verdict = f"NOT RUN: {error!r}"
             traceback.print_exc(file=record)
         record.write(verdict + "\n")
