--- a/review/bed/workers.py
+++ b/review/bed/workers.py
@@ -27,12 +27,15 @@
         self.done_s = 0.0
         self.waited_s = 0.0
         self.worked = False
+        self.lasting = False  # then its percent is 100 while it is at work
         self.members = 0
         self.stop_at_s: float | None = None
 
     @property
     def percent(self) -> int:
         """Return the part of the work that is done, in whole percents."""
+        if self.lasting:
+            return 100 if self.worked else 0
         return min(int(100 * self.done_s / self.work_s), 100)
 
 
@@ -212,6 +215,7 @@
             return self._refuse(body, "ticket")
         run = Run(task, number, body.get("saved", ""), self.fleet.work_s(task))
         run.members = self.fleet.gang_size(task)
+        run.lasting = self.fleet.step_of(task).get("longRunning", False)
         if run.saved:
             run.done_s = int(run.saved[:8], 16) * self.fleet.save_s
         self.runs[task, number] = run
