--- a/review/bed/http.py
+++ b/review/bed/http.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-import random
+import os
 import socket
 from collections.abc import Awaitable, Callable
 from urllib.parse import parse_qs, urlsplit
@@ -10,26 +10,29 @@
 MAX_LINE_BYTES = 1 << 20
 Answer = tuple[int, dict | None]
 Handler = Callable[[str, str, dict, dict, dict | None], Awaitable[Answer]]
-PORTS = (18_000, 32_000)
+FIRST_PORT, BLOCKS, BLOCK_PORTS = 18_000, 140, 100
 taken: set[int] = set()
 
 
 def free_port() -> int:
     """Return a free port of the loopback address that this run hasn't used yet.
 
-    It is below those that the system takes for outgoing connections, which could
-    otherwise take it before it is listened on.
+    Each process draws from a block of its own, as a port is listened on some time after
+    it was drawn. All blocks are below the ports that the system takes for outgoing
+    connections.
     """
-    while True:
-        port = random.randrange(*PORTS)
+    first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
+    for port in range(first, first + BLOCK_PORTS):
+        if port in taken:
+            continue
+        taken.add(port)
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        if port not in taken:
-            taken.add(port)
-            return port
+        return port
+    raise OSError(f"no free port from {first} on")
 
 
 def free_address() -> str:
