Log the answers of the advice service

A trace of a burst on a queue with advice shows requests, and then nothing of the jobs: it doesn't tell whether the service is slow, denies the workers, or gives tickets that aren't used. The new line has the tickets, the time since the request was sent, how long the tickets are valid, and the number of requests in flight.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -100,6 +100,17 @@
     def on_answer(self, event: AdviceAnswered) -> None:
         """Keep an answer's tickets; a failed request allows and denies no worker."""
         state = self.state
+        state.log(
+            "advice_answered",
+            job=event.step[0],
+            step=event.step[2],
+            workers=len(event.asked_workers),
+            tickets=len(event.tickets),
+            failed=event.failed,
+            took_ms=state.now_ms - event.sent_ms,
+            valid_ms=event.valid_ms,
+            open_requests=len(self.open_requests),
+        )
         self.open_requests.discard(event.step)
         if event.failed or event.step[0] not in state.jobs:
             return
