Send one request for advice at a time, sized by the time it takes

Cause: up to four requests were in flight, and the service handles a daemon's requests one after another. Each named 12 workers for a step of four tasks, so the service took 0.82 s for what needs 0.34 s. The validity of a ticket counted from the sending of its request, also while the request waited for the three before it. Once four were in flight each answer came 3.17 s after its sending, with tickets for 3 s; the steps were asked for again, so the queue never became shorter.

Change - One request in flight. The next one is sent as soon as the answer has been used, not with the next full scheduling round. - A request names the best workers by placement, one for each unplaced task, divided by the share of workers that the queue's requests were granted, and two more. While other steps wait a worker counts for as many tasks as fit there, and none is spare. The service decides in half of a ticket's usable time, by the times in the configuration and how long the last request took; a gang, which needs all tickets at once, isn't cut. - A ticket is used until validMs after the sending, and in any case for 1 s after its answer. If it counts from the answer, no job waits for nothing; if it counts earlier, a start is refused, which is noticed: such tickets are then not used for 10 s. - The margin before a ticket's end is a quarter of its validity at most; it was 0.5 s also for tickets of 0.4 s, which were never used. - A failed request is followed by a pause of 0.2 s to 2 s, and one that timed out by a smaller request with a longer timeout, as the service goes on with the one that was given up.

Why it works: what waits at the service is never more than the request that it decides on, so the age of a ticket at its answer is the time of one request, which is kept below half of the validity.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -3,103 +3,290 @@
 An answer names workers with a ticket each: a text that is sent with a start, without
 which the worker refuses it. A ticket permits all tasks of the step at the worker's
 present incarnation until it expires. A worker once denied for a step stays denied.
+
+The service handles a daemon's requests one after another and takes time for each
+worker. So one request is in flight at a time, and it names few workers.
 """
 
+from collections import Counter
+from collections.abc import Callable
+from itertools import islice
+
+import attrs
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import AdviceAnswered, AskAdvice
-from poplarlb.coordination.jobs.fleet import WorkerState
-from poplarlb.state.jobs import Job, TaskStatus
+from poplarlb.coordination.jobs.fleet import Run, WorkerState
+from poplarlb.coordination.jobs.placement import count_fitting, list_racks
+from poplarlb.state.jobs import AdviceTimes, Job, QueueConfig, Task, TaskStatus
 
-# The service takes time for each worker, and handles a daemon's requests one after
-# another.
-WORKERS_PER_REQUEST = 12
-MAX_OPEN_REQUESTS = 4
+WORKERS_LIMIT = 100  # of one request
+DEFAULT_WORKERS = 12  # of one request, while the service's times aren't known
+REQUEST_SHARE = 0.5  # of a ticket's usable time that a request takes at most
+SPARE_WORKERS = 2  # beyond one for each unplaced task, as some workers fill up
 TICKET_MARGIN_MS = 500  # a start must arrive while its ticket is valid
-SPARE_TICKETS = 2  # beyond one for each unplaced task, as some workers fill up
+MARGIN_SHARE = 0.25  # of the validity; the margin isn't longer
+# A ticket's validity may count from the answer or from an earlier time. Also one that
+# may have expired on the way is used for this long: the worker refuses it at worst.
+FRESH_MS = 1_000
+DISTRUST_MS = 10_000  # no use of such tickets after one was refused
+BASE_TIMEOUT_MS = 5_000
+MAX_SLOWNESS = 64.0
+MIN_RETRY_MS, MAX_RETRY_MS = 200, 2_000  # pauses after failed requests
+STEPS_PER_ROUND = 8  # for which workers are searched in one scheduling round
 
 StepKey = tuple[str, int, int]  # job, occurrence, step
+# Returns the workers with capacity for a task in a rack, the best first.
+Ranker = Callable[[Task, QueueConfig, str], list[WorkerState]]
 
 
 @frozen
 class Ticket:
-    """Permits the tasks of a step at one incarnation of a worker, until it expires."""
+    """Permits the tasks of a step at one incarnation of a worker, until it expires.
+
+    It is valid until ``certain_until_ms`` and may be until ``until_ms``, both on the
+    daemon's monotonic clock. A start is sent ``margin_ms`` earlier at the latest.
+    """
 
     text: str
     incarnation: int
-    until_ms: int  # on the daemon's monotonic clock
+    certain_until_ms: int
+    until_ms: int
+    margin_ms: int
 
 
 @define(eq=False)
 class TicketCache:
     """Keeps the tickets of each step and asks for missing ones.
 
+    :ivar tickets: by step and worker, also the expired ones.
     :ivar denied: the workers for which the service gave no ticket, by step.
-    :ivar open_requests: the steps for which a request is in flight.
+    :ivar open_request: the request in flight.
     :ivar asked_ms: when the service was last asked for a job, by the job's id.
+    :ivar next_request_ms: when the next request may be sent.
+    :ivar skipped_steps: how many steps need no request, by the latest rounds.
+    :ivar asked_workers: for how many workers a queue's requests were answered.
+    :ivar granted_workers: how many of these got a ticket.
+    :ivar failures: requests that have failed in a row.
+    :ivar slowness: how much longer a request takes than the queue's times say.
+    :ivar distrust_until_ms: only certain tickets are used until then.
     """
 
     state: DispatcherState
     tickets: dict[StepKey, dict[str, Ticket]] = Factory(dict)
     denied: dict[StepKey, set[str]] = Factory(dict)
-    open_requests: set[StepKey] = Factory(set)
+    open_request: AskAdvice | None = None
     asked_ms: dict[str, int] = Factory(dict)
+    next_request_ms: int = 0
+    skipped_steps: int = 0
+    asked_workers: Counter[str] = Factory(Counter)
+    granted_workers: Counter[str] = Factory(Counter)
+    failures: int = 0
+    slowness: float = 1.0
+    distrust_until_ms: int = 0
+
+    # --- tickets ----------------------------------------------------------------------
 
     def allowed(self, step: StepKey) -> dict[str, Ticket]:
-        """Return the valid tickets of a step, by worker."""
-        min_until_ms = self.state.now_ms + TICKET_MARGIN_MS
+        """Return the tickets of a step that may be used for a start, by worker."""
+        now_ms = self.state.now_ms
         return {
             worker_id: ticket
             for worker_id, ticket in self.tickets.get(step, {}).items()
-            if ticket.until_ms > min_until_ms
+            if self._expires_ms(ticket) - ticket.margin_ms > now_ms
             and self.state.worker(worker_id).incarnation == ticket.incarnation
         }
 
-    def request_missing(self, workers: dict[str, list[WorkerState]]) -> None:
-        """Ask for tickets for the steps with too few for their unplaced tasks.
+    def _expires_ms(self, ticket: Ticket) -> int:
+        trusted = self.state.now_ms >= self.distrust_until_ms
+        return ticket.until_ms if trusted else ticket.certain_until_ms
+
+    def on_refused(self, run: Run) -> None:
+        """Drop a ticket that a worker refused."""
+        tickets = self.tickets.get(run.task.step_key, {})
+        ticket = tickets.get(run.worker_id)
+        if ticket is None or ticket.text != run.ticket:
+            return
+        tickets[run.worker_id] = attrs.evolve(ticket, certain_until_ms=0, until_ms=0)
+        if run.sent_ms >= ticket.certain_until_ms:
+            self.distrust_until_ms = self.state.now_ms + DISTRUST_MS
+
+    def forget_final(self) -> None:
+        """Drop the tickets and denials for jobs that are final or forgotten."""
+        for step in [step for step in self.tickets if self._is_final(step[0])]:
+            del self.tickets[step]
+            self.denied.pop(step, None)
+        for job_id in [name for name in self.asked_ms if self._is_final(name)]:
+            del self.asked_ms[job_id]
+
+    def _is_final(self, job_id: str) -> bool:
+        job = self.state.jobs.get(job_id)
+        return job is None or job.final
+
+    # --- requests ---------------------------------------------------------------------
+
+    def request_missing(
+        self, rank: Ranker, workers: dict[str, list[WorkerState]]
+    ) -> None:
+        """Ask for tickets for the first step that has too few.
+
+        Steps that could start at once come before those for which no worker has
+        capacity now.
 
         :param workers: the workers that may get new runs, by service.
         """
         state = self.state
+        if self.open_request is not None or state.now_ms < self.next_request_ms:
+            return
         jobs = [job for job in state.unplaced if state.queue_of(job).needs_advice]
-        for job in sorted(jobs, key=self._turn):
-            queue = state.queue_of(job)
-            for step, waiting in unplaced_steps(job):
-                if len(self.open_requests) >= MAX_OPEN_REQUESTS:
+        steps = [
+            tasks for job in sorted(jobs, key=self._turn) for tasks in list_steps(job)
+        ]
+        end = self.skipped_steps + STEPS_PER_ROUND
+        searched = steps[self.skipped_steps : end]
+        crowded = len(steps) > 1
+        for choose in (self._choose_startable, self._choose_for_later):
+            for tasks in searched:
+                queue = state.queue_of(tasks[0].job)
+                found = choose(tasks, queue, rank, workers.get(queue.service, []))
+                if found:
+                    self.skipped_steps = 0
+                    self._ask(tasks, queue, found, crowded)
                     return
-                if step not in self.open_requests:
-                    self._request_if_too_few(
-                        step, waiting, workers.get(queue.service, ())
-                    )
+        self.skipped_steps = end if end < len(steps) else 0
+        self.next_request_ms = state.now_ms + state.policy.schedule_period_ms
 
     def _turn(self, job: Job) -> tuple[int, int]:
         """Return a job's sort key; jobs never asked for and older ones come first."""
         job_id = job.spec.job_id
         return self.asked_ms.get(job_id, 0), job.spec.accepted_utc_ms
 
-    def _request_if_too_few(self, step: StepKey, waiting: int, workers) -> None:
+    def _choose_startable(
+        self,
+        tasks: list[Task],
+        queue: QueueConfig,
+        rank: Ranker,
+        workers: list[WorkerState],
+    ) -> list[WorkerState]:
+        """Return the workers without a ticket that have capacity for a step's tasks.
+
+        None if those with one have enough, or if a gang fits nowhere as a whole.
+        """
+        spec, step = tasks[0].spec, tasks[0].step_key
         allowed = self.allowed(step)
-        if len(allowed) >= waiting + SPARE_TICKETS:
-            return
-        denied = self.denied.get(step, set())
-        unknown = [
+        denied = self.denied.get(step, ())
+        best: list[WorkerState] = []
+        best_count = 0
+        for rack in list_racks(workers) if spec.gang and spec.same_rack else [""]:
+            found = [
+                worker
+                for worker in rank(tasks[0], queue, rack)
+                if worker.worker_id not in denied
+            ]
+            counts = {
+                worker.worker_id: count_fitting(worker, spec, step) for worker in found
+            }
+            if sum(counts[name] for name in counts if name in allowed) >= len(tasks):
+                return []
+            count = sum(counts.values())
+            if spec.gang and count < len(tasks):
+                continue
+            if count > best_count:
+                best, best_count = found, count
+        return [worker for worker in best if worker.worker_id not in allowed]
+
+    def _choose_for_later(
+        self,
+        tasks: list[Task],
+        queue: QueueConfig,
+        rank: Ranker,
+        workers: list[WorkerState],
+    ) -> list[WorkerState]:
+        """Return the workers at which a step's tasks may fit later.
+
+        None if enough of them have a ticket. A gang needs capacity at several at once.
+        """
+        spec, step = tasks[0].spec, tasks[0].step_key
+        if spec.gang:
+            return []
+        known = self.allowed(step).keys() | self.denied.get(step, set())
+        possible = [
             worker
             for worker in workers
-            if worker.worker_id not in allowed and worker.worker_id not in denied
+            if spec.size.fits_in(worker.listing.capacity)
+            and (
+                not spec.required_label or spec.required_label in worker.listing.labels
+            )
         ]
-        if not unknown:
-            return
-        unknown.sort(key=lambda worker: -worker.free_capacity().cpu_millis)
-        names = tuple(worker.worker_id for worker in unknown[:WORKERS_PER_REQUEST])
-        self.open_requests.add(step)
-        self.asked_ms[step[0]] = self.state.now_ms
-        self.state.log("advice_asked", job=step[0], step=step[2], workers=len(names))
-        self.state.commands.append(AskAdvice(step, names))
+        allowed = sum(worker.worker_id in self.allowed(step) for worker in possible)
+        if allowed >= len(tasks) + SPARE_WORKERS:
+            return []
+        unknown = [worker for worker in possible if worker.worker_id not in known]
+        return sorted(unknown, key=lambda item: -item.free_capacity().cpu_millis)
+
+    def _ask(
+        self,
+        tasks: list[Task],
+        queue: QueueConfig,
+        candidates: list[WorkerState],
+        crowded: bool,
+    ) -> None:
+        """Send a request for the first of the candidates.
+
+        :param crowded: other steps wait, so a worker is counted for several tasks.
+        """
+        state = self.state
+        spec, step = tasks[0].spec, tasks[0].step_key
+        permitted = self.tickets.get(step, {})
+        most = WORKERS_LIMIT if spec.gang else self._most_workers(queue.advice)
+        rate = (self.granted_workers[queue.name] + 1) / (
+            self.asked_workers[queue.name] + 2
+        )
+        # Whether a worker may run the step doesn't change.
+        candidates = sorted(
+            candidates, key=lambda worker: worker.worker_id not in permitted
+        )
+        missing = float(len(tasks))
+        names: list[str] = []
+        for worker in islice(candidates, most):
+            if missing <= 0:
+                break
+            fitting = count_fitting(worker, spec, step) if crowded else 1
+            chance = 1.0 if worker.worker_id in permitted else rate
+            missing -= max(min(fitting, len(tasks)), 1) * chance
+            names.append(worker.worker_id)
+        if not crowded:
+            most = min(most, len(names) + SPARE_WORKERS)
+            names = [worker.worker_id for worker in islice(candidates, most)]
+        expected_ms = queue.advice.decide_ms + queue.advice.each_ms * len(names)
+        timeout_ms = BASE_TIMEOUT_MS + int(2 * expected_ms * self.slowness)
+        self.open_request = AskAdvice(step, tuple(names), expected_ms, timeout_ms)
+        self.asked_ms[step[0]] = state.now_ms
+        state.log(
+            "advice_asked",
+            job=step[0],
+            step=step[2],
+            workers=len(names),
+            expected_ms=expected_ms,
+        )
+        state.commands.append(self.open_request)
+
+    def _most_workers(self, times: AdviceTimes) -> int:
+        """Return for how many workers the service decides soon enough."""
+        if not times.valid_ms:
+            return max(int(DEFAULT_WORKERS / self.slowness), 1)
+        usable_ms = times.valid_ms - margin_ms(times.valid_ms)
+        decide_ms = usable_ms * REQUEST_SHARE / self.slowness - times.decide_ms
+        return min(max(int(decide_ms / max(times.each_ms, 1)), 1), WORKERS_LIMIT)
+
+    # --- answers ----------------------------------------------------------------------
 
     def on_answer(self, event: AdviceAnswered) -> None:
         """Keep an answer's tickets; a failed request allows and denies no worker."""
         state = self.state
+        request, self.open_request = self.open_request, None
+        took_ms = state.now_ms - event.sent_ms
         state.log(
             "advice_answered",
             job=event.step[0],
@@ -107,48 +294,66 @@
             workers=len(event.asked_workers),
             tickets=len(event.tickets),
             failed=event.failed,
-            took_ms=state.now_ms - event.sent_ms,
+            took_ms=took_ms,
             valid_ms=event.valid_ms,
-            open_requests=len(self.open_requests),
         )
-        self.open_requests.discard(event.step)
-        if event.failed or event.step[0] not in state.jobs:
+        if request is not None:
+            self._note_time(request, took_ms, event.failed)
+        job = state.jobs.get(event.step[0])
+        if event.failed or job is None:
             return
-        granted = dict(event.tickets)
+        granted = {
+            name: text for name, text in event.tickets if name in event.asked_workers
+        }
+        queue = state.queue_of(job)
+        self.asked_workers[queue.name] += len(event.asked_workers)
+        self.granted_workers[queue.name] += len(granted)
+        self.denied.setdefault(event.step, set()).update(
+            name for name in event.asked_workers if name not in granted
+        )
+        certain_until_ms = event.sent_ms + event.valid_ms
+        fresh_until_ms = state.now_ms + min(event.valid_ms, FRESH_MS)
         tickets = self.tickets.setdefault(event.step, {})
-        denied = self.denied.setdefault(event.step, set())
-        denied.update(name for name in event.asked_workers if name not in granted)
         for worker_id, text in granted.items():
-            incarnation = state.worker(worker_id).incarnation
-            until_ms = event.sent_ms + event.valid_ms
-            tickets[worker_id] = Ticket(text, incarnation, until_ms)
+            tickets[worker_id] = Ticket(
+                text,
+                state.worker(worker_id).incarnation,
+                certain_until_ms,
+                max(certain_until_ms, fresh_until_ms),
+                margin_ms(event.valid_ms),
+            )
         state.capacity_changed = True
 
-    def drop(self, step: StepKey, worker_id: str) -> None:
-        """Drop a ticket that a worker refused."""
-        self.tickets.get(step, {}).pop(worker_id, None)
+    def _note_time(self, request: AskAdvice, took_ms: int, failed: bool) -> None:
+        """Adapt the next requests to how long one took or whether it failed."""
+        if not failed:
+            self.failures = 0
+            if request.expected_ms:
+                slowness = max(took_ms / request.expected_ms, 1.0)
+                self.slowness = min(slowness, MAX_SLOWNESS)
+            return
+        if took_ms >= request.timeout_ms:
+            self.slowness = min(2 * self.slowness, MAX_SLOWNESS)
+        pause_ms = min(MIN_RETRY_MS * 2**self.failures, MAX_RETRY_MS)
+        self.next_request_ms = self.state.now_ms + pause_ms
+        self.failures += 1
 
-    def forget_final(self) -> None:
-        """Drop the tickets and denials for jobs that are final or forgotten."""
-        for step in [step for step in self.tickets if self._is_final(step[0])]:
-            del self.tickets[step]
-            self.denied.pop(step, None)
-        for job_id in [name for name in self.asked_ms if self._is_final(name)]:
-            del self.asked_ms[job_id]
 
-    def _is_final(self, job_id: str) -> bool:
-        job = self.state.jobs.get(job_id)
-        return job is None or job.final
+def margin_ms(valid_ms: int) -> int:
+    """Return how long before a ticket's end a start with it is sent at the latest."""
+    return min(TICKET_MARGIN_MS, int(valid_ms * MARGIN_SHARE))
 
 
-def unplaced_steps(job: Job):
-    """Yield each ready step of a job with the number of its unplaced tasks."""
+def list_steps(job: Job):
+    """Yield the unplaced tasks of each ready step of a job."""
     for occurrence in job.occurrences.values():
         for number, spec in enumerate(job.spec.steps):
             if not occurrence.is_ready(number, spec):
                 continue
-            waiting = sum(
-                task.status is TaskStatus.WAITING for task in occurrence.steps[number]
-            )
+            waiting = [
+                task
+                for task in occurrence.steps[number]
+                if task.status is TaskStatus.WAITING
+            ]
             if waiting:
-                yield (job.spec.job_id, occurrence.number, number), waiting
+                yield waiting
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -205,7 +205,7 @@
         worker = self.state.worker(event.worker_id)
         run = worker.runs.get((event.task, event.run))
         if event.outcome is CallOutcome.NO_TICKET and run is not None:
-            self.advice.drop(run.task.step_key, event.worker_id)
+            self.advice.on_refused(run)
         self.calls.on_start_answered(event)
         if event.outcome is CallOutcome.DONE and run is not None and run.last_resort:
             self.throttler.limit_new(worker)
--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -184,8 +184,7 @@
     """The advice service named the workers that may run a step, or the request failed.
 
     A ticket is sent with a start; it permits the step's tasks at its worker for
-    ``valid_ms`` after the request was sent. An asked worker without a ticket is denied,
-    unless the request failed.
+    ``valid_ms``. An asked worker without a ticket is denied, unless the request failed.
     """
 
     step: tuple[str, int, int]  # job, occurrence, step
@@ -308,10 +307,16 @@
 
 @frozen
 class AskAdvice:
-    """Ask the advice service which of these workers may run a step."""
+    """Ask the advice service which of these workers may run a step.
+
+    The service should take ``expected_ms`` (0: not known). The request has failed after
+    ``timeout_ms``.
+    """
 
     step: tuple[str, int, int]  # job, occurrence, step
     workers: tuple[str, ...]
+    expected_ms: int = 0
+    timeout_ms: int = 5_000
 
 
 @frozen
--- a/poplarlb/coordination/jobs/placement.py
+++ b/poplarlb/coordination/jobs/placement.py
@@ -6,7 +6,7 @@
 from collections.abc import Container, Iterable, Sequence
 from itertools import chain
 
-from attrs import Factory, define, frozen
+from attrs import Factory, astuple, define, frozen
 
 from poplarlb.coordination.jobs.fleet import WorkerState
 from poplarlb.coordination.jobs.interference import (
@@ -324,6 +324,25 @@
     return not rack or rack in labels
 
 
+def list_racks(workers: Iterable[WorkerState]) -> list[str]:
+    """Return the labels that may name a rack: all of a worker's but the first."""
+    return sorted({label for worker in workers for label in worker.listing.labels[1:]})
+
+
+def count_fitting(worker: WorkerState, spec: StepSpec, step_key: StepKey) -> int:
+    """Return how many tasks of a step fit in a worker's free capacity.
+
+    A best-effort task may interfere with others, so one is counted.
+    """
+    if spec.fills:
+        return 1
+    free, size = astuple(worker.free_capacity()), astuple(spec.size)
+    counts = [have // need for have, need in zip(free, size, strict=True) if need]
+    if spec.max_per_worker:
+        counts.append(spec.max_per_worker - worker.step_runs.get(step_key, 0))
+    return max(min(counts, default=spec.count), 0)
+
+
 def has_capacity(
     worker: WorkerState, spec: StepSpec, last_resort: bool = False
 ) -> bool:
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -10,7 +10,11 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.coordination.jobs.isolation import Isolation
-from poplarlb.coordination.jobs.placement import Demand, WorkerChooser
+from poplarlb.coordination.jobs.placement import (
+    Demand,
+    WorkerChooser,
+    list_racks,
+)
 from poplarlb.coordination.jobs.starvation import StarvedJobs, list_ready
 from poplarlb.state.jobs import (
     Job,
@@ -78,7 +82,6 @@
             state.interference.update_prior()
             self.keys.clear()
             self.chooser.begin_round(workers, state.now_ms)
-            self.advice.request_missing(workers)
             self._place_starved()
         else:
             self.chooser.begin_round(workers, state.now_ms, state.freed_workers)
@@ -89,6 +92,7 @@
         order = sorted(state.unplaced, key=self.keys.__getitem__)
         for job in order:
             self._place_job(job)
+        self.advice.request_missing(self._rank_without_tickets, workers)
         self.starved_jobs.update()
         for job in self.starved_jobs.due_for_log():
             self._log_starved(job, order)
@@ -371,6 +375,13 @@
             self.advice.allowed(task.step_key) if queue.needs_advice else None,
         )
 
+    def _rank_without_tickets(
+        self, task: Task, queue: QueueConfig, rack: str
+    ) -> list[WorkerState]:
+        """Return the workers that a task could start at with a ticket, best first."""
+        demand = attrs.evolve(self._demand(task, queue, rack), only=None)
+        return [worker for _, _, worker in sorted(self.chooser.rank(demand).heap)]
+
     def _reserve(self, task: Task, worker: WorkerState, demand: Demand) -> Run:
         """Reserve capacity for a task at a worker; return the new run."""
         task.waiting_since_ms = 0
@@ -435,14 +446,8 @@
             return False
         number = max(task.run for task in tasks)
         racks = [""]
-        if spec.same_rack:  # every label of a worker but the first may name its rack
-            racks = sorted(
-                {
-                    label
-                    for worker in self.chooser.workers.get(queue.service, ())
-                    for label in worker.listing.labels[1:]
-                }
-            )
+        if spec.same_rack:
+            racks = list_racks(self.chooser.workers.get(queue.service, ()))
         for rack in racks:
             demand = self._demand(tasks[0], queue, rack)
             demand = attrs.evolve(demand, last_resort=last_resort)
--- a/poplarlb/platform/advice.py
+++ b/poplarlb/platform/advice.py
@@ -12,8 +12,6 @@
 from poplarlb.platform.wire import decode_advice
 from poplarlb.transport.http_client import HttpClient
 
-ANSWER_TIMEOUT_S = 5.0  # the service decides on each worker in turn before it answers
-
 
 @define
 class PlatformAdvice:
@@ -38,7 +36,7 @@
                 "POST",
                 "/v1/advise",
                 body,
-                timeout_s=ANSWER_TIMEOUT_S,
+                timeout_s=command.timeout_ms / 1000,
             )
             if response.status != 200:
                 return failed
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -15,6 +15,7 @@
 )
 from poplarlb.exceptions import BadAnswerError, BadRequestError
 from poplarlb.state.jobs import (
+    AdviceTimes,
     JobSpec,
     OperatorConfig,
     QueueConfig,
@@ -241,10 +242,21 @@
         fields.string("service", required=True),
         needs_advice=bool(fields.row.get("advice")),
         fault="; ".join(faults),
+        advice=decode_advice_times(fields.row.get("advice")),
         **limits,
     )
 
 
+def decode_advice_times(row: object) -> AdviceTimes:
+    """Return the times of the advice service; those that can't be read are unknown."""
+    try:
+        fields = Fields(row, "advice")
+        names = ("decideMs", "eachMs", "validMs")
+        return AdviceTimes(*(int(fields.number(name)) for name in names))
+    except BadRequestError:
+        return AdviceTimes()
+
+
 def decode_service(row: object) -> ServiceConfig:
     """Return one service of the configuration."""
     fields = Fields(row, "service")
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -98,6 +98,19 @@
         return Resources(0, self.size.memory_mb, self.size.accelerators)
 
 
+@frozen
+class AdviceTimes:
+    """What the advice service takes for a queue's steps, in ms; 0: not known.
+
+    A request takes ``decide_ms`` plus ``each_ms`` for each worker. A ticket is valid
+    for ``valid_ms``.
+    """
+
+    decide_ms: int = 0
+    each_ms: int = 0
+    valid_ms: int = 0
+
+
 @frozen
 class QueueConfig:
     """A queue as the operator configured it; priority 0 is the highest.
@@ -106,9 +119,10 @@
     times ``critical_path_factor``, plus ``objective_ms``. ``host`` and ``prefix`` are
     the host and the start of the path that submitters call. ``service`` names the pool
     of workers that run its jobs. With ``needs_advice`` the advice service must permit
-    each start. ``max_attempts`` is how many runs of a task may fail; 0: not known, as
-    the queue isn't configured. ``fault`` says which of the limits can't be read and has
-    its default; empty for none. Such a queue accepts no jobs.
+    each start, and takes the times in ``advice``. ``max_attempts`` is how many runs of
+    a task may fail; 0: not known, as the queue isn't configured. ``fault`` says which
+    of the limits can't be read and has its default; empty for none. Such a queue
+    accepts no jobs.
     """
 
     name: str
@@ -121,6 +135,7 @@
     objective_ms: int = 0
     needs_advice: bool = False
     fault: str = ""
+    advice: AdviceTimes = AdviceTimes()
 
     @property
     def limits(self) -> "QueueConfig":
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -13,7 +13,7 @@
 from poplarlb.exceptions import BadAnswerError, BadRequestError
 from poplarlb.platform import wire
 from poplarlb.state.job_records import decode_job, encode_job
-from poplarlb.state.jobs import QueueConfig, RunEnd
+from poplarlb.state.jobs import AdviceTimes, QueueConfig, RunEnd
 from poplarlb.state.models import Resources
 
 QUEUE = QueueConfig("orders", "h", "/o/", "desk")
@@ -123,6 +123,16 @@
             except BadAnswerError:
                 continue
 
+    def test_advice_times(self) -> None:
+        """They are decoded; odd ones are unknown, and the queue needs advice still."""
+        sound = {"decideMs": 100, "eachMs": 20, "validMs": 3_000}
+        row = {"name": "orders", "prefix": "/o/", "service": "desk", "advice": sound}
+        self.assertEqual(wire.decode_queue(row).advice, AdviceTimes(100, 20, 3_000))
+        for odd in (True, {"decideMs": -1}, {"eachMs": "x"}, {"validMs": 10**400}):
+            queue = wire.decode_queue({**row, "advice": odd})
+            self.assertEqual((queue.needs_advice, queue.advice), (True, AdviceTimes()))
+        self.assertFalse(wire.decode_queue({**row, "advice": None}).needs_advice)
+
     # Guards against a queue's limit by which the deadlines of its jobs overflow, which
     # ended the ownership and failed the jobs.
     def test_limit_out_of_range(self) -> None:
