--- a/tests/coordination/jobs/advice_world.py
+++ b/tests/coordination/jobs/advice_world.py
@@ -28,12 +28,17 @@
     valid_ms: int = 3_000
     counts_from_answer: bool = True
     service_up: bool = True
+    refuses_all: bool = False  # workers take no ticket for valid
     slow_factor: float = 1.0
     valid_until_ms: dict[tuple[str, str], float] = Factory(dict)  # by step and worker
     refused: list[str] = Factory(list)
     rejected: int = 0
     finished_ms: list[float] = Factory(list)
 
+    def placed_tasks(self) -> set[str]:
+        """Return the tasks that an owner has placed at a worker."""
+        return {event.fields["task"] for event in self.logged_events("task_placed")}
+
     def _advise(self, command, owner, sent_ms: int) -> None:
         self.advice_requests.append(command)
         failed = events.AdviceAnswered(
@@ -79,7 +84,7 @@
             step = command.task.rsplit(".", 1)[0]
             until_ms = self.valid_until_ms.get((step, worker.worker_id), 0.0)
             known = (command.task, command.run) in worker.runs
-            if self.now_ms >= until_ms and not known:
+            if (self.refuses_all or self.now_ms >= until_ms) and not known:
                 self.refused.append(command.task)
                 return events.StartAnswered(
                     worker.worker_id,
