Pause no worker for a ticket that it refused

A refused start pauses its worker for 0.7 s, for the jobs of all queues. A ticket that has expired says nothing about the worker; the next start for that queue needs a new ticket anyway. The test failed before: another queue's job wasn't placed at the only worker.

--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -178,7 +178,7 @@
             outcome=str(event.outcome),
             sent_ms_ago=state.now_ms - event.sent_ms,
         )
-        if event.outcome in NOT_STARTED:
+        if event.outcome in NOT_STARTED and event.outcome is not CallOutcome.NO_TICKET:
             until_ms = state.now_ms + state.policy.refused_pause_ms
             worker.paused_until_ms = max(worker.paused_until_ms, until_ms)
         if run.phase is not RunPhase.SENT:
--- a/tests/coordination/jobs/test_advice_workers.py
+++ b/tests/coordination/jobs/test_advice_workers.py
@@ -75,6 +75,21 @@
             world.run(300)
         self.assertIs(world.state(ID), JobState.DONE)
 
+    # Guards against a worker that gets no runs at all after a refused ticket.
+    def test_refused_ticket_pauses_no_worker(self) -> None:
+        """The service's ticket isn't valid; another queue's job uses the worker."""
+        world = make_world()
+        world.add_workers(1)
+        world.run(500)
+        world.refuses_all = True
+        world.submit(make_job(ID))
+        while not world.refused:
+            world.run(20)
+        world.run(100)
+        world.submit(attrs.evolve(make_job("b" * 16), queue="patient"))
+        world.run(200)
+        self.assertIn(f"{'b' * 16}.0.0.0", world.placed_tasks())
+
 
 if __name__ == "__main__":
     unittest.main()
