Release a run whose ticket has expired while it was stored

Related to the tickets that wait in a queue: after a commit that took longer than the rest of a ticket's validity its start was sent all the same, and refused at once. The run is now released and placed anew; a start that is sent again still goes out, as its worker may have carried out the first one.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -102,6 +102,15 @@
         trusted = self.state.now_ms >= self.distrust_until_ms
         return ticket.until_ms if trusted else ticket.certain_until_ms
 
+    def permits(self, run: Run) -> bool:
+        """Return whether a run needs no ticket or its ticket may still be valid."""
+        if not run.ticket:
+            return True
+        ticket = self.tickets.get(run.task.step_key, {}).get(run.worker_id)
+        if ticket is None or ticket.text != run.ticket:
+            return False
+        return self.state.now_ms < self._expires_ms(ticket)
+
     def on_refused(self, run: Run) -> None:
         """Drop a ticket that a worker refused."""
         tickets = self.tickets.get(run.task.step_key, {})
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -304,6 +304,7 @@
         reasons = {
             run: self._reason_not_to_start(state.workers[run.worker_id], run)
             or ("" if committed_in_time else "its commit took too long")
+            or ("" if self.advice.permits(run) else "its ticket has expired")
             for run in starts
         }
         incomplete_gangs = {
--- a/tests/coordination/jobs/test_advice_workers.py
+++ b/tests/coordination/jobs/test_advice_workers.py
@@ -90,6 +90,21 @@
         world.run(200)
         self.assertIn(f"{'b' * 16}.0.0.0", world.placed_tasks())
 
+    # Guards against a start that is sent when its ticket has expired meanwhile.
+    def test_slow_commit(self) -> None:
+        """The store takes longer than the tickets are valid."""
+        world = make_world(valid_ms=1_000)
+        world.add_workers(4)
+        world.run(500)
+        world.submit(make_job(ID))
+        world.run(60)
+        world.store_up = False
+        world.run(1_400)
+        world.store_up = True
+        world.run(4_000)
+        self.assertEqual(world.refused, [])
+        self.assertIs(world.state(ID), JobState.DONE)
+
 
 if __name__ == "__main__":
     unittest.main()
