Count the age of a commit from its last call to the store

What callers would see: while the store is slow, jobs that come together are placed, stored, and never started. A commit with more than 28 records takes several calls, one after another. None of its runs was started if all of them together took over 1.5 s; the runs were placed anew, with the same records to store. At 200 ms a call, 50 times as long as usual, that takes 225 jobs with changes.

Cause: the limit guards against starts by an owner that may have been deposed, or by an old view. The answer to the last call proves the ownership at its sending, as each call expects the revision that the one before gave the chain key; and the age of the view, drains, evacuations and capacities are checked again before each start. So the time counts from the last attempt of the last call.

Test with a store of 50 ms a call and a limit of 100 ms: 0 of 112 tasks started before, all now.

--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -197,7 +197,10 @@
 
 @frozen
 class Committed:
-    """The store holds the records of the last :class:`Commit`."""
+    """The store holds the records of the last :class:`Commit`.
+
+    ``sent_ms`` is when the last of its calls was sent; 0 if none was needed.
+    """
 
     sent_ms: int
 
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -33,7 +33,7 @@
     # An unanswered start may be carried out up to 12 s late; 1 s is margin.
     max_start_delay_ms: int = 13_000
     min_commit_interval_ms: int = 12  # at most 80 commits a second
-    # A commit that took longer starts none of its runs.
+    # A commit whose last call took longer starts none of its runs.
     max_commit_before_start_ms: int = 1_500
     # Nothing is placed by older data; below the time within which a drain must be
     # obeyed, by default 2 s.
--- a/poplarlb/transport/committer.py
+++ b/poplarlb/transport/committer.py
@@ -23,6 +23,7 @@
     Store,
     Transaction,
 )
+from poplarlb.transport.clock import boottime_ms
 from poplarlb.transport.job_keys import CHAIN
 
 ENTRIES_PER_COMMIT = 28  # a transaction may have 32 rows; the chain key uses some
@@ -42,6 +43,8 @@
     :param epoch: the number of this daemon's ownership.
     :param revision: the chain key's revision, as last written under the epoch.
     :param number: the number of the last transaction under the epoch.
+    :ivar confirmed_ms: when the last attempt of a transaction was sent that was
+        answered, so that this daemon still was the owner then.
     """
 
     store: Store
@@ -49,24 +52,29 @@
     epoch: int
     revision: int
     number: int = 0
+    confirmed_ms: int = 0
     commits: int = 0
     retries: int = 0
     lock: asyncio.Lock = field(factory=asyncio.Lock)
 
-    async def commit(self, puts: list[Put], deletes: list[str]) -> None:
+    async def commit(self, puts: list[Put], deletes: list[str]) -> int:
         """Store puts and deletes, in several transactions if one can't hold them.
 
+        Return ``confirmed_ms`` after the last one; 0 if there was nothing to store.
+
         :raises DeposedError: if another owner has written the chain key.
         """
         remaining_puts, remaining_deletes = iter(puts), iter(deletes)
+        confirmed_ms = 0
         while True:
             put_batch = list(islice(remaining_puts, ENTRIES_PER_COMMIT))
             delete_batch = list(
                 islice(remaining_deletes, ENTRIES_PER_COMMIT - len(put_batch))
             )
             if not put_batch and not delete_batch:
-                return
+                return confirmed_ms
             await self.write(tuple(put_batch), tuple(delete_batch))
+            confirmed_ms = self.confirmed_ms
 
     async def write(
         self,
@@ -98,6 +106,7 @@
         )
         delay_s = RETRY_S
         while True:
+            sent_ms = boottime_ms()
             try:
                 result = await self.store.transact(transaction, COMMIT_TIMEOUT_S)
             except (StoreRefusedError, CallUnansweredError, BadAnswerError):
@@ -108,6 +117,7 @@
             if isinstance(result, Applied):
                 self.revision = result.revision
                 self.commits += 1
+                self.confirmed_ms = sent_ms
                 return True
             if not isinstance(result, Conflict):
                 return False
@@ -116,6 +126,7 @@
                 # An earlier attempt of this transaction was applied.
                 self.revision = found.revision
                 self.commits += 1
+                self.confirmed_ms = sent_ms
                 return True
             if found is None or found.revision != self.revision:
                 raise DeposedError("another owner has written the chain")
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -337,7 +337,6 @@
         self.feed(answer)
 
     async def _commit(self, command: events.Commit) -> None:
-        sent_ms = boottime_ms()
         puts = [
             Put(PROGRESS + record.job_id, record.value) for record in command.records
         ]
@@ -361,13 +360,13 @@
         ]
         self.committing = True
         try:
-            await self.committer.commit(puts, deletes)
+            confirmed_ms = await self.committer.commit(puts, deletes)
         except DeposedError as error:
             self._execute(events.StepDown(error.detail))
             return
         finally:
             self.committing = False
-        self.feed(events.Committed(sent_ms))
+        self.feed(events.Committed(confirmed_ms))
 
     def _spawn(self, work) -> None:
         task = asyncio.ensure_future(work)
