Let queues take turns at the advice service

A queue with more jobs than the service decides on kept the others waiting, although few tickets would do for them. The queue that was asked for least recently goes first now, and within it the job as before. A job of the other queue then waits for one request.

Test with 4 jobs a second on one queue and one in 4 s on the other, 0.4 s to decide on one worker: the other queue's ten jobs weren't all done before, all are now.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -64,6 +64,7 @@
     :ivar denied: the workers for which the service gave no ticket, by step.
     :ivar open_request: the request in flight.
     :ivar asked_ms: when the service was last asked for a job, by the job's id.
+    :ivar queue_asked_ms: the same for a queue, by its name.
     :ivar next_request_ms: when the next request may be sent.
     :ivar skipped_steps: how many steps need no request, by the latest rounds.
     :ivar asked_workers: for how many workers a queue's requests were answered.
@@ -78,6 +79,7 @@
     denied: dict[StepKey, set[str]] = Factory(dict)
     open_request: AskAdvice | None = None
     asked_ms: dict[str, int] = Factory(dict)
+    queue_asked_ms: dict[str, int] = Factory(dict)
     next_request_ms: int = 0
     skipped_steps: int = 0
     asked_workers: Counter[str] = Factory(Counter)
@@ -166,10 +168,14 @@
         self.skipped_steps = end if end < len(steps) else 0
         self.next_request_ms = state.now_ms + state.policy.schedule_period_ms
 
-    def _turn(self, job: Job) -> tuple[int, int]:
-        """Return a job's sort key; jobs never asked for and older ones come first."""
-        job_id = job.spec.job_id
-        return self.asked_ms.get(job_id, 0), job.spec.accepted_utc_ms
+    def _turn(self, job: Job) -> tuple[int, int, int]:
+        """Return a job's sort key; queues take turns.
+
+        Within a queue, jobs never asked for and older ones come first.
+        """
+        spec = job.spec
+        queue_ms = self.queue_asked_ms.get(spec.queue, 0)
+        return queue_ms, self.asked_ms.get(spec.job_id, 0), spec.accepted_utc_ms
 
     def _choose_startable(
         self,
@@ -271,7 +277,7 @@
         expected_ms = queue.advice.decide_ms + queue.advice.each_ms * len(names)
         timeout_ms = BASE_TIMEOUT_MS + int(2 * expected_ms * self.slowness)
         self.open_request = AskAdvice(step, tuple(names), expected_ms, timeout_ms)
-        self.asked_ms[step[0]] = state.now_ms
+        self.asked_ms[step[0]] = self.queue_asked_ms[queue.name] = state.now_ms
         state.log(
             "advice_asked",
             job=step[0],
--- a/tests/coordination/jobs/test_advice_load.py
+++ b/tests/coordination/jobs/test_advice_load.py
@@ -30,11 +30,11 @@
     return world
 
 
-def submit(world: AdviceWorld, *steps: StepSpec) -> str:
+def submit(world: AdviceWorld, queue: str = QUEUE.name) -> str:
     """Hand in a job now; return its id."""
     job_id = f"{len(world.jobs):016x}"
-    job = make_job(job_id, *(steps or (STEP,)))
-    world.submit(attrs.evolve(job, accepted_utc_ms=world.utc_ms()))
+    job = make_job(job_id, STEP)
+    world.submit(attrs.evolve(job, queue=queue, accepted_utc_ms=world.utc_ms()))
     return job_id
 
 
@@ -120,6 +120,22 @@
         self.check_done(world)
         self.assertEqual(world.rejected, 0)
 
+    # Guards against a queue whose jobs wait behind all those of another one.
+    def test_two_queues(self) -> None:
+        """One queue gets more jobs than the service can decide on."""
+        world = make_world(100, 300, 3_000)
+        other = attrs.evolve(world.queue, name="patient", prefix="/p/")
+        world.configure(world.queue, other)
+        few = []
+        for _ in range(10):
+            for _ in range(16):
+                submit(world)
+                world.run(PERIOD_MS / 4)
+            few.append(submit(world, other.name))
+        world.run(4_000)
+        states = [world.state(job_id) for job_id in few]
+        self.assertEqual(states, [JobState.DONE] * len(few))
+
     # Guards against a request in each round to a service that doesn't answer.
     def test_service_that_is_down(self) -> None:
         """Requests fail at once for 10 s."""
