Leave out checkpoints for which a job's record has no space

Cause: the job's record was over the store's limit for a value. The store refuses the whole commit, and the owner repeats it for good.

Change: the limit comes from the settings, and a record over it is stored without its largest checkpoints. They matter only for tasks that restart after a takeover.

Why it works: without checkpoints the record of the most tasks that a job may have is far below the limit, and only what another process writes can make it longer.

--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -448,6 +448,7 @@
         ]
         for job_id in old:
             del state.jobs[job_id]
+            state.shortened.discard(job_id)
         never_stored = [
             job_id
             for job_id, read_ms in state.cancelled_early.items()
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -53,6 +53,8 @@
     :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
     :ivar isolating: the workers with an isolated run.
     :ivar late_call_workers: the workers at which calls may be carried out late, by id.
+    :ivar shortened: the ids of jobs whose records were last stored without all their
+        checkpoints.
     :ivar refused_workers: how many workers best-effort tasks were not placed at, by
         reason, since the load was last logged.
     :ivar owned_since_ms: when this ownership began.
@@ -82,6 +84,7 @@
     suspects: dict[Task, None] = Factory(dict)
     isolating: set[WorkerState] = Factory(set)
     late_call_workers: dict[str, WorkerState] = Factory(dict)
+    shortened: set[str] = Factory(set)
     refused_workers: Counter[str] = Factory(Counter)
     owned_since_ms: int = 0
     now_ms: int = 0
@@ -301,11 +304,31 @@
 
     def collect_records(self) -> tuple[ProgressRecord, ...]:
         """Return the progress records of the dirty jobs; none is dirty after that."""
-        records = tuple(
-            ProgressRecord(job_id, job_records.encode_progress(job))
-            for job_id, job in self.dirty.items()
-        )
+        records = tuple(map(self._encode_record, self.dirty.values()))
         for job in self.dirty.values():
             job.stored = True
         self.dirty = {}
         return records
+
+    def _encode_record(self, job: Job) -> ProgressRecord:
+        """Return a job's record, without checkpoints for which it has no space.
+
+        The store refuses a value over its limit, and with it the whole commit.
+        """
+        job_id = job.spec.job_id
+        value = job_records.encode_progress(job)
+        excess_bytes = len(value) - self.policy.record_limit_bytes
+        if excess_bytes <= 0:
+            self.shortened.discard(job_id)
+            return ProgressRecord(job_id, value)
+        left_out = job_records.choose_left_out(job, excess_bytes)
+        if job_id not in self.shortened:
+            self.shortened.add(job_id)
+            self.log(
+                "checkpoints_left_out",
+                job=job_id,
+                record_bytes=len(value),
+                limit_bytes=self.policy.record_limit_bytes,
+                tasks=len(left_out),
+            )
+        return ProgressRecord(job_id, job_records.encode_progress(job, left_out))
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -12,7 +12,8 @@
     The deployment sets ``lease_limit_ms`` (the longest lease that workers grant),
     ``stop_ms`` (the longest time that a stop takes), ``max_view_age_ms`` (see below),
     ``retention_ms`` (how long a job's final state can be queried), ``harm_ms`` (how
-    long a serving task may be over its target) and ``far_factor``.
+    long a serving task may be over its target), ``far_factor`` and
+    ``record_limit_bytes`` (the largest value that the store takes).
     """
 
     lease_limit_ms: int = 10_000
@@ -20,6 +21,7 @@
     retention_ms: int = 120_000
     harm_ms: int = 4_000
     far_factor: float = 1.5  # factor of a task's run time away from its data
+    record_limit_bytes: int = 1 << 20
     lease_ms: int = 5_000  # outlasts a takeover; delays the tasks of lost workers
     poll_wait_ms: int = 1_000  # renews a lease of 5 s five times before it expires
     watched_poll_wait_ms: int = 500  # a worker's measurements cover half a second
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -357,6 +357,7 @@
         retention_ms=bounds.status_ms,
         harm_ms=bounds.harm_ms,
         far_factor=bounds.far_factor,
+        record_limit_bytes=settings.value_bytes,
         max_view_age_ms=max(
             0, min(bounds.drain_ms, bounds.config_ms) - START_MARGIN_MS
         ),
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -12,6 +12,7 @@
 SETTINGS_VARIABLE = "POPLARLB_BOOT"
 DEFAULT_PATH = "/etc/poplarlb/local.json"
 MIN_CONFIG_MS = 500  # the operator's entries are listed three times within it
+DEFAULT_VALUE_BYTES = 1 << 20
 MAX_NUMBER = 2**53  # larger whole numbers are not exact in JSON
 METRICS_PORT_VARIABLE = "POPLARLB_METRICS_PORT"
 
@@ -67,6 +68,7 @@
     processors: float = 1.0  # number that this process may use at once
     bounds: Bounds = Bounds()
     zones: tuple[str, ...] = ()  # the deployment's availability zones
+    value_bytes: int = DEFAULT_VALUE_BYTES  # the largest value that the store takes
 
 
 @frozen
@@ -102,6 +104,7 @@
     "drain_ms": FieldSpec(("bounds", "drainMs"), NUMBER, False),
     "far_factor": FieldSpec(("bounds", "farX"), NUMBER, False),
     "zones": FieldSpec(("zones",), dict, False),  # with the region of each
+    "value_bytes": FieldSpec(("platform", "valueBytes"), NUMBER, False),
 }
 
 
@@ -193,6 +196,7 @@
         (values["processor_share"] or 1.0) * (values["speed"] or 1.0),
         bounds,
         tuple(values["zones"] or ()),
+        int(values["value_bytes"] or DEFAULT_VALUE_BYTES),
     )
 
 
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -6,6 +6,8 @@
 the leases of unresponsive workers last.
 """
 
+from collections.abc import Collection
+
 import attrs
 import orjson
 from attrs import frozen
@@ -190,8 +192,11 @@
     return StepSpec(size=size, after=after, **row)
 
 
-def encode_progress(job: Job) -> bytes:
-    """Return the progress record of a job."""
+def encode_progress(job: Job, left_out: Collection[Task] = ()) -> bytes:
+    """Return the progress record of a job.
+
+    :param left_out: the tasks that are stored without their checkpoints.
+    """
     row = {"state": job.state, "reason": job.reason, "next": job.next_occurrence}
     if job.final:
         row["final_utc_ms"] = job.final_utc_ms
@@ -199,7 +204,7 @@
         row["queue"] = encode_queue(job.last_queue)
     if job.state is not JobState.DONE:
         row["occurrences"] = {
-            str(number): encode_occurrence(occurrence)
+            str(number): encode_occurrence(occurrence, left_out)
             for number, occurrence in job.occurrences.items()
         }
         if job.crashed_tasks:
@@ -207,14 +212,40 @@
     return orjson.dumps(row)
 
 
-def encode_occurrence(occurrence: Occurrence) -> list | None:
+def choose_left_out(job: Job, excess_bytes: int) -> set[Task]:
+    """Return the tasks whose checkpoints are left out to shorten a progress record.
+
+    The largest go first, those of a gang together, as they must be equal.
+    """
+    groups: list[list[Task]] = []
+    for occurrence in job.occurrences.values():
+        for tasks, spec in zip(occurrence.steps, job.spec.steps, strict=True):
+            groups += [tasks] if spec.gang else [[task] for task in tasks]
+    sizes = [
+        sum(len(orjson.dumps(task.checkpoint)) for task in group) for group in groups
+    ]
+    chosen: set[Task] = set()
+    for size, group in sorted(zip(sizes, groups, strict=True), key=lambda row: -row[0]):
+        if excess_bytes <= 0:
+            break
+        chosen.update(group)
+        excess_bytes -= size - len(group) * len(orjson.dumps(""))
+    return chosen
+
+
+def encode_occurrence(
+    occurrence: Occurrence, left_out: Collection[Task] = ()
+) -> list | None:
     """Return the rows of each step's tasks, or None if every task is done."""
     if occurrence.done:
         return None
-    return [[encode_task(task) for task in tasks] for tasks in occurrence.steps]
+    return [
+        [encode_task(task, task not in left_out) for task in tasks]
+        for tasks in occurrence.steps
+    ]
 
 
-def encode_task(task: Task) -> int | list:
+def encode_task(task: Task, with_checkpoint: bool = True) -> int | list:
     """Return one task's row."""
     if task.status is TaskStatus.DONE:
         return DONE
@@ -224,7 +255,7 @@
         int(task.status),
         task.run,
         task.failed_runs,
-        task.checkpoint,
+        task.checkpoint if with_checkpoint else "",
         task.worker_id,
         task.incarnation,
     ]
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -86,6 +86,7 @@
     address: str = ""
     replaced: bool = False
     measurements: dict[str, float] = Factory(dict)
+    checkpoint_size: int = 0  # characters at least
 
     def __attrs_post_init__(self) -> None:
         """Set the address unless it is given."""
@@ -122,13 +123,18 @@
             for key in list(self.runs):
                 self.end(key, RunEnd.EXPIRED)
 
+    def checkpoint(self, run: LiveRun) -> str:
+        """Return what a run saves."""
+        return f"s{run.number}".ljust(self.checkpoint_size, "-")
+
     def end(self, key: tuple[str, int], how: RunEnd) -> None:
         """End a run."""
         run = self.runs.pop(key)
         self.highest_run[run.task] = max(self.highest_run.get(run.task, 0), run.number)
         if how is RunEnd.FAILED:
             self.failed_tasks.add(run.task)
-        checkpoint = "" if how in (RunEnd.DONE, RunEnd.FAILED) else f"s{run.number}"
+        is_kept = how not in (RunEnd.DONE, RunEnd.FAILED)
+        checkpoint = self.checkpoint(run) if is_kept else ""
         self.ends.append(EndedRow(self.next_end, run.task, run.number, how, checkpoint))
         self.next_end += 1
 
@@ -224,7 +230,7 @@
             RunningRow(
                 run.task,
                 run.number,
-                f"s{run.number}",
+                self.checkpoint(run),
                 run.percent,
                 self.measurements.get(run.task, 0.0),
             )
