Call the advice service at the address in the present settings

Cause: the owner got the address when it began, and a reload changed the store's address only. The daemon now has one client for the advice service, whose address a reload changes.

Test over real sockets: failed before (not done in 8 s), passes now.

--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -81,6 +81,7 @@
     job_api: JobApi = None
     job_api_server: HttpServer = None
     servers: list[HttpServer] = field(factory=list)  # includes job_api_server
+    advice: PlatformAdvice = None
     ownership: OwnershipLoop = None
     stopped: asyncio.Event = field(factory=asyncio.Event)
     stopping: bool = False
@@ -94,6 +95,7 @@
             on_lost=lambda error: self.log.write("store_lost", error=error),
             on_regained=self._on_store_regained,
         )
+        self.advice = PlatformAdvice(self.client, settings.advice_address)
         self.operator = OperatorView(self.log, self._on_operator_event)
         self.operator_watcher = PrefixWatcher(
             self.store,
@@ -158,7 +160,7 @@
         owner = await JobOwner.load(
             self.store,
             PlatformWorkers(self.client),
-            PlatformAdvice(self.client, self.settings.advice_address),
+            self.advice,
             PlatformWorkerDirectory(self.log),
             committer,
             build_policy(self.settings),
@@ -307,8 +309,8 @@
     def _reload(self) -> None:
         """Read the settings again.
 
-        The store's address and the bound on the configuration apply at once, other
-        bounds from the next ownership on.
+        The addresses of the store and of the advice service and the bound on the
+        configuration apply at once, other bounds from the next ownership on.
         """
         try:
             settings = load_settings(self.path)
@@ -320,6 +322,7 @@
         self.log.write("settings_changed")
         self.settings = settings
         self.store.address = settings.store_address
+        self.advice.address = settings.advice_address
         self.operator_watcher.settings = operator_watch(settings)
 
     async def _watch_settings(self) -> None:
--- a/tests/platform/test_daemon.py
+++ b/tests/platform/test_daemon.py
@@ -4,7 +4,10 @@
 import json
 import unittest
 
-from tests.platform.deployment import CONFIG, JOB, Deployment
+import orjson
+
+from poplarlb.transport.http_server import HttpRequest, HttpResponse, HttpServer
+from tests.platform.deployment import CONFIG, JOB, Deployment, free_address
 
 ID = "0123456789abcdef"
 
@@ -133,6 +136,32 @@
             answer = await self.system.call("GET", "/o/", daemon=daemon)
             self.assertEqual(answer.status, 404)
 
+    # Guards against review/9: an owner that goes on calling the advice service's former
+    # address.
+    async def test_moved_advice_service(self) -> None:
+        """The settings name another address while a daemon owns the jobs."""
+
+        async def advise(request: HttpRequest) -> HttpResponse:
+            names = orjson.loads(request.body)["workers"]
+            good = [[name, f"t-{name}"] for name in names]
+            return HttpResponse(200, orjson.dumps({"good": good, "validMs": 3_000}))
+
+        server = HttpServer(advise)
+        address = free_address()
+        await server.start(address)
+        self.addCleanup(server.close)
+        advice = {"decideMs": 1, "eachMs": 1, "validMs": 3_000}
+        route = {**CONFIG["routes"][0], "advice": advice}
+        self.system.configure({**CONFIG, "version": 9, "routes": [route]})
+        for daemon in self.system.live():
+            settings = json.loads(daemon.path.read_text())
+            daemon.path.write_text(json.dumps({**settings, "advice": address}))
+        await self.system.wait_until(
+            lambda: all(item.config_version() == 9 for item in self.system.live())
+        )
+        await self.system.call("POST", f"/o/{ID}", JOB)
+        await self.system.wait_for_state(ID, "done", timeout_s=8.0)
+
     async def test_lost_history_is_listed_again(self) -> None:
         """A change that is missing from the watch's history is found by a listing."""
         table = self.system.store.table
