--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -193,7 +193,10 @@
         denied = self.denied.get(step, ())
         best: list[WorkerState] = []
         best_count = 0
-        for rack in list_racks(workers) if spec.gang and spec.same_rack else [""]:
+        racks = list_racks(workers) if spec.gang and spec.same_rack else []
+        for rack in [*racks, ""]:
+            if best and not rack:
+                break  # it fits in one rack
             found = [
                 worker
                 for worker in rank(tasks[0], queue, rack)
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -186,7 +186,7 @@
         task = tasks[0]
         for last_resort in (False, True) if task.spec.fills else (False,):
             if task.spec.gang:
-                placed = self._place_gang(tasks, task.spec, queue, last_resort)
+                placed = self._place_gang(tasks, task.spec, queue, last_resort, True)
             else:
                 placed = self._place_starved_task(task, queue, last_resort)
             if placed:
@@ -437,10 +437,14 @@
         spec: StepSpec,
         queue: QueueConfig,
         last_resort: bool = False,
+        any_rack: bool = False,
     ) -> bool:
         """Place all tasks of a gang, a step whose tasks run together, or none.
 
         Their runs have the same number. Returns whether they were placed.
+
+        :param any_rack: a gang that should run in one rack and fits in none may run in
+            several, where it takes longer.
         """
         if len(tasks) < spec.count:
             return False
@@ -448,6 +452,7 @@
         racks = [""]
         if spec.same_rack:
             racks = list_racks(self.chooser.workers.get(queue.service, ()))
+            racks += [""] if any_rack else []
         for rack in racks:
             demand = self._demand(tasks[0], queue, rack)
             demand = attrs.evolve(demand, last_resort=last_resort)
--- a/tests/coordination/jobs/test_advice_workers.py
+++ b/tests/coordination/jobs/test_advice_workers.py
@@ -60,6 +60,18 @@
         world.run(5_000)
         self.assertIs(world.state(ID), JobState.DONE)
 
+    # Guards against a gang that fits in no rack and is never asked for.
+    def test_gang_in_two_racks(self) -> None:
+        """It runs in both."""
+        world = make_world()
+        world.add_workers(3, rack="r1")
+        world.add_workers(3, rack="r2")
+        world.run(500)
+        spec = StepSpec(5, SIZE, gang=True, same_rack=True, max_per_worker=1)
+        world.submit(make_job(ID, spec))
+        world.run(6_000)
+        self.assertIs(world.state(ID), JobState.DONE)
+
     # Guards against a wide gang whose first tickets expire before the last ones come.
     def test_wide_gang_beside_other_jobs(self) -> None:
         """Other jobs take their turns between the requests for a gang."""
--- a/tests/coordination/jobs/test_gang_start.py
+++ b/tests/coordination/jobs/test_gang_start.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from poplarlb.state.jobs import StepSpec
+from poplarlb.state.jobs import JobState, StepSpec
 from poplarlb.state.models import Resources
 from tests.coordination.jobs.job_world import JobWorld, make_job
 
@@ -31,6 +31,25 @@
         world.run(1_000)
         self.assertEqual(dict(world.starts), {})
 
+    # Guards against review/8: a gang for one rack that waits for good, as no rack holds
+    # it since a worker was lost.
+    def test_gang_that_fits_in_no_rack(self) -> None:
+        """It runs in two racks; one that fits in a rack runs there."""
+        world = JobWorld(work_ms=500)
+        world.new_owner()
+        world.add_workers(2, rack="r1")
+        world.add_workers(3, rack="r2")
+        world.run(200)
+        size = Resources(9_000, 1_000)
+        for count, job_id in ((3, GANG), (4, "b" * 16)):
+            spec = StepSpec(count, size, estimate_ms=500, gang=True, same_rack=True)
+            world.submit(make_job(job_id, spec))
+            world.run(300)
+            racks = {world.workers[name].rack for name in world.running().values()}
+            self.assertEqual(racks, {"r2"} if count == 3 else set())
+            world.run(3_000)
+            self.assertIs(world.state(job_id), JobState.DONE)
+
 
 if __name__ == "__main__":
     unittest.main()
