Put failures down to a job that has failed at several workers

Cause: each three failures in a row pause a worker for 4 s, whichever jobs they are of, so one job kept most workers paused.

Change: a failure counts against its worker only until its job has failed at two workers since one of its tasks was last done.

--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -16,6 +16,7 @@
 )
 
 MAX_ENDS_PER_POLL = 500  # the worker lists further ends in its next answer
+MAX_BLAMED_WORKERS = 2  # at which a failing job counts against the worker
 
 
 @define(eq=False)
@@ -191,6 +192,7 @@
         match row.how:
             case RunEnd.DONE if not task.spec.long_running:
                 worker.failures = 0
+                task.job.failing_workers.clear()
                 self._finish(task)
                 return
             case RunEnd.FAILED:
@@ -217,17 +219,24 @@
                     self.state.stop(run, "another member ended")
 
     def _count_failure(self, worker: WorkerState, task: Task, run: int) -> None:
+        """Count a failed run for its task, and for its worker unless the job fails it.
+
+        A job that has failed at several workers since one of its tasks was last done is
+        the cause itself.
+        """
         state = self.state
         if run in task.failed_runs:
             return
-        worker.failures += 1
-        if worker.failures >= state.policy.failing_limit:
-            worker.paused_until_ms = state.now_ms + state.policy.failing_pause_ms
-            state.log(
-                "worker_paused", worker=worker.worker_id, failures=worker.failures
-            )
-        task.failed_runs += (run,)
         job = task.job
+        job.failing_workers.add(worker.worker_id)
+        if len(job.failing_workers) <= MAX_BLAMED_WORKERS:
+            worker.failures += 1
+            if worker.failures >= state.policy.failing_limit:
+                worker.paused_until_ms = state.now_ms + state.policy.failing_pause_ms
+                state.log(
+                    "worker_paused", worker=worker.worker_id, failures=worker.failures
+                )
+        task.failed_runs += (run,)
         if job.final:
             return
         state.mark_dirty(job)
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -344,7 +344,8 @@
     ``next_occurrence`` is the number of the next occurrence to be created. Of a job
     with ``times``, earlier ones that aren't in ``occurrences`` are done.
     ``last_queue`` holds the last limits of its queue if it isn't configured any more;
-    None: as at acceptance.
+    None: as at acceptance. ``failing_workers`` are those at which one of its tasks has
+    failed since one was last done, as this owner has seen.
     """
 
     spec: JobSpec
@@ -358,6 +359,7 @@
     trail: list[str] = Factory(list)  # this owner's decisions on the job, for the log
     crashed_tasks: list[Task] = Factory(list)  # that have or had ``crashed_runs``
     last_queue: QueueConfig | None = None
+    failing_workers: set[str] = Factory(set)
 
     def __attrs_post_init__(self) -> None:
         """Compute the critical path, which never changes."""
