Split the tickets from the requests for advice

AdviceRequests asks, TicketCache keeps what was granted. The timeout of a request is bounded, also if the configuration names absurd times, and the pause after failures no longer grows a number without end. max_start_delay_ms is now max_call_delay_ms, as it holds for renewals too. No decision changes.

--- a/poplarlb/coordination/jobs/advice.py
+++ b/poplarlb/coordination/jobs/advice.py
@@ -1,9 +1,5 @@
 """Asks the advice service which workers may run a step, for queues that need advice.
 
-An answer names workers with a ticket each: a text that is sent with a start, without
-which the worker refuses it. A ticket permits all tasks of the step at the worker's
-present incarnation until it expires. A worker once denied for a step stays denied.
-
 The service handles a daemon's requests one after another and takes time for each
 worker. So one request is in flight at a time, and it names few workers.
 """
@@ -12,56 +8,33 @@
 from collections.abc import Callable
 from itertools import islice
 
-import attrs
-from attrs import Factory, define, frozen
+from attrs import Factory, define
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import AdviceAnswered, AskAdvice
-from poplarlb.coordination.jobs.fleet import Run, WorkerState
+from poplarlb.coordination.jobs.fleet import WorkerState
 from poplarlb.coordination.jobs.placement import count_fitting, list_racks
+from poplarlb.coordination.jobs.tickets import TicketCache, margin_ms
 from poplarlb.state.jobs import AdviceTimes, Job, QueueConfig, Task, TaskStatus
 
 WORKERS_LIMIT = 100  # of one request
 DEFAULT_WORKERS = 12  # of one request, while the service's times aren't known
 REQUEST_SHARE = 0.5  # of a ticket's usable time that a request takes at most
 SPARE_WORKERS = 2  # beyond one for each unplaced task, as some workers fill up
-TICKET_MARGIN_MS = 500  # a start must arrive while its ticket is valid
-MARGIN_SHARE = 0.25  # of the validity; the margin isn't longer
-# A ticket's validity may count from the answer or from an earlier time. Also one that
-# may have expired on the way is used for this long: the worker refuses it at worst.
-FRESH_MS = 1_000
-DISTRUST_MS = 10_000  # no use of such tickets after one was refused
-BASE_TIMEOUT_MS = 5_000
+BASE_TIMEOUT_MS, MAX_TIMEOUT_MS = 5_000, 60_000  # of a request
 MAX_SLOWNESS = 64.0
-MIN_RETRY_MS, MAX_RETRY_MS = 200, 2_000  # pauses after failed requests
+# Pauses after failed requests; they double with each failure.
+MIN_RETRY_MS, MAX_RETRY_MS = 200, 2_000
 STEPS_PER_ROUND = 8  # for which workers are searched in one scheduling round
 
-StepKey = tuple[str, int, int]  # job, occurrence, step
 # Returns the workers with capacity for a task in a rack, the best first.
 Ranker = Callable[[Task, QueueConfig, str], list[WorkerState]]
 
 
-@frozen
-class Ticket:
-    """Permits the tasks of a step at one incarnation of a worker, until it expires.
-
-    It is valid until ``certain_until_ms`` and may be until ``until_ms``, both on the
-    daemon's monotonic clock. A start is sent ``margin_ms`` earlier at the latest.
-    """
-
-    text: str
-    incarnation: int
-    certain_until_ms: int
-    until_ms: int
-    margin_ms: int
-
-
 @define(eq=False)
-class TicketCache:
-    """Keeps the tickets of each step and asks for missing ones.
+class AdviceRequests:
+    """Asks for the tickets that steps lack, for one step at a time.
 
-    :ivar tickets: by step and worker, also the expired ones.
-    :ivar denied: the workers for which the service gave no ticket, by step.
     :ivar open_request: the request in flight.
     :ivar asked_ms: when the service was last asked for a job, by the job's id.
     :ivar queue_asked_ms: the same for a queue, by its name.
@@ -69,14 +42,12 @@
     :ivar skipped_steps: how many steps need no request, by the latest rounds.
     :ivar asked_workers: for how many workers a queue's requests were answered.
     :ivar granted_workers: how many of these got a ticket.
-    :ivar failures: requests that have failed in a row.
+    :ivar retry_ms: the pause after the next failed request.
     :ivar slowness: how much longer a request takes than the queue's times say.
-    :ivar distrust_until_ms: only certain tickets are used until then.
     """
 
     state: DispatcherState
-    tickets: dict[StepKey, dict[str, Ticket]] = Factory(dict)
-    denied: dict[StepKey, set[str]] = Factory(dict)
+    tickets: TicketCache
     open_request: AskAdvice | None = None
     asked_ms: dict[str, int] = Factory(dict)
     queue_asked_ms: dict[str, int] = Factory(dict)
@@ -84,56 +55,8 @@
     skipped_steps: int = 0
     asked_workers: Counter[str] = Factory(Counter)
     granted_workers: Counter[str] = Factory(Counter)
-    failures: int = 0
+    retry_ms: int = MIN_RETRY_MS
     slowness: float = 1.0
-    distrust_until_ms: int = 0
-
-    # --- tickets ----------------------------------------------------------------------
-
-    def allowed(self, step: StepKey) -> dict[str, Ticket]:
-        """Return the tickets of a step that may be used for a start, by worker."""
-        now_ms = self.state.now_ms
-        return {
-            worker_id: ticket
-            for worker_id, ticket in self.tickets.get(step, {}).items()
-            if self._expires_ms(ticket) - ticket.margin_ms > now_ms
-            and self.state.worker(worker_id).incarnation == ticket.incarnation
-        }
-
-    def _expires_ms(self, ticket: Ticket) -> int:
-        trusted = self.state.now_ms >= self.distrust_until_ms
-        return ticket.until_ms if trusted else ticket.certain_until_ms
-
-    def permits(self, run: Run) -> bool:
-        """Return whether a run needs no ticket or its ticket may still be valid."""
-        if not run.ticket:
-            return True
-        ticket = self.tickets.get(run.task.step_key, {}).get(run.worker_id)
-        if ticket is None or ticket.text != run.ticket:
-            return False
-        return self.state.now_ms < self._expires_ms(ticket)
-
-    def on_refused(self, run: Run) -> None:
-        """Drop a ticket that a worker refused."""
-        tickets = self.tickets.get(run.task.step_key, {})
-        ticket = tickets.get(run.worker_id)
-        if ticket is None or ticket.text != run.ticket:
-            return
-        tickets[run.worker_id] = attrs.evolve(ticket, certain_until_ms=0, until_ms=0)
-        if run.sent_ms >= ticket.certain_until_ms:
-            self.distrust_until_ms = self.state.now_ms + DISTRUST_MS
-
-    def forget_final(self) -> None:
-        """Drop the tickets and denials for jobs that are final or forgotten."""
-        for step in [step for step in self.tickets if self._is_final(step[0])]:
-            del self.tickets[step]
-            self.denied.pop(step, None)
-        for job_id in [name for name in self.asked_ms if self._is_final(name)]:
-            del self.asked_ms[job_id]
-
-    def _is_final(self, job_id: str) -> bool:
-        job = self.state.jobs.get(job_id)
-        return job is None or job.final
 
     # --- requests ---------------------------------------------------------------------
 
@@ -186,11 +109,11 @@
     ) -> list[WorkerState]:
         """Return the workers without a ticket that have capacity for a step's tasks.
 
-        None if those with one have enough, or if a gang fits nowhere as a whole.
+        Empty if those with one have enough, or if a gang fits nowhere as a whole.
         """
         spec, step = tasks[0].spec, tasks[0].step_key
-        allowed = self.allowed(step)
-        denied = self.denied.get(step, ())
+        allowed = self.tickets.allowed(step)
+        denied = self.tickets.denied.get(step, ())
         best: list[WorkerState] = []
         best_count = 0
         racks = list_racks(workers) if spec.gang and spec.same_rack else []
@@ -223,12 +146,14 @@
     ) -> list[WorkerState]:
         """Return the workers at which a step's tasks may fit later.
 
-        None if enough of them have a ticket. A gang needs capacity at several at once.
+        Empty if enough of them have a ticket, and for a gang, which needs capacity at
+        several workers at once.
         """
         spec, step = tasks[0].spec, tasks[0].step_key
         if spec.gang:
             return []
-        known = self.allowed(step).keys() | self.denied.get(step, set())
+        allowed = self.tickets.allowed(step)
+        denied = self.tickets.denied.get(step, ())
         possible = [
             worker
             for worker in workers
@@ -237,10 +162,16 @@
                 not spec.required_label or spec.required_label in worker.listing.labels
             )
         ]
-        allowed = sum(worker.worker_id in self.allowed(step) for worker in possible)
-        if allowed >= len(tasks) + SPARE_WORKERS:
+        if (
+            sum(worker.worker_id in allowed for worker in possible)
+            >= len(tasks) + SPARE_WORKERS
+        ):
             return []
-        unknown = [worker for worker in possible if worker.worker_id not in known]
+        unknown = [
+            worker
+            for worker in possible
+            if worker.worker_id not in allowed and worker.worker_id not in denied
+        ]
         return sorted(unknown, key=lambda item: -item.free_capacity().cpu_millis)
 
     def _ask(
@@ -256,7 +187,7 @@
         """
         state = self.state
         spec, step = tasks[0].spec, tasks[0].step_key
-        permitted = self.tickets.get(step, {})
+        permitted = self.tickets.tickets.get(step, {})
         most = WORKERS_LIMIT if spec.gang else self._most_workers(queue.advice)
         rate = (self.granted_workers[queue.name] + 1) / (
             self.asked_workers[queue.name] + 2
@@ -278,7 +209,9 @@
             most = min(most, len(names) + SPARE_WORKERS)
             names = [worker.worker_id for worker in islice(candidates, most)]
         expected_ms = queue.advice.decide_ms + queue.advice.each_ms * len(names)
-        timeout_ms = BASE_TIMEOUT_MS + int(2 * expected_ms * self.slowness)
+        timeout_ms = min(
+            BASE_TIMEOUT_MS + int(2 * expected_ms * self.slowness), MAX_TIMEOUT_MS
+        )
         self.open_request = AskAdvice(step, tuple(names), expected_ms, timeout_ms)
         self.asked_ms[step[0]] = self.queue_asked_ms[queue.name] = state.now_ms
         state.log(
@@ -320,46 +253,29 @@
         job = state.jobs.get(event.step[0])
         if event.failed or job is None:
             return
-        granted = {
-            name: text for name, text in event.tickets if name in event.asked_workers
-        }
         queue = state.queue_of(job)
         self.asked_workers[queue.name] += len(event.asked_workers)
-        self.granted_workers[queue.name] += len(granted)
-        self.denied.setdefault(event.step, set()).update(
-            name for name in event.asked_workers if name not in granted
-        )
-        certain_until_ms = event.sent_ms + event.valid_ms
-        fresh_until_ms = state.now_ms + min(event.valid_ms, FRESH_MS)
-        tickets = self.tickets.setdefault(event.step, {})
-        for worker_id, text in granted.items():
-            tickets[worker_id] = Ticket(
-                text,
-                state.worker(worker_id).incarnation,
-                certain_until_ms,
-                max(certain_until_ms, fresh_until_ms),
-                margin_ms(event.valid_ms),
-            )
+        self.granted_workers[queue.name] += self.tickets.store(event)
         state.capacity_changed = True
 
+    def forget_final(self) -> None:
+        """Forget the jobs that are final or forgotten, and their tickets."""
+        for job_id in [name for name in self.asked_ms if self.state.is_over(name)]:
+            del self.asked_ms[job_id]
+        self.tickets.forget_final()
+
     def _note_time(self, request: AskAdvice, took_ms: int, failed: bool) -> None:
         """Adapt the next requests to how long one took or whether it failed."""
         if not failed:
-            self.failures = 0
+            self.retry_ms = MIN_RETRY_MS
             if request.expected_ms:
                 slowness = max(took_ms / request.expected_ms, 1.0)
                 self.slowness = min(slowness, MAX_SLOWNESS)
             return
         if took_ms >= request.timeout_ms:
             self.slowness = min(2 * self.slowness, MAX_SLOWNESS)
-        pause_ms = min(MIN_RETRY_MS * 2**self.failures, MAX_RETRY_MS)
-        self.next_request_ms = self.state.now_ms + pause_ms
-        self.failures += 1
-
-
-def margin_ms(valid_ms: int) -> int:
-    """Return how long before a ticket's end a start with it is sent at the latest."""
-    return min(TICKET_MARGIN_MS, int(valid_ms * MARGIN_SHARE))
+        self.next_request_ms = self.state.now_ms + self.retry_ms
+        self.retry_ms = min(2 * self.retry_ms, MAX_RETRY_MS)
 
 
 def list_steps(job: Job):
--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -117,7 +117,7 @@
         """Schedule the next poll after one was answered or has failed."""
         policy = self.state.policy
         if worker.poll_renews and not answered:
-            until_ms = worker.poll_sent_ms + policy.max_start_delay_ms
+            until_ms = worker.poll_sent_ms + policy.max_call_delay_ms
             worker.late_renewals_until_ms = until_ms
         worker.poll_sent_ms = 0
         pause_ms = 0
@@ -164,7 +164,7 @@
         if event.outcome is CallOutcome.UNANSWERED:
             worker.add_unanswered_start(
                 (event.task, event.run),
-                event.sent_ms + state.policy.max_start_delay_ms,
+                event.sent_ms + state.policy.max_call_delay_ms,
                 state.now_ms,
             )
             state.late_call_workers[worker.worker_id] = worker
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, define
 
-from poplarlb.coordination.jobs.advice import TicketCache
+from poplarlb.coordination.jobs.advice import AdviceRequests
 from poplarlb.coordination.jobs.bad_jobs import MAX_ERRORS
 from poplarlb.coordination.jobs.calls import WorkerCalls
 from poplarlb.coordination.jobs.crashes import CrashCounter
@@ -42,6 +42,7 @@
 from poplarlb.coordination.jobs.schedule import Scheduler
 from poplarlb.coordination.jobs.slow_workers import SlowWorkers
 from poplarlb.coordination.jobs.throttling import Throttler
+from poplarlb.coordination.jobs.tickets import TicketCache
 from poplarlb.coordination.jobs.unresponsive import UnresponsiveWorkers
 from poplarlb.state.job_records import LateCall, LeaseRemainder
 from poplarlb.state.jobs import Job, JobSpec, JobState
@@ -74,7 +75,8 @@
     crashes: CrashCounter = None
     calls: WorkerCalls = None
     poll_reader: PollReader = None
-    advice: TicketCache = None
+    tickets: TicketCache = None
+    advice: AdviceRequests = None
     scheduler: Scheduler = None
     throttler: Throttler = None
     slow_workers: SlowWorkers = None
@@ -96,7 +98,8 @@
         self.crashes = CrashCounter(self.state)
         self.calls = WorkerCalls(self.state, self.crashes, self._reason_not_to_start)
         self.poll_reader = PollReader(self.state, self.crashes)
-        self.advice = TicketCache(self.state)
+        self.tickets = TicketCache(self.state)
+        self.advice = AdviceRequests(self.state, self.tickets)
         self.scheduler = Scheduler(self.state, self.advice)
         self.throttler = Throttler(self.state)
         self.slow_workers = SlowWorkers(self.state)
@@ -211,7 +214,7 @@
         worker = self.state.worker(event.worker_id)
         run = worker.runs.get((event.task, event.run))
         if event.outcome is CallOutcome.NO_TICKET and run is not None:
-            self.advice.on_refused(run)
+            self.tickets.on_refused(run)
         self.calls.on_start_answered(event)
         if event.outcome is CallOutcome.DONE and run is not None and run.last_resort:
             self.throttler.limit_new(worker)
@@ -310,7 +313,7 @@
         reasons = {
             run: self._reason_not_to_start(state.workers[run.worker_id], run)
             or ("" if committed_in_time else "its commit took too long")
-            or ("" if self.advice.permits(run) else "its ticket has expired")
+            or ("" if self.tickets.permits(run) else "its ticket has expired")
             for run in starts
         }
         incomplete_gangs = {
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -125,6 +125,11 @@
             return attrs.evolve(job.known_queue, service=found.service)
         return found
 
+    def is_over(self, job_id: str) -> bool:
+        """Return whether a job is final, or forgotten."""
+        job = self.jobs.get(job_id)
+        return job is None or job.final
+
     def is_configured(self, job: Job) -> bool:
         """Return whether the configuration in force has the job's queue."""
         return bool(self.config and self.config.queue(job.spec.queue))
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -255,7 +255,7 @@
         """
         until_ms = 0
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
-            until_ms = run.sent_ms + policy.max_start_delay_ms
+            until_ms = run.sent_ms + policy.max_call_delay_ms
         if self.listed:
             until_ms = max(until_ms, self.unanswered_starts.get(run.key, 0))
         if until_ms <= self.clock_at_ms:
@@ -268,7 +268,7 @@
     def late_calls_until_ms(self, policy: JobPolicy) -> int:
         """Return until when calls without an answer may grant leases at the worker."""
         in_flight_until_ms = (
-            run.sent_ms + policy.max_start_delay_ms
+            run.sent_ms + policy.max_call_delay_ms
             for run in self.runs.values()
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS)
         )
--- a/poplarlb/coordination/jobs/late_calls.py
+++ b/poplarlb/coordination/jobs/late_calls.py
@@ -34,7 +34,7 @@
             worker = state.workers.get(call.worker_id)
             if worker is None:
                 continue
-            remaining_ms = min(call.remaining_ms, state.policy.max_start_delay_ms)
+            remaining_ms = min(call.remaining_ms, state.policy.max_call_delay_ms)
             until_ms = state.now_ms + remaining_ms
             if not call.task:
                 worker.misdirected_until_ms = until_ms
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -32,8 +32,8 @@
     max_unconfirmed_ms: int = 5_000
     max_clock_drift: float = 0.02  # how much slower a worker's clock may run
     lease_margin_ms: int = 200  # rounding, and the time that a kill takes
-    # An unanswered start may be carried out up to 12 s late; 1 s is margin.
-    max_start_delay_ms: int = 13_000
+    # A call without an answer may be carried out up to 12 s late; 1 s is margin.
+    max_call_delay_ms: int = 13_000
     min_commit_interval_ms: int = 12  # at most 80 commits a second
     # A commit whose last call took longer starts none of its runs.
     max_commit_before_start_ms: int = 1_500
--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -6,7 +6,7 @@
 import attrs
 from attrs import Factory, define
 
-from poplarlb.coordination.jobs.advice import TicketCache
+from poplarlb.coordination.jobs.advice import AdviceRequests
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
 from poplarlb.coordination.jobs.isolation import Isolation
@@ -52,7 +52,7 @@
     """
 
     state: DispatcherState
-    advice: TicketCache
+    advice: AdviceRequests
     chooser: WorkerChooser = None
     paused_chooser: WorkerChooser = None
     isolation: Isolation = None
@@ -372,7 +372,7 @@
             queue.service,
             rack,
             not task.spec.fills or self.is_urgent(task.job),
-            self.advice.allowed(task.step_key) if queue.needs_advice else None,
+            self.advice.tickets.allowed(task.step_key) if queue.needs_advice else None,
         )
 
     def _rank_without_tickets(
