--- a/tests/coordination/jobs/test_reborn_workers.py
+++ b/tests/coordination/jobs/test_late_calls.py
@@ -1,7 +1,7 @@
 """Random walks with workers that restart under their ids and are then cut off.
 
-Calls that were meant for an earlier life of a worker are carried out by a later one,
-while the jobs' owner changes.
+Calls that were meant for an earlier incarnation of a worker are carried out by a later
+one, while the jobs' owner changes.
 """
 
 import random
@@ -17,7 +17,7 @@
 from tests.coordination.jobs.fake_worker import FakeWorker
 from tests.coordination.jobs.job_world import JobWorld, fail, make_job
 
-WALKS = 20  # ``python -m tests.coordination.jobs.test_reborn_workers FIRST COUNT``
+WALKS = 20  # ``python -m tests.coordination.jobs.test_late_calls FIRST COUNT``
 FIRST_SEED = 1
 ROUNDS = 12
 LATE_MS = (2_000, 12_000)  # after it was sent a late call is carried out
@@ -31,7 +31,7 @@
 
 
 @frozen
-class LateCalls:
+class LateKinds:
     """The kinds of calls that may be carried out late."""
 
     orders: bool = True  # starts and stops
@@ -39,17 +39,17 @@
 
 
 @define(eq=False)
-class RebornWorld(JobWorld):
-    """A world whose late calls are carried out by whichever life of a worker is up.
+class LateCallWorld(JobWorld):
+    """A world in which a worker's present incarnation carries out late calls.
 
-    :ivar misdirected_calls: how many calls another life than the one meant has
+    :ivar misdirected_calls: how many calls another incarnation than the one meant has
         carried out.
     :ivar over: the highest run of a task that was stopped or had ended at a worker
         before that restarted.
     :ivar fences: the epoch and the runs of each worker before each of its restarts.
     """
 
-    late: LateCalls = LateCalls()
+    late: LateKinds = LateKinds()
     late_rate: float = 0.0
     late_rng: random.Random = Factory(random.Random)
     misdirected_calls: int = 0
@@ -66,10 +66,10 @@
         worker.crash()
 
     def _is_over(self, command) -> bool:
-        """Return whether an earlier life of a start's worker would have refused it.
+        """Return whether an earlier incarnation would have refused a start.
 
         The run had been stopped or had ended there, or the next owner had fenced the
-        worker and not found the run. The later life knows nothing of that. Only a wait
+        worker and not found the run. The later one knows nothing of that. Only a wait
         after each start without an answer would avoid that it begins the run.
         """
         if not isinstance(command, events.StartRun):
@@ -105,7 +105,7 @@
         self.later(GIVEN_UP_MS, lambda: self._answer(owner, answer))
 
 
-def restart_and_cut(world: RebornWorld, rng: random.Random) -> None:
+def restart_and_cut(world: LateCallWorld, rng: random.Random) -> None:
     """Restart some workers under their ids, and cut them off soon after."""
     for worker in rng.sample(list(world.workers.values()), rng.randint(1, 3)):
         world.crash_worker(worker)
@@ -126,10 +126,10 @@
         world.later(healed_ms, lambda name=name: world.partitioned.discard(name))
 
 
-def walk(seed: int, late: LateCalls) -> RebornWorld:
+def walk(seed: int, late: LateKinds) -> LateCallWorld:
     """Return a world after one random walk."""
     rng = random.Random(f"reborn {seed}")
-    world = RebornWorld(
+    world = LateCallWorld(
         seed=seed,
         work_ms=rng.choice((8_000.0, 20_000.0, 60_000.0)),
         late=late,
@@ -161,17 +161,17 @@
     return world
 
 
-def find_overlaps(world: RebornWorld) -> list[str]:
+def find_overlaps(world: LateCallWorld) -> list[str]:
     """Return where a task ran at two workers at once."""
     return [text for text in world.violations if " runs at " in text]
 
 
-def reconnect(world: RebornWorld) -> None:
+def reconnect(world: LateCallWorld) -> None:
     """Let the store answer again."""
     world.store_up = True
 
 
-class RebornWorkerTest(unittest.TestCase):
+class LateCallTest(unittest.TestCase):
     """No task runs at two workers at once."""
 
     # Guards against a task that is started elsewhere while a worker that was cut off
@@ -180,21 +180,21 @@
         """Starts and stops are carried out late."""
         for seed in range(FIRST_SEED, FIRST_SEED + WALKS):
             with self.subTest(seed=seed):
-                self.assertEqual(find_overlaps(walk(seed, LateCalls())), [])
+                self.assertEqual(find_overlaps(walk(seed, LateKinds())), [])
 
-    # Guards against leases that a renewal for the earlier life has prolonged.
+    # Guards against leases that a renewal for the earlier incarnation has prolonged.
     def test_late_renewals(self) -> None:
-        """Also polls that renew leases by the earlier life's clock."""
+        """Also polls that renew leases by the earlier incarnation's clock."""
         for seed in range(FIRST_SEED, FIRST_SEED + WALKS):
             with self.subTest(seed=seed):
-                late = LateCalls(renewals=True)
+                late = LateKinds(renewals=True)
                 self.assertEqual(find_overlaps(walk(seed, late)), [])
 
 
 if __name__ == "__main__":
     first, count = int(sys.argv[1]), int(sys.argv[2])
     for seed in range(first, first + count):
-        for late in (LateCalls(), LateCalls(renewals=True)):
+        for late in (LateKinds(), LateKinds(renewals=True)):
             world = walk(seed, late)
             found = find_overlaps(world)
             if found:
