--- a/tests/coordination/jobs/test_late_calls.py
+++ b/tests/coordination/jobs/test_late_calls.py
@@ -171,6 +171,43 @@
     world.store_up = True
 
 
+@define(eq=False)
+class SilentPollWorld(JobWorld):
+    """A world in which polls of some workers get no answer, and other calls do."""
+
+    silent: set[str] = Factory(set)
+
+    def _call(self, command, owner, action, sent_ms: int) -> None:
+        if isinstance(command, events.PollWorker) and command.worker_id in self.silent:
+            self._fail_later(command, owner, sent_ms)
+        else:
+            super()._call(command, owner, action, sent_ms)
+
+
+class UnnoticedRestartTest(unittest.TestCase):
+    """A worker restarts, is sent a start, and is cut off before it answers a poll."""
+
+    # Guards against a start that the next incarnation has answered, with a longer lease
+    # than by the earlier one's clock.
+    def test_answered_start(self) -> None:
+        """The task isn't started elsewhere while the lease lasts."""
+        world = SilentPollWorld(work_ms=60_000)
+        world.new_owner()
+        world.add_workers(1)
+        world.run(20_000)
+        worker = world.workers["w0"]
+        world.silent.add("w0")
+        worker.restart(worker.incarnation + 1_000)
+        world.submit(make_job("a" * 16, StepSpec(1, SIZE, estimate_ms=8_000)))
+        world.run(200)
+        self.assertEqual(len(worker.runs), 1)
+        world.partitioned.add("w0")
+        world.add_workers(1)
+        world.run(20_000)
+        self.assertEqual(find_overlaps(world), [])
+        self.assertEqual(len(world.workers["w1"].runs), 1)
+
+
 class LateCallTest(unittest.TestCase):
     """No task runs at two workers at once."""
 
