Take back the wait for runs of an unnoticed incarnation

The record of unresponsive workers has one remaining time for each worker, that of its youngest run.

--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -44,7 +44,6 @@
     last_resort: bool = False
     ticket: str = ""  # by which the advice service permits the start; empty: not needed
     confirmed_ms: int = 0  # when the worker confirmed the start
-    listed: bool = False  # an answer to a poll had it, so its incarnation is known
     stopping: str = ""  # why it is to be stopped; empty: it is not
     stop_sent_ms: int = 0  # when the stop was last sent; 0: never
     stop_confirmed_ms: int = 0  # when the worker first answered a stop; 0: not yet
@@ -252,23 +251,19 @@
         """Return how long a run at a silent worker may go on if that has restarted.
 
         The next incarnation may carry out a start of the run that got no answer, and
-        later calls for the earlier one that renew its lease. Also a start that was
-        answered may have reached the next incarnation, unless the run was listed since.
+        later calls for the earlier one that renew its lease.
         """
         until_ms = 0
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
             until_ms = run.sent_ms + policy.max_call_delay_ms
-        if not self.listed:  # no incarnation is up
-            return max(until_ms - now_ms, 0) if until_ms > self.clock_at_ms else 0
-        until_ms = max(until_ms, self.unanswered_starts.get(run.key, 0))
-        if until_ms > self.clock_at_ms:
-            until_ms = max(until_ms, self.late_calls_until_ms(policy))
-        elif run.phase is RunPhase.RUNNING and not run.listed:
-            until_ms = run.confirmed_ms
-        else:
+        if self.listed:
+            until_ms = max(until_ms, self.unanswered_starts.get(run.key, 0))
+        if until_ms <= self.clock_at_ms:
             return 0
-        end_ms = until_ms + policy.max_duration_ms(policy.lease_limit_ms)
-        return max(end_ms - now_ms, 0)
+        if self.listed:  # otherwise no incarnation is up
+            until_ms = max(until_ms, self.late_calls_until_ms(policy))
+            until_ms += policy.max_duration_ms(policy.lease_limit_ms)
+        return max(until_ms - now_ms, 0)
 
     def late_calls_until_ms(self, policy: JobPolicy) -> int:
         """Return until when calls without an answer may grant leases at the worker."""
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -254,7 +254,6 @@
             run = self._track_orphan(worker, row)
         if run is None:
             return
-        run.listed = True
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = state.now_ms
