Bound what the parser keeps of a request's head

Callers saw: a process that ran out of memory beside clients with very many short headers, or with a header that never ends.

Cause: the size of a head was counted where the parser hands over a whole header, in bytes of text. What the parser keeps until then wasn't counted, nor trailers and empty lines before a request; and each header became an entry of a table with two texts, some ten times the bytes of a short one.

Change: bytes since the parser last returned a part of a body or a whole head are limited to four times maxHeaderBytes, the most that a head of legal text can take, and one read. Of the headers only those that the job API reads are kept; trailers change none. Each limit is counted in poplarlb_client_limits_total and logged as client_limit_exceeded, at 2 lines a second at most, apart from other failures.

It works because nothing grows any more without being counted.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -1,11 +1,11 @@
 """Structured logs of the daemon in ``poplarlb.platform``: a JSON line per event.
 
-Lines go to standard output. Writing never blocks. Successes and failures have a
-budget of lines each, kept as a token bucket. Lines beyond it are dropped and counted,
-and one ``lines_left_out`` line reports the counts. Changes of state have no budget;
-they are always written unless the buffer is full. ``loguru``, which ``poplarlbd``
-uses, is not used here: it writes synchronously, so a pipe that nobody reads would
-block the daemon.
+Lines go to standard output. Writing never blocks. Successes, failures, and clients that
+exceed a limit have a budget of lines each, kept as a token bucket. Lines beyond it are
+dropped and counted, and one ``lines_left_out`` line reports the counts. Changes of
+state have no budget; they are always written unless the buffer is full. ``loguru``,
+which ``poplarlbd`` uses, is not used here: it writes synchronously, so a pipe that
+nobody reads would block the daemon.
 """
 
 import os
@@ -21,6 +21,7 @@
 BURST_LINES = 400  # capacity of each token bucket
 ROUTINE_LINES_PER_S = 10.0  # long-run rate; operators limit a daemon to 20 in all
 FAILURE_LINES_PER_S = 6.0
+CLIENT_LINES_PER_S = 2.0
 SUMMARY_PERIOD_MS = 2_000
 MAX_REPR_CHARACTERS = 1_000  # of fields that JSON can't hold, or a line has no room for
 MAX_LINE_BYTES = 64 * 1024  # of a line; some fields are texts that others wrote
@@ -61,6 +62,8 @@
         "renewal_failed",
     )
 )
+# Events of clients that exceed a limit, of which there can be any number.
+CLIENT_EVENTS = frozenset(("client_limit_exceeded",))
 
 
 @define
@@ -90,6 +93,7 @@
     :param descriptor: the file descriptor of the output, set to non-blocking mode.
     :ivar routine: the budget of lines about successes.
     :ivar failures: the budget of lines about failures.
+    :ivar clients: the budget of lines about clients that exceed a limit.
     :ivar dropped: the number of lines dropped since the last summary, by event.
     :ivar partial_chunk: the part of a chunk of lines that is still to be written.
     """
@@ -100,6 +104,7 @@
     lines: deque = field(factory=deque)
     routine: LineBudget = field(factory=lambda: LineBudget(ROUTINE_LINES_PER_S))
     failures: LineBudget = field(factory=lambda: LineBudget(FAILURE_LINES_PER_S))
+    clients: LineBudget = field(factory=lambda: LineBudget(CLIENT_LINES_PER_S))
     metrics: JobMetrics = field(factory=JobMetrics)
     dropped: Counter = field(factory=Counter)
     next_summary_ms: int = 0
@@ -114,6 +119,8 @@
             budget = self.routine
         elif event in FAILURE_EVENTS:
             budget = self.failures
+        elif event in CLIENT_EVENTS:
+            budget = self.clients
         if budget is not None and not budget.try_take(now_ms):
             self.dropped[event] += 1
             return
--- a/poplarlb/job_metrics.py
+++ b/poplarlb/job_metrics.py
@@ -83,6 +83,10 @@
             "poplarlb_runs_stopped", "Runs stopped, by reason.", ["reason"],
             registry=registry,
         )  # fmt: skip
+        self.client_limits = Counter(
+            "poplarlb_client_limits", "Clients refused or shed, by limit.", ["limit"],
+            registry=registry,
+        )  # fmt: skip
 
     def add_gauge(self, name: str, text: str, read: Callable[[], float]) -> None:
         """Register a gauge whose value is read when the metrics are collected."""
@@ -108,6 +112,8 @@
                 self.run_ends.labels(fields["how"]).inc()
             case "start_failed":
                 self.failed_starts.labels(fields["outcome"]).inc()
+            case "client_limit_exceeded":
+                self.client_limits.labels(fields["limit"]).inc()
             case "run_stopped":
                 reason = fields["reason"].partition(" at ")[0]
                 self.stopped_runs.labels(self.reasons.label_for(reason)).inc()
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -14,7 +14,7 @@
 from poplarlb.event_log import EventLog
 from poplarlb.exceptions import SettingsError
 from poplarlb.platform.advice import PlatformAdvice
-from poplarlb.platform.job_api import JobApi
+from poplarlb.platform.job_api import KEPT_HEADERS, JobApi
 from poplarlb.platform.operator import (
     OPERATOR_PREFIX,
     OperatorView,
@@ -149,7 +149,11 @@
         self.log.flush()
 
     async def _serve(self, handler: Handler, address: str) -> HttpServer:
-        server = HttpServer(handler)
+        server = HttpServer(
+            handler,
+            kept_headers=KEPT_HEADERS,
+            on_limit=lambda limit: self.log.write("client_limit_exceeded", limit=limit),
+        )
         await server.start(address)
         self.servers.append(server)
         return server
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -20,6 +20,7 @@
 from poplarlb.transport.job_owner import utc_ms
 
 DEADLINE_HEADER = "x-poplarlb-deadline-ms"
+KEPT_HEADERS = frozenset(("host", DEADLINE_HEADER))  # others aren't used
 DEFAULT_TIMEOUT_S = 3.0  # callers without a deadline header wait this long
 MAX_TIMEOUT_S = 60.0
 ERROR_STATUSES = frozenset((400, 405, 503, 504))  # logged; 404 and 410 are regular
--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -6,11 +6,18 @@
 """
 
 import asyncio
+from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
 from attrs import Factory, define, frozen
 
+READ_BYTES = 262_144  # that asyncio reads at once
+# The longest a parser may go on without returning anything, as a multiple of a head's
+# limit: each header of one character takes four bytes, and only one counts.
+UNPARSED_FACTOR = 4
+FRAMING_HEADERS = frozenset({"content-length", "expect"})
+
 PHRASES = {
     200: "OK",
     202: "Accepted",
@@ -53,7 +60,7 @@
     """Limits on a client, in bytes and seconds; replaced when settings change.
 
     ``header_timeout_s`` limits the arrival of a whole request, headers and body;
-    ``idle_timeout_s`` the wait for the next request.
+    ``idle_timeout_s`` the wait for the next request, and for a response to be read.
     """
 
     header_bytes: int = 16_384
@@ -70,12 +77,16 @@
     """Serves one address with ``handler``, which returns the response to a request.
 
     ``answer_rejection`` returns the response to a request that is malformed or exceeds
-    a limit, from the status that this has by itself.
+    a limit, from the status that this has by itself. ``kept_headers`` names the
+    headers, in lower case, that requests keep; ``None`` for all. ``on_limit`` is
+    called with the name of a limit that a request exceeds.
     """
 
     handler: Handler
     limits: HttpLimits = Factory(HttpLimits)
     answer_rejection: Callable[[int], HttpResponse] = HttpResponse
+    kept_headers: frozenset[str] | None = None
+    on_limit: Callable[[str], None] = lambda limit: None
     draining: bool = False
     connections: set = Factory(set)
     listener: asyncio.Server | None = None
@@ -85,7 +96,10 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         self.listener = await loop.create_server(
-            lambda: ServerConnection(self), host, int(port), backlog=512
+            lambda: ServerConnection(self),
+            host,
+            int(port),
+            backlog=512,
         )
 
     @property
@@ -105,11 +119,29 @@
             connection.close_if_idle()
 
 
+@define
+class ReceivedMessage:
+    """The part of a request that has been received.
+
+    ``header_size`` is that of the target and all headers as text.
+    """
+
+    url: bytes = b""
+    headers: dict[str, str] = Factory(dict)
+    header_size: int = 0
+    chunks: list[bytes] = Factory(list)
+    body_size: int = 0
+    headers_complete: bool = False
+
+
 class ServerConnection(asyncio.Protocol):
     """A client's connection; requests are handled in order, one at a time.
 
-    ``task`` runs the handler; ``backlog`` holds the requests that wait for it to end,
-    and whether the connection is kept after each. ``timer`` is the running timeout.
+    ``message`` is the request that is being received, if ``receiving``; ``backlog``
+    holds those that wait, each with whether the connection is kept after it, and
+    ``task`` runs the handler of the one in progress. ``timer`` is the running timeout.
+    ``unparsed_bytes`` were received since the parser last returned a part of a body or
+    a whole head; ``progressed`` says whether it did during this read.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -118,17 +150,13 @@
         self.transport = None
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
-        self.backlog: list[tuple[HttpRequest, bool]] = []
-        self._begin_message()
+        self.message = ReceivedMessage()
+        self.receiving = False
+        self.backlog: deque[tuple[HttpRequest, bool]] = deque()
+        self.unparsed_bytes = 0
+        self.progressed = False
         self.parser = httptools.HttpRequestParser(self)
 
-    def _begin_message(self) -> None:
-        self.url = b""
-        self.headers: dict[str, str] = {}
-        self.header_size = 0
-        self.chunks: list[bytes] = []
-        self.body_size = 0
-
     # --- asyncio ----------------------------------------------------------------------
 
     def connection_made(self, transport) -> None:
@@ -141,78 +169,100 @@
         """Unregister the connection; a running handler completes."""
         self.transport = None
         self._stop_timer()
+        self._drop_unhandled()
         self.server.connections.discard(self)
 
     def data_received(self, data: bytes) -> None:
         """Pass the data to the parser; reject malformed data with status 400."""
-        if self.transport is None or self.transport.is_closing():
+        if self.closing:
             return
+        self.progressed = False
         try:
             self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self._reject(400)
-        except httptools.HttpParserError:
+        except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
+        if self.closing:
+            return
+        self._count_unparsed(len(data))
 
     # --- httptools --------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
         """Start the timeout for the whole request."""
-        self._begin_message()
-        self._start_timer(
-            self.server.limits.header_timeout_s, lambda: self._reject(408)
-        )
+        self.message = ReceivedMessage()
+        self.receiving = True
+        self._start_timer(self.server.limits.header_timeout_s, self._time_out)
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self.url += url
+        self.message.url += url
         self._count_header(len(url))
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Store one header."""
+        """Store one header, unless it is a trailer or isn't kept."""
         self._count_header(len(name) + len(value))
-        self.headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        message, kept = self.message, self.server.kept_headers
+        if message.headers_complete or self.closing:
+            return
+        key = name.decode("latin-1").lower()
+        if kept is None or key in kept or key in FRAMING_HEADERS:
+            message.headers[key] = value.decode("latin-1")
 
     def on_headers_complete(self) -> None:
         """Reject a body whose declared length is too large before it arrives."""
-        declared = self.headers.get("content-length", "0")
+        self.progressed = True
+        self.message.headers_complete = True
+        if self.closing:
+            return
+        headers = self.message.headers
+        declared = headers.get("content-length", "0")
         if declared.isdigit() and int(declared) > self.server.limits.body_bytes:
-            self._reject(413)
-        elif self.headers.get("expect", "").lower() == "100-continue":
+            self._reject(413, "body_bytes")
+        elif headers.get("expect", "").lower() == "100-continue":
             self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        self.body_size += len(body)
-        if self.body_size > self.server.limits.body_bytes:
-            self._reject(413)
+        self.progressed = True
+        if self.closing:
             return
-        self.chunks.append(body)
+        self.message.body_size += len(body)
+        if self.message.body_size > self.server.limits.body_bytes:
+            self._reject(413, "body_bytes")
+            return
+        self.message.chunks.append(body)
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the one in progress."""
-        if self.transport is None or self.transport.is_closing():
+        self.progressed = True
+        if self.closing:
             return
         self._stop_timer()
+        message, self.message = self.message, ReceivedMessage()
+        self.receiving = False
         request = HttpRequest(
             self.parser.get_method().decode("latin-1"),
-            self.url.decode("latin-1"),
-            self.headers,
-            b"".join(self.chunks),
+            message.url.decode("latin-1"),
+            message.headers,
+            b"".join(message.chunks),
         )
-        keep_alive = self.parser.should_keep_alive()
-        if self.task is not None:
-            self.backlog.append((request, keep_alive))
-            return
-        self._handle(request, keep_alive)
+        self.backlog.append((request, self.parser.should_keep_alive()))
+        self._continue()
 
     # --- responses --------------------------------------------------------------------
 
+    def _handle_next(self) -> None:
+        """Handle waiting requests until one is in progress."""
+        while self.backlog and self.task is None and not self.closing:
+            request, keep_alive = self.backlog.popleft()
+            self._handle(request, keep_alive)
+
     def _handle(self, request: HttpRequest, keep_alive: bool) -> None:
         self.task = asyncio.ensure_future(self.server.handler(request))
-        self.task.add_done_callback(lambda task: self._send_response(task, keep_alive))
+        self.task.add_done_callback(lambda task: self._finish(task, keep_alive))
 
-    def _send_response(self, task: asyncio.Task, keep_alive: bool) -> None:
+    def _finish(self, task: asyncio.Task, keep_alive: bool) -> None:
+        """Send the response of a handler and go on with the next request."""
         self.task = None
         if task.cancelled() or self.transport is None:
             return
@@ -222,38 +272,83 @@
             asyncio.get_running_loop().call_exception_handler(
                 {"message": "a request handler failed", "exception": error}
             )
+        self._respond(response, keep_alive)
+        self._continue()
+
+    def _respond(self, response: HttpResponse, keep_alive: bool) -> None:
         keep_alive = keep_alive and not self.server.draining
         self.transport.write(format_response(response, keep_alive))
         if not keep_alive:
-            self.transport.close()
-        elif self.backlog:
-            self._handle(*self.backlog.pop(0))
-        else:
+            self._close()
+
+    def _continue(self) -> None:
+        """Go on after a response was sent or has been read."""
+        self._handle_next()
+        if self.closing:
+            return
+        if self.task is None and not self.receiving:
             self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
 
+    # --- the end of a connection ------------------------------------------------------
+
+    @property
+    def closing(self) -> bool:
+        """Whether no further request is read."""
+        return self.transport is None or self.transport.is_closing()
+
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
         if self.task is None and self.transport is not None:
-            self.transport.close()
-
-    def _close_idle(self) -> None:
-        if self.task is None and self.transport is not None:
-            self.transport.close()
+            self._close()
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, limit: str = "") -> None:
+        """End the connection with an error."""
         self._stop_timer()
-        if self.transport is None or self.transport.is_closing():
+        if self.closing:
             return
+        if limit:
+            self.server.on_limit(limit)
         if self.task is None:
-            self.transport.write(
-                format_response(self.server.answer_rejection(status), keep_alive=False)
-            )
+            rejection = self.server.answer_rejection(status)
+            self.transport.write(format_response(rejection, keep_alive=False))
+        self._close()
+
+    def _close(self) -> None:
+        """Close the connection once the client has read its responses."""
         self.transport.close()
 
+    def _close_idle(self) -> None:
+        self._close()
+
+    def _time_out(self) -> None:
+        """Reject a request that isn't complete."""
+        self._reject(408, "header_timeout_s")
+
+    def _drop_unhandled(self) -> None:
+        """Drop all but the request in progress; the connection reads no others."""
+        self.backlog.clear()
+        self.message = ReceivedMessage()
+        self.receiving = False
+        self.unparsed_bytes = 0
+        self.parser = None
+
+    # --- limits -----------------------------------------------------------------------
+
     def _count_header(self, size: int) -> None:
-        self.header_size += size
-        if self.header_size > self.server.limits.header_bytes:
-            self._reject(431)
+        self.message.header_size += size
+        if self.message.header_size > self.server.limits.header_bytes:
+            self._reject(431, "header_bytes")
+
+    def _count_unparsed(self, count: int) -> None:
+        """Reject a message of which the parser returns nothing for too long."""
+        if self.progressed:
+            self.unparsed_bytes = count if self.receiving else 0
+        else:
+            self.unparsed_bytes += count
+        limit = UNPARSED_FACTOR * self.server.limits.header_bytes + READ_BYTES
+        if self.unparsed_bytes > limit:
+            is_head = self.receiving and not self.message.headers_complete
+            self._reject(431 if is_head else 400, "unparsed_bytes")
 
     def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._stop_timer()
