Read little at once, and let messages of small parts take turns

Callers saw: a process that took no other request while it read chunked bodies of single bytes, and ran out of memory beside them.

Cause: asyncio reads up to 256 KiB of a connection at once, into an object of its own, and each chunk of a body became an object in a list. One such read of single-byte chunks calls back 43,000 times; with hundreds of connections the loop comes round after seconds.

Ruled out: refusing small chunks, as a body of them is within the limits.

It works because a read holds a bounded amount, and the time between two reads of an ordinary connection no longer grows with the number of connections that send small parts.

--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -12,7 +12,10 @@
 import httptools
 from attrs import Factory, define, frozen
 
-READ_BYTES = 262_144  # that asyncio reads at once
+from poplarlb.transport.read_turns import ReadTurns
+
+READ_BYTES = 16_384  # read from one connection at once
+MAX_READ_STEPS = 256  # callbacks of the parser in one read; more wait for a turn
 # The longest a parser may go on without returning anything, as a multiple of a head's
 # limit: each header of one character takes four bytes, and only one counts.
 UNPARSED_FACTOR = 4
@@ -90,6 +93,8 @@
     draining: bool = False
     connections: set = Factory(set)
     listener: asyncio.Server | None = None
+    turns: ReadTurns = Factory(ReadTurns)
+    read_buffer: memoryview = Factory(lambda: memoryview(bytearray(READ_BYTES)))
 
     async def start(self, address: str) -> None:
         """Listen on ``HOST:PORT``."""
@@ -129,19 +134,19 @@
     url: bytes = b""
     headers: dict[str, str] = Factory(dict)
     header_size: int = 0
-    chunks: list[bytes] = Factory(list)
-    body_size: int = 0
+    body: bytearray = Factory(bytearray)
     headers_complete: bool = False
 
 
-class ServerConnection(asyncio.Protocol):
+class ServerConnection(asyncio.BufferedProtocol):
     """A client's connection; requests are handled in order, one at a time.
 
     ``message`` is the request that is being received, if ``receiving``; ``backlog``
     holds those that wait, each with whether the connection is kept after it, and
     ``task`` runs the handler of the one in progress. ``timer`` is the running timeout.
     ``unparsed_bytes`` were received since the parser last returned a part of a body or
-    a whole head; ``progressed`` says whether it did during this read.
+    a whole head; ``progressed`` says whether it did during this read, and ``steps``
+    counts its callbacks.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -153,8 +158,10 @@
         self.message = ReceivedMessage()
         self.receiving = False
         self.backlog: deque[tuple[HttpRequest, bool]] = deque()
+        self.waits_for_turn = False
         self.unparsed_bytes = 0
         self.progressed = False
+        self.steps = 0
         self.parser = httptools.HttpRequestParser(self)
 
     # --- asyncio ----------------------------------------------------------------------
@@ -172,18 +179,27 @@
         self._drop_unhandled()
         self.server.connections.discard(self)
 
-    def data_received(self, data: bytes) -> None:
+    def get_buffer(self, sizehint: int) -> memoryview:
+        """Return the buffer that all connections share, as data is parsed at once."""
+        return self.server.read_buffer
+
+    def buffer_updated(self, count: int) -> None:
         """Pass the data to the parser; reject malformed data with status 400."""
         if self.closing:
             return
         self.progressed = False
+        self.steps = 0
         try:
-            self.parser.feed_data(data)
+            self.parser.feed_data(self.server.read_buffer[:count])
         except (httptools.HttpParserUpgrade, httptools.HttpParserError):
             self._reject(400)
         if self.closing:
             return
-        self._count_unparsed(len(data))
+        self._count_unparsed(count)
+        if self.steps > MAX_READ_STEPS:
+            self.waits_for_turn = True
+            self.server.turns.wait(self._take_turn)
+        self._update_reading()
 
     # --- httptools --------------------------------------------------------------------
 
@@ -200,6 +216,7 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header, unless it is a trailer or isn't kept."""
+        self.steps += 1
         self._count_header(len(name) + len(value))
         message, kept = self.message, self.server.kept_headers
         if message.headers_complete or self.closing:
@@ -223,17 +240,18 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
+        self.steps += 1
         self.progressed = True
         if self.closing:
             return
-        self.message.body_size += len(body)
-        if self.message.body_size > self.server.limits.body_bytes:
+        if len(self.message.body) + len(body) > self.server.limits.body_bytes:
             self._reject(413, "body_bytes")
             return
-        self.message.chunks.append(body)
+        self.message.body += body
 
     def on_message_complete(self) -> None:
         """Handle the request, or queue it behind the one in progress."""
+        self.steps += 1
         self.progressed = True
         if self.closing:
             return
@@ -244,7 +262,7 @@
             self.parser.get_method().decode("latin-1"),
             message.url.decode("latin-1"),
             message.headers,
-            b"".join(message.chunks),
+            bytes(message.body),
         )
         self.backlog.append((request, self.parser.should_keep_alive()))
         self._continue()
@@ -288,6 +306,7 @@
             return
         if self.task is None and not self.receiving:
             self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+        self._update_reading()
 
     # --- the end of a connection ------------------------------------------------------
 
@@ -350,6 +369,19 @@
             is_head = self.receiving and not self.message.headers_complete
             self._reject(431 if is_head else 400, "unparsed_bytes")
 
+    def _take_turn(self) -> None:
+        self.waits_for_turn = False
+        self._update_reading()
+
+    def _update_reading(self) -> None:
+        """Read, unless the connection waits for its turn."""
+        if self.closing:
+            return
+        if self.waits_for_turn:
+            self.transport.pause_reading()
+        elif not self.transport.is_reading():
+            self.transport.resume_reading()
+
     def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._stop_timer()
         self.timer = asyncio.get_running_loop().call_later(delay_s, action)
