Read no further requests while some wait or responses are unread

Callers saw: nothing yet; found by looking for what else a client can make the process hold.

Cause: requests behind the one in progress were read and kept without a limit, and handled however many responses the client hadn't read; a connection whose responses nobody read stayed for good once it was closed or idle. A malformed or late request behind the one in progress also took that one's answer.

Change: a connection isn't read while requests wait on it, nor while its responses aren't read, and ends if that lasts for the idle timeout (idle_timeout_s in the log and the counter). What ends a connection is answered after the requests before it, and a request whose reading is paused isn't late.

It works because what is held for a connection is now at most one read beyond what it is owed.

--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -143,10 +143,11 @@
 
     ``message`` is the request that is being received, if ``receiving``; ``backlog``
     holds those that wait, each with whether the connection is kept after it, and
-    ``task`` runs the handler of the one in progress. ``timer`` is the running timeout.
-    ``unparsed_bytes`` were received since the parser last returned a part of a body or
-    a whole head; ``progressed`` says whether it did during this read, and ``steps``
-    counts its callbacks.
+    ``task`` runs the handler of the one in progress, from ``handling`` on.
+    ``rejection`` is the status that follows the last of them and ends the connection.
+    ``timer`` is the running timeout. ``unparsed_bytes`` were received since the parser
+    last returned a part of a body or a whole head; ``progressed`` says whether it did
+    during this read, and ``steps`` counts its callbacks.
     """
 
     def __init__(self, server: HttpServer) -> None:
@@ -158,6 +159,9 @@
         self.message = ReceivedMessage()
         self.receiving = False
         self.backlog: deque[tuple[HttpRequest, bool]] = deque()
+        self.handling = False
+        self.rejection = 0
+        self.writable = True
         self.waits_for_turn = False
         self.unparsed_bytes = 0
         self.progressed = False
@@ -185,7 +189,7 @@
 
     def buffer_updated(self, count: int) -> None:
         """Pass the data to the parser; reject malformed data with status 400."""
-        if self.closing:
+        if self.closing or self.rejection:
             return
         self.progressed = False
         self.steps = 0
@@ -201,6 +205,15 @@
             self.server.turns.wait(self._take_turn)
         self._update_reading()
 
+    def pause_writing(self) -> None:
+        """Handle no further request until the client has read its responses."""
+        self.writable = False
+
+    def resume_writing(self) -> None:
+        """Handle the next request."""
+        self.writable = True
+        self._continue()
+
     # --- httptools --------------------------------------------------------------------
 
     def on_message_begin(self) -> None:
@@ -219,7 +232,7 @@
         self.steps += 1
         self._count_header(len(name) + len(value))
         message, kept = self.message, self.server.kept_headers
-        if message.headers_complete or self.closing:
+        if message.headers_complete or self.closing or self.rejection:
             return
         key = name.decode("latin-1").lower()
         if kept is None or key in kept or key in FRAMING_HEADERS:
@@ -242,7 +255,7 @@
         """Append a part of the body."""
         self.steps += 1
         self.progressed = True
-        if self.closing:
+        if self.closing or self.rejection:
             return
         if len(self.message.body) + len(body) > self.server.limits.body_bytes:
             self._reject(413, "body_bytes")
@@ -253,7 +266,7 @@
         """Handle the request, or queue it behind the one in progress."""
         self.steps += 1
         self.progressed = True
-        if self.closing:
+        if self.closing or self.rejection:
             return
         self._stop_timer()
         message, self.message = self.message, ReceivedMessage()
@@ -271,11 +284,12 @@
 
     def _handle_next(self) -> None:
         """Handle waiting requests until one is in progress."""
-        while self.backlog and self.task is None and not self.closing:
+        while self.backlog and self.writable and not self.handling and not self.closing:
             request, keep_alive = self.backlog.popleft()
             self._handle(request, keep_alive)
 
     def _handle(self, request: HttpRequest, keep_alive: bool) -> None:
+        self.handling = True
         self.task = asyncio.ensure_future(self.server.handler(request))
         self.task.add_done_callback(lambda task: self._finish(task, keep_alive))
 
@@ -294,6 +308,7 @@
         self._continue()
 
     def _respond(self, response: HttpResponse, keep_alive: bool) -> None:
+        self.handling = False
         keep_alive = keep_alive and not self.server.draining
         self.transport.write(format_response(response, keep_alive))
         if not keep_alive:
@@ -304,7 +319,10 @@
         self._handle_next()
         if self.closing:
             return
-        if self.task is None and not self.receiving:
+        if not self.handling and not self.backlog and self.rejection:
+            self._reject(self.rejection)
+            return
+        if not self.handling and not self.receiving:
             self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
         self._update_reading()
 
@@ -317,31 +335,42 @@
 
     def close_if_idle(self) -> None:
         """Close the connection if no request is in progress."""
-        if self.task is None and self.transport is not None:
+        if not self.handling and self.transport is not None:
             self._close()
 
     def _reject(self, status: int, limit: str = "") -> None:
-        """End the connection with an error."""
+        """End the connection with an error, after the requests before it."""
         self._stop_timer()
         if self.closing:
             return
         if limit:
             self.server.on_limit(limit)
-        if self.task is None:
-            rejection = self.server.answer_rejection(status)
-            self.transport.write(format_response(rejection, keep_alive=False))
+        if self.handling or self.backlog:
+            self.rejection = status
+            return
+        rejection = self.server.answer_rejection(status)
+        self.transport.write(format_response(rejection, keep_alive=False))
         self._close()
 
     def _close(self) -> None:
         """Close the connection once the client has read its responses."""
         self.transport.close()
+        if self.transport.get_write_buffer_size():
+            self._start_timer(self.server.limits.idle_timeout_s, self.transport.abort)
 
     def _close_idle(self) -> None:
-        self._close()
+        if self.transport.get_write_buffer_size():
+            self.server.on_limit("idle_timeout_s")
+            self.transport.abort()
+        else:
+            self._close()
 
     def _time_out(self) -> None:
-        """Reject a request that isn't complete."""
-        self._reject(408, "header_timeout_s")
+        """Reject a request that isn't complete, unless its reading was paused."""
+        if self.handling:
+            self._start_timer(self.server.limits.header_timeout_s, self._time_out)
+        else:
+            self._reject(408, "header_timeout_s")
 
     def _drop_unhandled(self) -> None:
         """Drop all but the request in progress; the connection reads no others."""
@@ -374,10 +403,12 @@
         self._update_reading()
 
     def _update_reading(self) -> None:
-        """Read, unless the connection waits for its turn."""
+        """Read, unless the connection has requests to handle or waits for its turn."""
         if self.closing:
             return
-        if self.waits_for_turn:
+        busy = self.handling and (self.backlog or self.receiving)
+        paused = busy or self.rejection or self.waits_for_turn or not self.writable
+        if paused:
             self.transport.pause_reading()
         elif not self.transport.is_reading():
             self.transport.resume_reading()
