Keep all that clients make the process hold within one budget

Callers saw: a process that ended for lack of memory beside many requests that were each within the limits, or that had no descriptors left for new connections.

Cause: every limit was one of a connection. 450 bodies of 262 KB are 118 MB; connections were accepted until descriptors ran out, requests handled however many there were.

Ruled out: closing the newest, which are the ordinary ones beside a crowd that stalls; the largest, as an ordinary large body is done within milliseconds.

Change: ClientBudget adds up what each connection of the front, readiness and metrics ports holds: itself, the part of a request received, requests that wait, the one in progress at eight times its body, responses not read. The limits follow from memoryMb and maxFds of the settings file, by default those of the smallest machines: a quarter of the memory, 0.4 of the descriptors for sockets, a quarter of them for requests handled at once. Beyond the first two, holdings are shed by bytes times seconds until an eighth is free; a request in progress is never shed, one that is unfinished gets 503 with Retry-After, as it hasn't run. Beyond the third, a request is refused at once. What the kernel holds unread of a connection is limited to 16 KiB.

It works because the sum is what a machine has, whatever the clients send, and a client that ends its requests holds little for long.

--- a/poplarlb/event_log.py
+++ b/poplarlb/event_log.py
@@ -63,7 +63,7 @@
     )
 )
 # Events of clients that exceed a limit, of which there can be any number.
-CLIENT_EVENTS = frozenset(("client_limit_exceeded",))
+CLIENT_EVENTS = frozenset(("client_limit_exceeded", "clients_shed"))
 
 
 @define
--- a/poplarlb/job_metrics.py
+++ b/poplarlb/job_metrics.py
@@ -112,8 +112,8 @@
                 self.run_ends.labels(fields["how"]).inc()
             case "start_failed":
                 self.failed_starts.labels(fields["outcome"]).inc()
-            case "client_limit_exceeded":
-                self.client_limits.labels(fields["limit"]).inc()
+            case "client_limit_exceeded" | "clients_shed":
+                self.client_limits.labels(fields["limit"]).inc(fields.get("count", 1))
             case "run_stopped":
                 reason = fields["reason"].partition(" at ")[0]
                 self.stopped_runs.labels(self.reasons.label_for(reason)).inc()
--- a/poplarlb/platform/daemon.py
+++ b/poplarlb/platform/daemon.py
@@ -29,6 +29,11 @@
 from poplarlb.platform.store import PlatformStore
 from poplarlb.platform.workers import PlatformWorkers
 from poplarlb.state.jobs import ConfigStamp
+from poplarlb.transport.client_budget import (
+    ClientBudget,
+    ClientHolding,
+    ClientLimits,
+)
 from poplarlb.transport.clock import boottime_ms, utc_ms
 from poplarlb.transport.committer import Committer
 from poplarlb.transport.http_client import HttpClient
@@ -81,6 +86,7 @@
     job_api: JobApi = None
     job_api_server: HttpServer = None
     servers: list[HttpServer] = field(factory=list)  # includes job_api_server
+    client_budget: ClientBudget = None  # of all servers
     advice: PlatformAdvice = None
     ownership: OwnershipLoop = None
     stopped: asyncio.Event = field(factory=asyncio.Event)
@@ -89,6 +95,10 @@
     def __attrs_post_init__(self) -> None:
         """Create the store, the operator's view, the job API and the ownership loop."""
         settings = self.settings
+        self.client_budget = ClientBudget(
+            ClientLimits.for_machine(settings.memory_mb, settings.descriptors),
+            self._log_shed_clients,
+        )
         self.store = PlatformStore(
             self.client,
             settings.store_address,
@@ -151,6 +161,7 @@
     async def _serve(self, handler: Handler, address: str) -> HttpServer:
         server = HttpServer(
             handler,
+            budget=self.client_budget,
             kept_headers=KEPT_HEADERS,
             on_limit=lambda limit: self.log.write("client_limit_exceeded", limit=limit),
         )
@@ -158,6 +169,19 @@
         self.servers.append(server)
         return server
 
+    def _log_shed_clients(self, limit: str, shed: list[ClientHolding]) -> None:
+        budget, now_s = self.client_budget, asyncio.get_running_loop().time()
+        self.log.write(
+            "clients_shed",
+            limit=limit,
+            count=len(shed),
+            freed_bytes=sum(item.droppable_bytes for item in shed),
+            longest_s=round(now_s - min(item.since_s for item in shed), 3),
+            used_bytes=budget.used_bytes,
+            connections=len(budget.holdings),
+            requests=budget.handled,
+        )
+
     # --- owner ------------------------------------------------------------------------
 
     async def _load_owner(self, committer: Committer) -> JobOwner:
@@ -249,6 +273,12 @@
         )
         add("store_calls", "Calls to the store.", lambda: self.store.calls)
         add("store_failures", "Failed calls to it.", lambda: self.store.failures)
+        budget = self.client_budget
+        add(
+            "client_connections", "Open connections of clients.",
+            lambda: len(budget.holdings),
+        )  # fmt: skip
+        add("client_bytes", "Held for clients.", lambda: budget.used_bytes)
         add("connects", "Connections opened.", lambda: self.client.connects)
 
     def owns_jobs(self) -> bool:
--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -73,10 +73,17 @@
 
         Its limits are the configuration's, so an outdated one rejects nothing.
 
-        :param status: that of the limit it exceeds, or 400 if it isn't HTTP.
+        :param status: that of the limit it exceeds, 400 if it isn't HTTP, or 503 if
+            there is no room for it.
         """
         stamp = self.stamp_config()
-        response = HttpResponse(status) if stamp.is_current else refuse_outdated()
+        if not stamp.is_current:
+            response = refuse_outdated()
+        elif status == 503:
+            error = encode_error("the daemon has no room for this request")
+            response = HttpResponse(503, error, RETRY_AFTER_S)
+        else:
+            response = HttpResponse(status)
         self._log_refusal(response, stamp, "", "", 0.0)
         return response
 
--- a/poplarlb/platform/settings.py
+++ b/poplarlb/platform/settings.py
@@ -13,6 +13,8 @@
 DEFAULT_PATH = "/etc/poplarlb/local.json"
 MIN_CONFIG_MS = 500  # the operator's entries are listed three times within it
 DEFAULT_VALUE_BYTES = 1 << 20
+DEFAULT_MEMORY_MB = 160  # of the smallest machines
+DEFAULT_DESCRIPTORS = 4_096
 MAX_NUMBER = 2**53  # larger whole numbers are not exact in JSON
 METRICS_PORT_VARIABLE = "POPLARLB_METRICS_PORT"
 
@@ -69,6 +71,8 @@
     bounds: Bounds = Bounds()
     zones: tuple[str, ...] = ()  # the deployment's availability zones
     value_bytes: int = DEFAULT_VALUE_BYTES  # the largest value that the store takes
+    memory_mb: int = DEFAULT_MEMORY_MB  # that this process may use
+    descriptors: int = DEFAULT_DESCRIPTORS  # that it may have open, also for files
 
 
 @frozen
@@ -104,6 +108,8 @@
     "drain_ms": FieldSpec(("bounds", "drainMs"), NUMBER, False),
     "far_factor": FieldSpec(("bounds", "farX"), NUMBER, False),
     "zones": FieldSpec(("zones",), dict, False),  # with the region of each
+    "memory_mb": FieldSpec(("limits", "memoryMb"), NUMBER, False),
+    "descriptors": FieldSpec(("limits", "maxFds"), NUMBER, False),
     "value_bytes": FieldSpec(("platform", "valueBytes"), NUMBER, False),
 }
 
@@ -197,6 +203,8 @@
         bounds,
         tuple(values["zones"] or ()),
         int(values["value_bytes"] or DEFAULT_VALUE_BYTES),
+        int(values["memory_mb"] or DEFAULT_MEMORY_MB),
+        int(values["descriptors"] or DEFAULT_DESCRIPTORS),
     )
 
 
--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -6,12 +6,14 @@
 """
 
 import asyncio
+import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
 from attrs import Factory, define, frozen
 
+from poplarlb.transport.client_budget import ClientBudget, ClientHolding
 from poplarlb.transport.read_turns import ReadTurns
 
 READ_BYTES = 16_384  # read from one connection at once
@@ -19,6 +21,11 @@
 # The longest a parser may go on without returning anything, as a multiple of a head's
 # limit: each header of one character takes four bytes, and only one counts.
 UNPARSED_FACTOR = 4
+# What the process holds, in bytes:
+CONNECTION_BYTES = 8_000  # for a connection, its parser and its timer
+HEADER_BYTES = 250  # for a header, besides its text
+REQUEST_BYTES = 1_000  # for a request, besides its text
+HANDLED_FACTOR = 8  # of a body that is decoded, stored and sent on
 FRAMING_HEADERS = frozenset({"content-length", "expect"})
 
 PHRASES = {
@@ -79,15 +86,17 @@
 class HttpServer:
     """Serves one address with ``handler``, which returns the response to a request.
 
-    ``answer_rejection`` returns the response to a request that is malformed or exceeds
-    a limit, from the status that this has by itself. ``kept_headers`` names the
-    headers, in lower case, that requests keep; ``None`` for all. ``on_limit`` is
-    called with the name of a limit that a request exceeds.
+    ``answer_rejection`` returns the response to a request that is malformed, exceeds
+    a limit or finds no room, from the status that this has by itself. ``budget`` may
+    be shared with other servers. ``kept_headers`` names the headers, in lower case,
+    that requests keep; ``None`` for all. ``on_limit`` is called with the name of a
+    limit that a request exceeds.
     """
 
     handler: Handler
     limits: HttpLimits = Factory(HttpLimits)
     answer_rejection: Callable[[int], HttpResponse] = HttpResponse
+    budget: ClientBudget = Factory(ClientBudget)
     kept_headers: frozenset[str] | None = None
     on_limit: Callable[[str], None] = lambda limit: None
     draining: bool = False
@@ -104,8 +113,11 @@
             lambda: ServerConnection(self),
             host,
             int(port),
-            backlog=512,
+            backlog=self.budget.limits.accepts,
         )
+        # What the kernel holds for a connection that isn't read has the same limit.
+        for listening in self.listener.sockets:
+            listening.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, READ_BYTES)
 
     @property
     def active_requests(self) -> int:
@@ -128,15 +140,22 @@
 class ReceivedMessage:
     """The part of a request that has been received.
 
-    ``header_size`` is that of the target and all headers as text.
+    ``header_size`` is that of the target and all headers as text, ``kept_bytes`` what
+    the kept ones take.
     """
 
     url: bytes = b""
     headers: dict[str, str] = Factory(dict)
     header_size: int = 0
+    kept_bytes: int = 0
     body: bytearray = Factory(bytearray)
     headers_complete: bool = False
 
+    @property
+    def held_bytes(self) -> int:
+        """What the message takes; a growing body has an eighth in reserve."""
+        return self.kept_bytes + len(self.url) + len(self.body) * 9 // 8
+
 
 class ServerConnection(asyncio.BufferedProtocol):
     """A client's connection; requests are handled in order, one at a time.
@@ -156,10 +175,13 @@
         self.transport = None
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
+        self.holding: ClientHolding | None = None
         self.message = ReceivedMessage()
         self.receiving = False
         self.backlog: deque[tuple[HttpRequest, bool]] = deque()
+        self.backlog_bytes = 0
         self.handling = False
+        self.handled_bytes = 0
         self.rejection = 0
         self.writable = True
         self.waits_for_turn = False
@@ -171,10 +193,12 @@
     # --- asyncio ----------------------------------------------------------------------
 
     def connection_made(self, transport) -> None:
-        """Start the idle timeout until the first request."""
+        """Count the connection and start the idle timeout until the first request."""
         self.transport = transport
         self.server.connections.add(self)
         self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+        self.holding = ClientHolding(self.shed, now_s(), CONNECTION_BYTES)
+        self.server.budget.add(self.holding, now_s())
 
     def connection_lost(self, error) -> None:
         """Unregister the connection; a running handler completes."""
@@ -182,6 +206,13 @@
         self._stop_timer()
         self._drop_unhandled()
         self.server.connections.discard(self)
+        if self.holding is None:
+            return
+        if self.handling:
+            budget = self.server.budget
+            budget.resize(self.holding, 0, self.holding.handled_bytes)
+        else:
+            self._remove_holding()
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer that all connections share, as data is parsed at once."""
@@ -200,6 +231,8 @@
         if self.closing:
             return
         self._count_unparsed(count)
+        self._update_holding()
+        self.server.budget.enforce(now_s())
         if self.steps > MAX_READ_STEPS:
             self.waits_for_turn = True
             self.server.turns.wait(self._take_turn)
@@ -220,6 +253,7 @@
         """Start the timeout for the whole request."""
         self.message = ReceivedMessage()
         self.receiving = True
+        self.holding.since_s = now_s()
         self._start_timer(self.server.limits.header_timeout_s, self._time_out)
 
     def on_url(self, url: bytes) -> None:
@@ -237,6 +271,7 @@
         key = name.decode("latin-1").lower()
         if kept is None or key in kept or key in FRAMING_HEADERS:
             message.headers[key] = value.decode("latin-1")
+            message.kept_bytes += HEADER_BYTES + len(name) + len(value)
 
     def on_headers_complete(self) -> None:
         """Reject a body whose declared length is too large before it arrives."""
@@ -278,6 +313,7 @@
             bytes(message.body),
         )
         self.backlog.append((request, self.parser.should_keep_alive()))
+        self.backlog_bytes += REQUEST_BYTES + message.held_bytes
         self._continue()
 
     # --- responses --------------------------------------------------------------------
@@ -286,16 +322,32 @@
         """Handle waiting requests until one is in progress."""
         while self.backlog and self.writable and not self.handling and not self.closing:
             request, keep_alive = self.backlog.popleft()
+            self.backlog_bytes -= min(self.backlog_bytes, REQUEST_BYTES)
+            if not self.backlog:
+                self.backlog_bytes = 0
             self._handle(request, keep_alive)
 
     def _handle(self, request: HttpRequest, keep_alive: bool) -> None:
+        budget = self.server.budget
         self.handling = True
+        self.handled_bytes = REQUEST_BYTES + HANDLED_FACTOR * len(request.body)
+        self._update_holding()
+        budget.enforce(now_s())
+        exceeded = budget.find_exceeded()
+        if exceeded:
+            self.server.on_limit(exceeded)
+            self._respond(self.server.answer_rejection(503), keep_alive)
+            return
+        budget.handled += 1
         self.task = asyncio.ensure_future(self.server.handler(request))
         self.task.add_done_callback(lambda task: self._finish(task, keep_alive))
 
     def _finish(self, task: asyncio.Task, keep_alive: bool) -> None:
         """Send the response of a handler and go on with the next request."""
         self.task = None
+        self.server.budget.handled -= 1
+        if self.transport is None:
+            self._remove_holding()
         if task.cancelled() or self.transport is None:
             return
         error = task.exception()
@@ -309,10 +361,13 @@
 
     def _respond(self, response: HttpResponse, keep_alive: bool) -> None:
         self.handling = False
+        self.handled_bytes = 0
+        self.holding.since_s = now_s()
         keep_alive = keep_alive and not self.server.draining
         self.transport.write(format_response(response, keep_alive))
         if not keep_alive:
             self._close()
+        self._update_holding()
 
     def _continue(self) -> None:
         """Go on after a response was sent or has been read."""
@@ -324,6 +379,7 @@
             return
         if not self.handling and not self.receiving:
             self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+        self._update_holding()
         self._update_reading()
 
     # --- the end of a connection ------------------------------------------------------
@@ -338,6 +394,27 @@
         if not self.handling and self.transport is not None:
             self._close()
 
+    def shed(self) -> None:
+        """Release what the connection holds but for the request in progress."""
+        if self.transport is None:
+            return
+        if self.handling:
+            self._drop_unhandled()
+            self._reject(503)
+            self._update_holding()
+            self._update_reading()
+            return
+        self._remove_holding()
+        if self.receiving and not self.transport.get_write_buffer_size():
+            self._drop_unhandled()
+            self._reject(503)
+        else:
+            self.transport.abort()
+
+    def _remove_holding(self) -> None:
+        self.server.budget.remove(self.holding)
+        self.holding = None
+
     def _reject(self, status: int, limit: str = "") -> None:
         """End the connection with an error, after the requests before it."""
         self._stop_timer()
@@ -375,6 +452,7 @@
     def _drop_unhandled(self) -> None:
         """Drop all but the request in progress; the connection reads no others."""
         self.backlog.clear()
+        self.backlog_bytes = 0
         self.message = ReceivedMessage()
         self.receiving = False
         self.unparsed_bytes = 0
@@ -398,6 +476,22 @@
             is_head = self.receiving and not self.message.headers_complete
             self._reject(431 if is_head else 400, "unparsed_bytes")
 
+    def _update_holding(self) -> None:
+        """Count what the connection holds now, unless it is lost or shed."""
+        if self.holding is None:
+            return
+        held_bytes = (
+            self.message.held_bytes
+            + self.backlog_bytes
+            + self.unparsed_bytes
+            + self.transport.get_write_buffer_size()
+        )
+        if self.handling:
+            handled_bytes = CONNECTION_BYTES + self.handled_bytes
+            self.server.budget.resize(self.holding, held_bytes, handled_bytes)
+        else:
+            self.server.budget.resize(self.holding, CONNECTION_BYTES + held_bytes, 0)
+
     def _take_turn(self) -> None:
         self.waits_for_turn = False
         self._update_reading()
@@ -423,6 +517,11 @@
             self.timer = None
 
 
+def now_s() -> float:
+    """Return the time on the event loop's clock."""
+    return asyncio.get_running_loop().time()
+
+
 def format_response(response: HttpResponse, keep_alive: bool) -> bytes:
     """Return the encoded response."""
     lines = [
--- a/tests/platform/test_job_api.py
+++ b/tests/platform/test_job_api.py
@@ -1,13 +1,17 @@
 """Tests of what callers write into the headers of their requests."""
 
 import unittest
+import unittest.mock
 
+from poplarlb.event_log import EventLog
 from poplarlb.platform.job_api import (
     DEADLINE_HEADER,
     DEFAULT_TIMEOUT_S,
     MAX_TIMEOUT_S,
+    JobApi,
     caller_timeout_s,
 )
+from poplarlb.state.jobs import ConfigStamp, OperatorConfig
 from poplarlb.transport.http_server import HttpRequest
 
 
@@ -34,5 +38,26 @@
             self.assertEqual(self.read(text), DEFAULT_TIMEOUT_S)
 
 
+class RefusalTest(unittest.TestCase):
+    """Answers that need neither the store nor an owner, and their log lines."""
+
+    def setUp(self) -> None:
+        """Create an API without queues."""
+        self.log = EventLog("d0", lambda: (0, 0))
+        self.api = JobApi(
+            unittest.mock.Mock(),
+            self.log,
+            unittest.mock.AsyncMock(),
+            lambda: ConfigStamp(3, 7, 50, True),
+            OperatorConfig(3),
+        )
+
+    def test_no_room(self) -> None:
+        """A request without room has not run, and may be sent again."""
+        response = self.api.reject(503)
+        self.assertEqual((response.status, response.retry_after_s), (503, 1))
+        self.assertEqual(self.api.reject(431).retry_after_s, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -7,7 +7,7 @@
 
 from poplarlb.exceptions import SettingsError
 from poplarlb.platform.daemon import build_policy, operator_watch
-from poplarlb.platform.settings import load_settings
+from poplarlb.platform.settings import DEFAULT_MEMORY_MB, load_settings
 
 VALID = {
     "node": "edge-1",
@@ -39,6 +39,13 @@
         self.assertEqual(settings.bounds.lease_limit_ms, 6_000)
         self.assertEqual(settings.advice_address, "")
 
+    def test_limits_of_the_machine(self) -> None:
+        """They are those of the smallest machine if the file names none."""
+        self.assertEqual(self.load(VALID).memory_mb, DEFAULT_MEMORY_MB)
+        limits = {"memoryMb": 552, "maxFds": 8_192}
+        settings = self.load({**VALID, "limits": limits})
+        self.assertEqual((settings.memory_mb, settings.descriptors), (552, 8_192))
+
     def test_policy_stays_within_the_bounds(self) -> None:
         """Leases are no longer than the limit of the workers."""
         bounds = {**VALID["bounds"], "holdMaxMs": 3_000}
--- a/tests/test_event_log.py
+++ b/tests/test_event_log.py
@@ -74,6 +74,20 @@
         self.assertLess((written - 2 * BURST_LINES) / 300, 20)
 
     # Guards against a line as long as a text in another writer's entry, its zone say.
+    def test_clients_over_a_limit_have_their_own_budget(self) -> None:
+        """Any number of them hides no failure, and each one is counted."""
+        for _ in range(BURST_LINES + 10):
+            self.log.write("client_limit_exceeded", limit="body_bytes")
+        self.log.write("clients_shed", limit="memory_bytes", count=3)
+        self.log.write("start_failed", outcome="late")
+        events = [line["event"] for line in self.read()]
+        self.assertEqual(events.count("client_limit_exceeded"), BURST_LINES)
+        self.assertIn("start_failed", events)
+        text = self.log.metrics.text().decode()
+        for limit, count in (("body_bytes", BURST_LINES + 10), ("memory_bytes", 3)):
+            line = f'poplarlb_client_limits_total{{limit="{limit}"}} {count}.0'
+            self.assertIn(line, text)
+
     def test_line_is_bounded(self) -> None:
         """Of fields that are too long the line has the beginning."""
         self.log.write("worker_listed", worker="w0", zone="é" * 500_000)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 
+from poplarlb.transport.client_budget import ClientBudget, ClientLimits
 from poplarlb.transport.http_server import (
     READ_BYTES,
     UNPARSED_FACTOR,
@@ -62,6 +63,7 @@
 class LimitTestCase(unittest.IsolatedAsyncioTestCase):
     """A server whose handler answers when it is told to."""
 
+    limits = ClientLimits()
     timeouts = HttpLimits(header_timeout_s=30, idle_timeout_s=30)
 
     async def asyncSetUp(self) -> None:
@@ -71,9 +73,12 @@
         self.answerable.set()
         self.answer_bytes = 0
         self.exceeded: list[str] = []
+        self.shed: list[str] = []
+        self.budget = ClientBudget(self.limits, self.record_shed)
         self.server = HttpServer(
             self.answer,
             limits=self.timeouts,
+            budget=self.budget,
             kept_headers=frozenset({"host"}),
             on_limit=self.exceeded.append,
         )
@@ -82,12 +87,18 @@
         self.writers: list[asyncio.StreamWriter] = []
 
     async def asyncTearDown(self) -> None:
-        """Stop it."""
+        """Stop it; nothing is held for clients that have left."""
         self.answerable.set()
         for writer in self.writers:
             writer.close()
+        await self.wait_until(lambda: not self.budget.holdings)
+        self.assertEqual((self.budget.used_bytes, self.budget.handled), (0, 0))
         self.server.close()
 
+    def record_shed(self, limit: str, shed: list) -> None:
+        """Record which limit was exceeded, for each connection that is shed."""
+        self.shed += [limit] * len(shed)
+
     async def answer(self, request: HttpRequest) -> HttpResponse:
         """Answer when that is allowed."""
         self.requests.append(request)
@@ -130,7 +141,7 @@
             self.assertEqual(await self.status(await self.connect(data)), 200)
         self.assertEqual(self.requests[0].headers, {"host": "h"})
         self.assertEqual(len(self.requests[2].body), self.timeouts.body_bytes)
-        self.assertEqual(self.exceeded, [])
+        self.assertEqual((self.exceeded, self.shed), ([], []))
 
     # Guards against what the parser keeps until a header ends, which wasn't counted.
     async def test_message_without_end(self) -> None:
@@ -189,6 +200,7 @@
     """Clients that don't read their responses."""
 
     timeouts = HttpLimits(header_timeout_s=30, idle_timeout_s=0.5)
+    limits = ClientLimits(memory_bytes=3_000_000)
 
     # Guards against responses that pile up, as nothing limited how long they stay.
     async def test_unread_responses_end_the_connection(self) -> None:
@@ -201,5 +213,63 @@
         self.assertEqual(len(self.requests), 1)
 
 
+class BudgetTest(LimitTestCase):
+    """All connections together."""
+
+    limits = ClientLimits(memory_bytes=1_000_000, connections=8, requests=3)
+
+    # Guards against bodies that each are within the limits and together are not.
+    async def test_oldest_unfinished_bodies_are_shed(self) -> None:
+        """Clients that complete their request are served meanwhile."""
+        size = self.timeouts.body_bytes
+        stalled = CHUNKED + b"%x\r\n" % size + b"z" * (size - 1)
+        readers = []
+        for number in range(7):
+            readers.append(await self.connect(stalled))
+            await self.wait_until(
+                lambda number=number: self.budget.used_bytes > min(number, 2) * size
+            )
+            await asyncio.sleep(0.05)
+        self.assertLessEqual(self.budget.used_bytes, self.limits.memory_bytes)
+        self.assertIn("memory_bytes", self.shed)
+        self.assertIn(await self.status(readers[0]), (503, 0))
+        ordinary = HEAD + b"Content-Length: 4\r\n\r\nbody"
+        self.assertEqual(await self.status(await self.connect(ordinary)), 200)
+
+    async def test_new_connections_replace_idle_ones(self) -> None:
+        """The one that has been idle longest is closed."""
+        readers = [await self.connect() for _ in range(9)]
+        await self.wait_until(lambda: self.shed)
+        self.assertEqual(await self.status(readers[0]), 0)
+        ordinary = HEAD + b"Content-Length: 0\r\n\r\n"
+        self.assertEqual(await self.status(await self.connect(ordinary)), 200)
+
+    async def test_requests_beyond_the_limit_are_refused_at_once(self) -> None:
+        """They have not run, and their connections stay open."""
+        self.answerable.clear()
+        ordinary = HEAD + b"Content-Length: 0\r\n\r\n"
+        for number in range(3):
+            await self.connect(ordinary)
+            await self.wait_until(lambda number=number: len(self.requests) > number)
+        refused = await self.connect(ordinary)
+        self.assertEqual(await self.status(refused), 503)
+        self.assertEqual(len(self.requests), 3)
+        self.assertEqual(self.exceeded, ["requests"])
+        self.answerable.set()
+        await self.wait_until(lambda: not self.budget.handled)
+        self.writers[-1].write(ordinary)
+        self.assertEqual(await self.status(refused), 200)
+
+    async def test_client_that_leaves(self) -> None:
+        """Its request in progress counts until it ends."""
+        self.answerable.clear()
+        await self.connect(HEAD + b"Content-Length: 4\r\n\r\nbody")
+        await self.wait_until(lambda: self.requests)
+        self.writers[-1].transport.abort()
+        await self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(self.budget.handled, 1)
+        self.assertGreater(self.budget.used_bytes, 0)
+
+
 if __name__ == "__main__":
     unittest.main()
