Cut the texts of callers in log lines

Callers saw: nothing yet; found by looking for what stays after an answer.

Cause: queue_unknown and request_refused held the whole path and host of a request, up to 16 KB, and up to 2,000 lines wait while nobody reads the output: some 30 MB.

Change: both are cut to 200 characters. test_texts_of_callers_are_cut fails without it.

--- a/poplarlb/platform/job_api.py
+++ b/poplarlb/platform/job_api.py
@@ -24,6 +24,7 @@
 DEFAULT_TIMEOUT_S = 3.0  # callers without a deadline header wait this long
 MAX_TIMEOUT_S = 60.0
 ERROR_STATUSES = frozenset((400, 405, 503, 504))  # logged; 404 and 410 are regular
+MAX_SHOWN = 200  # characters of a caller's text in a log line
 RETRY_AFTER_S = 1  # the end of an outage is detected within half a second
 
 
@@ -62,8 +63,8 @@
             self.log.write(
                 "queue_unknown",
                 method=request.method,
-                path=request.path,
-                host=request.headers.get("host", ""),
+                path=request.path[:MAX_SHOWN],
+                host=request.headers.get("host", "")[:MAX_SHOWN],
                 **stamp.log_fields(),
             )
         return response
@@ -98,7 +99,7 @@
         self.log.write(
             "request_refused",
             method=method,
-            path=path,
+            path=path[:MAX_SHOWN],
             status=response.status,
             held_ms=int(took_s * 1000),
             error=response.body.decode("utf-8", "replace"),
--- a/tests/platform/test_job_api.py
+++ b/tests/platform/test_job_api.py
@@ -3,10 +3,13 @@
 import unittest
 import unittest.mock
 
+import orjson
+
 from poplarlb.event_log import EventLog
 from poplarlb.platform.job_api import (
     DEADLINE_HEADER,
     DEFAULT_TIMEOUT_S,
+    MAX_SHOWN,
     MAX_TIMEOUT_S,
     JobApi,
     caller_timeout_s,
@@ -38,7 +41,7 @@
             self.assertEqual(self.read(text), DEFAULT_TIMEOUT_S)
 
 
-class RefusalTest(unittest.TestCase):
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
     """Answers that need neither the store nor an owner, and their log lines."""
 
     def setUp(self) -> None:
@@ -58,6 +61,15 @@
         self.assertEqual((response.status, response.retry_after_s), (503, 1))
         self.assertEqual(self.api.reject(431).retry_after_s, 0)
 
+    # Guards against lines with texts of callers, thousands of which may be buffered.
+    async def test_texts_of_callers_are_cut(self) -> None:
+        """The line has the beginning of a long path and a long host."""
+        request = HttpRequest("GET", "/" + "p" * 9_000, {"host": "h" * 9_000})
+        self.assertEqual((await self.api.handle(request)).status, 404)
+        line = orjson.loads(self.log.lines[0])
+        self.assertEqual(line["event"], "queue_unknown")
+        self.assertEqual((len(line["path"]), len(line["host"])), (MAX_SHOWN, MAX_SHOWN))
+
 
 if __name__ == "__main__":
     unittest.main()
