Read the chunks of a body to poplarlbd in parts

Callers saw: 503 beside clients with large chunked bodies; with more threads than descriptors it would have been memory.

Cause: cheroot reads a whole chunk at once, up to the limit of a body (8 MB) on each of the threads, and lines with the size of a chunk or a trailer without a limit.

Change: ChunkedBodyReader reads at most 64 KiB at once, whatever a chunk's size, and lines of at most 4 KiB; what is received counts towards the limit as before.

Very small chunks go on failing: they hold the threads.

--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -10,6 +10,8 @@
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
+from poplarlb.transport.chunked_bodies import ChunkedBodyReader
+
 HEADERS_LIMIT = 100  # in one request
 HEADER_TIMEOUT_S = 10.0  # to read the request line and all headers
 BODY_TIMEOUT_S = 35.0  # to read the body, from the end of the headers
@@ -108,6 +110,19 @@
             return False
         return True
 
+    def respond(self):
+        """Pass the request on; the parts of a chunked body have a bounded size."""
+        if not self.chunked_read:
+            super().respond()
+            return
+        limit_bytes = self.server.max_request_body_size
+        self.rfile = ChunkedBodyReader(self.conn.rfile, limit_bytes)
+        self.server.gateway(self).respond()
+        if self.ready:
+            self.ensure_headers_sent()
+        if self.chunked_write:
+            self.conn.wfile.write(b"0\r\n\r\n")
+
 
 class StrictConnection(HTTPConnection):
     """A connection whose requests are a ``StrictRequest``."""
