Limit how many connections wait for poplarlbd's threads, and for how long

Callers saw: no answer for over a minute, or 503, beside clients that stop short of the end of a head or a body; none at all once the descriptors were used up.

Cause: a connection takes a thread as soon as it is accepted, 10 s for its head and 35 s for its body, so 32 silent clients hold all threads; those behind them wait in a queue without a limit, each with its descriptor and two buffers. The operators' address had neither the strict headers nor the time limits of the callers'.

Ruled out: refusing the newest connection when the queue is full, as it is as likely to be an ordinary one as those that a crowd filled the queue with.

Change: while connections wait for a thread, those that have been read for over a second are ended, the longest first. api.connections (1,000, at most half of the process's descriptors) limits those that wait, and the one that has waited longest makes room; 50 for the operators' address, which has the same server now.

It works because a stalled client costs at most a second of a thread that others want.

--- a/poplarlb/metrics.py
+++ b/poplarlb/metrics.py
@@ -107,6 +107,9 @@
         self.config_changes = self._counter(
             "config_changes", "Operators' changes through this daemon.", ("result",)
         )
+        self.shed_connections = self._counter(
+            "shed_connections", "Connections closed for others, by limit.", ("limit",)
+        )
         self.view_age = self._gauge(
             "view_age_seconds", "Time since the configuration was confirmed."
         )
@@ -206,6 +209,10 @@
         """Count refused peer messages."""
         self.rejected_messages.labels(self.results.label_for(reason)).inc(count)
 
+    def count_shed(self, limit: str, count: int) -> None:
+        """Count connections that were closed because a limit was exceeded."""
+        self.shed_connections.labels(self.results.label_for(limit)).inc(count)
+
     def count_failed_event(self, kind: str) -> None:
         """Count an event whose handling raised an error."""
         self.failed_events.labels(self.actions.label_for(kind)).inc()
--- a/poplarlb/settings.py
+++ b/poplarlb/settings.py
@@ -208,13 +208,17 @@
 
     If ``operator_listen`` is empty, operators are served on ``listen``.
     ``requests_per_s`` limits the calls for jobs, and separately the requests to
-    services.
+    services. ``connections`` limits the callers' connections that wait for one of the
+    ``threads``, and is at most half of the process's descriptors; the one that has
+    waited longest is closed for a new one. While connections wait, those that a thread
+    has been reading for over a second are closed, the longest first.
     """
 
     listen: str = field(default="127.0.0.1:0", validator=check_address)
     operator_listen: str = field(default="", validator=check_optional_address)
     operator_secret: str = field(default="", repr=False)
     threads: int = field(default=32, validator=Between(1, 512))
+    connections: int = field(default=1_000, validator=Between(1, 100_000))
     header_limit_bytes: int = field(default=65_536, validator=Between(1_024, 1 << 20))
     requests_per_s: float = field(default=2_000, validator=Between(1, 1_000_000))
     tls_certificate: str = ""
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -13,8 +13,12 @@
 from poplarlb.transport import service_calls, tls
 from poplarlb.transport.gateway import ServiceGateway
 from poplarlb.transport.jobs import JobRoutes
-from poplarlb.transport.limits import make_server
-from poplarlb.transport.operators import OperatorRoutes, RateLimit, error_body
+from poplarlb.transport.limits import BoundedServer, ServerLimits, limit_connections
+from poplarlb.transport.operators import (
+    OperatorRoutes,
+    RateLimit,
+    error_body,
+)
 from poplarlb.transport.runtime import Runtime, now_ms
 
 
@@ -103,12 +107,20 @@
                 "request.show_tracebacks": False,
             }
         )
+        self.handler = CallerHandler(runtime)
         application = join_applications(
-            ServiceGateway(runtime), cherrypy.Application(CallerHandler(runtime), "")
+            ServiceGateway(runtime),
+            cherrypy.Application(self.handler, ""),
+        )
+        limits = ServerLimits(
+            settings.threads,
+            settings.header_limit_bytes,
+            runtime.settings.requests.body_limit_bytes,
+            limit_connections(settings.connections),
+        )
+        self.server = BoundedServer(
+            (host, int(port)), application, limits, runtime.metrics
         )
-        self.server = make_server((host, int(port)), application, settings.threads)
-        self.server.max_request_header_size = settings.header_limit_bytes
-        self.server.max_request_body_size = runtime.settings.requests.body_limit_bytes
         self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
         self.adapter = ServerAdapter(cherrypy.engine, self.server)
--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -1,21 +1,29 @@
-"""Limits of the callers' HTTP server: strict headers and limited time to read."""
+"""Limits of the HTTP servers on cheroot: strict headers, and limited time and room."""
 
+import queue
 import re
+import resource
 import socket
 import threading
 import time
+from collections.abc import Callable
 
-from attrs import Factory, define
+from attrs import Factory, define, frozen
 from cheroot.server import HeaderReader, HTTPConnection, HTTPRequest
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
+from poplarlb.metrics import Metrics
 from poplarlb.transport.chunked_bodies import ChunkedBodyReader
+from poplarlb.transport.error_reports import ErrorReporter
 
 HEADERS_LIMIT = 100  # in one request
 HEADER_TIMEOUT_S = 10.0  # to read the request line and all headers
 BODY_TIMEOUT_S = 35.0  # to read the body, from the end of the headers
 SOCKET_TIMEOUT_S = 10.0  # without data from a client
+BUSY_READ_S = 1.0  # for reading while others wait for a thread
+CONNECTIONS_SHARE = 0.5  # of a process's descriptors, for all servers together
+LISTEN_BACKLOG = 128
 WATCH_PERIOD_S = 0.5  # between checks of the sockets' deadlines
 REQUEST_KEY = "poplarlb.request"  # of the request object in the WSGI environment
 
@@ -38,6 +46,28 @@
 )
 
 
+@frozen
+class ServerLimits:
+    """Limits of one server.
+
+    ``header_bytes`` and ``body_bytes`` are for one request. ``connections`` limits
+    those that wait for one of the threads.
+    """
+
+    threads: int
+    header_bytes: int
+    body_bytes: int
+    connections: int
+
+
+def limit_connections(wanted: int) -> int:
+    """Return a limit on connections that the process has the descriptors for."""
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors == resource.RLIM_INFINITY:
+        return wanted
+    return min(wanted, int(descriptors * CONNECTIONS_SHARE))
+
+
 class StrictHeaderReader(HeaderReader):
     """Reads headers and rejects those that two servers could parse differently.
 
@@ -149,6 +179,7 @@
 
     socket: socket.socket
     deadline_s: float
+    since_s: float
 
 
 @define
@@ -156,9 +187,17 @@
     """Shuts down the reading side of sockets that pass their deadline.
 
     A client that sends single bytes slowly never reaches the socket's own timeout.
-    After the shutdown its reader sees the end of the stream.
+    After the shutdown its reader sees the end of the stream. While connections wait
+    for a thread, those that have been read for the longest time, and for more than
+    ``BUSY_READ_S``, are shut down early.
+
+    :ivar count_waiting: returns the number of connections that wait.
+    :ivar on_shed: called with the number of sockets that were shut down early.
     """
 
+    count_waiting: Callable[[], int] = lambda: 0
+    on_shed: Callable[[int], None] = lambda count: None
+
     watched: dict[int, WatchedSocket] = Factory(dict)
     lock: threading.Lock = Factory(threading.Lock)
     stopped: threading.Event = Factory(threading.Event)
@@ -181,8 +220,21 @@
             with self.lock:
                 expired = [i for i, w in self.watched.items() if now_s >= w.deadline_s]
                 sockets = [self.watched.pop(item).socket for item in expired]
+                shed = self.choose_shed(now_s)
+                sockets += [self.watched.pop(item).socket for item in shed]
             for sock in sockets:
                 _shut_down_reading(sock)
+            if shed:
+                self.on_shed(len(shed))
+
+    def choose_shed(self, now_s: float) -> list[int]:
+        """Return the keys of the sockets to shut down for connections that wait."""
+        long_read = [
+            (watched.since_s, key)
+            for key, watched in self.watched.items()
+            if now_s - watched.since_s >= BUSY_READ_S
+        ]
+        return [key for _, key in sorted(long_read)[: self.count_waiting()]]
 
 
 @define
@@ -195,7 +247,8 @@
 
     def __enter__(self) -> "ReadTimeLimit":
         """Register the socket with its deadline."""
-        entry = WatchedSocket(self.socket, time.monotonic() + self.seconds)
+        now_s = time.monotonic()
+        entry = WatchedSocket(self.socket, now_s + self.seconds, now_s)
         with self.watchdog.lock:
             self.watchdog.watched[id(self)] = entry
         return self
@@ -214,16 +267,53 @@
         return
 
 
-def make_server(address: tuple[str, int], application, threads: int) -> Server:
-    """Return a server that applies these limits to a WSGI application."""
-    server = Server(address, application, numthreads=threads, max=threads)
-    server.ConnectionClass = StrictConnection
-    server.gateway = RequestGateway
-    server.timeout = SOCKET_TIMEOUT_S
-    server.shutdown_timeout = BODY_TIMEOUT_S
-    server.watchdog = SocketWatchdog()
-    server.error_log = _log
-    return server
+class BoundedServer(Server):
+    """A server whose connections that wait for a thread are limited in number.
+
+    :param settings: the limits, TLS files and threads of the callers' address.
+    :param metrics: counts the connections that are shed.
+    """
+
+    def __init__(self, address, application, settings: ServerLimits, metrics: Metrics):
+        """Create a server that applies these limits to a WSGI application."""
+        super().__init__(
+            address,
+            application,
+            numthreads=settings.threads,
+            max=settings.threads,
+            request_queue_size=LISTEN_BACKLOG,
+            timeout=SOCKET_TIMEOUT_S,
+            shutdown_timeout=BODY_TIMEOUT_S,
+        )
+        self.ConnectionClass = StrictConnection
+        self.gateway = RequestGateway
+        self.max_request_header_size = settings.header_bytes
+        self.max_request_body_size = settings.body_bytes
+        self.error_log = _log
+        self.connections_limit = settings.connections
+        self.metrics = metrics
+        self.errors = ErrorReporter()
+        self.watchdog = SocketWatchdog(
+            count_waiting=lambda: self.requests.qsize,
+            on_shed=lambda count: self._report_shed("thread", count),
+        )
+
+    def process_conn(self, conn) -> None:
+        """Queue a connection; close the one that has waited longest if it is full."""
+        while self.ready and self.requests.qsize >= self.connections_limit:
+            try:
+                self.requests.get(block=False).close()
+            except queue.Empty:
+                break
+            self._report_shed("connections", 1)
+        super().process_conn(conn)
+
+    def _report_shed(self, limit: str, count: int) -> None:
+        """Count connections that were shed; log it at most once in a period."""
+        self.metrics.count_shed(limit, count)
+        if self.errors.is_due((limit,)):
+            line = logger.bind(limit=limit, waiting=self.requests.qsize, count=count)
+            line.warning("connections are closed for others that wait")
 
 
 def _log(message: str = "", level: int = 20, traceback: bool = False) -> None:
--- a/poplarlb/transport/operators.py
+++ b/poplarlb/transport/operators.py
@@ -12,7 +12,6 @@
 import cattrs
 import cherrypy
 from attrs import Factory, define, frozen
-from cheroot.wsgi import Server
 from loguru import logger
 
 from poplarlb.coordination.membership.sharding import ShardMap
@@ -28,6 +27,7 @@
 from poplarlb.state.models import TaskKey, ZoneState
 from poplarlb.templates import check_team
 from poplarlb.transport import tls, views
+from poplarlb.transport.limits import BoundedServer, ServerLimits, limit_connections
 from poplarlb.transport.runtime import Runtime, now_ms
 
 BODY_LIMIT_BYTES = 1 << 20
@@ -37,8 +37,9 @@
 SUBJECT_LIMIT = 200  # characters
 CALLS_PER_S = 100.0  # of all operators together
 CALLS_BURST = 200.0
-SOCKET_TIMEOUT_S = 10  # without data from a client
 SERVER_THREADS = 8
+CONNECTIONS_LIMIT = 50  # that wait for a thread
+SHUTDOWN_TIMEOUT_S = 5.0
 CHANGE_ID_PATTERN = re.compile(r"[A-Za-z0-9._-]{1,64}")
 OPERATOR_PATTERN = re.compile(r"[A-Za-z0-9._@+-]{1,64}")
 OPERATOR_PATHS = frozenset({"config", "zones", "status", "explain"})
@@ -246,10 +247,16 @@
         handler = OperatorHandler(OperatorRoutes(runtime))
         cherrypy.config.update({"environment": "embedded", "log.screen": False})
         application = cherrypy.Application(handler, "")
-        self.server = Server((host, int(port)), application, SERVER_THREADS)
-        self.server.timeout = SOCKET_TIMEOUT_S
-        self.server.max_request_body_size = SERVER_BODY_LIMIT_BYTES
-        self.server.max_request_header_size = settings.header_limit_bytes
+        limits = ServerLimits(
+            SERVER_THREADS,
+            settings.header_limit_bytes,
+            SERVER_BODY_LIMIT_BYTES,
+            limit_connections(CONNECTIONS_LIMIT),
+        )
+        self.server = BoundedServer(
+            (host, int(port)), application, limits, runtime.metrics
+        )
+        self.server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
 
@@ -261,11 +268,13 @@
 
     def serve(self) -> None:
         """Serve until stopped; blocks the calling thread."""
+        self.server.watchdog.start()
         self.server.serve()
 
     def stop(self) -> None:
         """Stop accepting and wait for in-flight requests."""
         self.server.stop()
+        self.server.watchdog.stop()
 
 
 def check_change_ids(change_id: str, operator: str) -> None:
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import threading
+import time
 import unittest
 
 import urllib3
@@ -317,6 +318,46 @@
             self.assertEqual(self.call("GET", f"/v1/jobs/dairy?{query}").status, 400)
 
 
+class StalledReadTest(CallerServerTestCase):
+    """Requests that never end, on a server with few threads."""
+
+    threads = 3
+
+    # Guards against clients that hold all threads until their reading times out.
+    def test_stalled_reads_make_room(self) -> None:
+        """An ordinary request is served; the reads for over a second are ended."""
+        host, _, port = self.server.address.partition(":")
+        stalled = [socket.create_connection((host, int(port))) for _ in range(8)]
+        self.addCleanup(lambda: [item.close() for item in stalled])
+        for number, client in enumerate(stalled):
+            head = b"POST /v1/jobs/dairy/j HTTP/1.1\r\nHost: h\r\n"
+            chunk = b"Transfer-Encoding: chunked\r\n\r\nffff\r\nx"
+            client.sendall(head + chunk if number % 2 else head)
+        started_s = time.monotonic()
+        self.assertEqual(self.call("GET", "/healthz").status, 200)
+        self.assertLess(time.monotonic() - started_s, limits.HEADER_TIMEOUT_S)
+        text = self.runtime.metrics.render().decode()
+        self.assertIn('poplarlb_shed_connections_total{limit="thread"}', text)
+
+
+class WaitingConnectionTest(CallerServerTestCase):
+    """More connections than may wait for a thread."""
+
+    threads = 1
+
+    # Guards against connections that wait without a limit until descriptors run out.
+    def test_oldest_waiting_connections_are_closed(self) -> None:
+        """The newest one is served."""
+        self.server.server.connections_limit = 2
+        host, _, port = self.server.address.partition(":")
+        waiting = [socket.create_connection((host, int(port))) for _ in range(6)]
+        self.addCleanup(lambda: [item.close() for item in waiting])
+        self.assertEqual(self.call("GET", "/healthz").status, 200)
+        self.assertLessEqual(self.server.server.requests.qsize, 2)
+        text = self.runtime.metrics.render().decode()
+        self.assertIn('poplarlb_shed_connections_total{limit="connections"}', text)
+
+
 class OverloadTest(CallerServerTestCase):
     """Requests beyond the limits are refused at once."""
 
