Limit the connections of daemons that aren't known yet

Callers saw: no answer once clients of the address for other daemons had used up the descriptors of poplarlbd.

Cause: a connection waited 10 s for its handshake, in any number; up to 16 frames of 1 MiB were kept for each, also before its secret was checked. The library logged each failed handshake with its traceback.

Change: at most 32 connections whose secret isn't checked yet, the oldest of which are aborted; one frame is kept; the library's lines are written once a minute each. Counted as poplarlb_rejected_messages_total{reason="connections"}, with a warning a minute.

It works because daemons send their secret at once, so only others wait.

--- a/poplarlb/transport/peers.py
+++ b/poplarlb/transport/peers.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import collections
+import functools
 import hmac
+import logging
 from collections.abc import Callable
 
 import websockets
@@ -21,6 +23,8 @@
 PROTOCOL_VERSION = "poplarlb.1"
 SECRET_HEADER = "Poplarlb-Secret"
 MEMBER_HEADER = "Poplarlb-Member"
+UNAUTHORIZED_LIMIT = 32  # connections whose member isn't known yet
+FRAMES_LIMIT = 1  # received on one connection and not handled yet
 QUEUE_LIMIT = 2_000  # messages to one address
 RECONNECT_DELAY_S = 0.5  # after a failed connection
 SHOWN_LIMIT = 200  # characters of an address or a problem in a log line
@@ -54,6 +58,7 @@
         self.sent_bytes = 0
         self.server = None
         self.errors = ErrorReporter()
+        self.unauthorized: dict[PeerConnection, None] = {}  # in order of arrival
 
     async def start(self) -> str:
         """Listen and return the bound address."""
@@ -63,13 +68,23 @@
             host,
             int(port),
             max_size=codec.MAX_MESSAGE_BYTES,
+            max_queue=FRAMES_LIMIT,
             subprotocols=[PROTOCOL_VERSION],
             compression=None,
             ssl=tls.make_peer_server_context(self.settings),
+            create_connection=functools.partial(PeerConnection, self),
+            logger=self._make_library_log(),
         )
         bound = self.server.sockets[0].getsockname()
         return f"{bound[0]}:{bound[1]}"
 
+    def _make_library_log(self) -> logging.Logger:
+        """Return the library's log; each of its lines once in a period."""
+        log = logging.Logger(f"{__name__}.{self.member_id}", logging.WARNING)
+        log.addFilter(lambda record: self.errors.is_due(("library", record.msg)))
+        log.addHandler(logging.StreamHandler())
+        return log
+
     async def stop(self) -> None:
         """Stop the senders and close the server."""
         for task in self.senders.values():
@@ -126,6 +141,18 @@
                 self.errors.report(f"connection to {ascii(address[:SHOWN_LIMIT])}")
             await asyncio.sleep(RECONNECT_DELAY_S)
 
+    def add_unauthorized(self, connection: "PeerConnection") -> None:
+        """Count a connection until its secret is checked; abort the oldest ones."""
+        self.unauthorized[connection] = None
+        while len(self.unauthorized) > UNAUTHORIZED_LIMIT:
+            oldest = next(iter(self.unauthorized))
+            del self.unauthorized[oldest]
+            oldest.transport.abort()
+            self.rejected["connections"] += 1
+            if self.errors.is_due(("connections",)):
+                line = logger.bind(limit="connections", outcome="connection aborted")
+                line.warning("connections of members that aren't known are too many")
+
     async def _accept(self, socket: ServerConnection) -> None:
         sender = _read_header(socket, MEMBER_HEADER)
         secret = _read_header(socket, SECRET_HEADER)
@@ -138,6 +165,7 @@
                 line.warning("a connection has no member id or a wrong secret")
             await socket.close(1008, "unauthorized")
             return
+        self.unauthorized.pop(socket, None)
         try:
             async for data in socket:
                 self._handle_frame(sender, data)
@@ -158,6 +186,28 @@
         self.receive(sender, message)
 
 
+class PeerConnection(ServerConnection):
+    """A connection to this daemon, counted until its member is known.
+
+    :param peers: counts it.
+    """
+
+    def __init__(self, peers: PeerTransport, *arguments, **options) -> None:
+        """Create a connection that has no transport yet."""
+        super().__init__(*arguments, **options)
+        self.peers = peers
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Count the connection."""
+        super().connection_made(transport)
+        self.peers.add_unauthorized(self)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Stop counting it."""
+        self.peers.unauthorized.pop(self, None)
+        super().connection_lost(error)
+
+
 def _read_header(socket: ServerConnection, name: str) -> str:
     """Return a header's value, or an empty string if it isn't sent exactly once."""
     values = socket.request.headers.get_all(name)
--- a/tests/transport/test_peers.py
+++ b/tests/transport/test_peers.py
@@ -102,6 +102,31 @@
         self.assertEqual(self.transport.rejected["unauthorized"], 3)
         self.assertEqual(self.received, [])
 
+    async def test_silent_connections_are_limited(self) -> None:
+        """Guards against clients that send no secret and use up the descriptors."""
+        host, _, port = self.address.rpartition(":")
+        silent = [
+            await asyncio.open_connection(host, int(port))
+            for _ in range(2 * peers.UNAUTHORIZED_LIMIT)
+        ]
+        self.addCleanup(lambda: [writer.close() for _, writer in silent])
+        await self.wait_until(
+            lambda: len(self.transport.server.handlers) <= peers.UNAUTHORIZED_LIMIT
+        )
+        limit = peers.UNAUTHORIZED_LIMIT
+        self.assertEqual(self.transport.rejected["connections"], limit)
+        async with connect(
+            f"ws://{self.address}",
+            subprotocols=[peers.PROTOCOL_VERSION],
+            additional_headers=[
+                (peers.SECRET_HEADER, SECRET), (peers.MEMBER_HEADER, "d2"),
+            ],
+            proxy=None,
+        ) as socket:  # fmt: skip
+            await socket.send(codec.encode(HEARTBEAT, messages.PeerMessage))
+            await self.wait_until(lambda: self.received)
+            self.assertEqual(len(self.transport.unauthorized), limit - 1)
+
     async def test_oversized_message(self) -> None:
         """A message over the limit closes only its own connection."""
         code = await self.send(b"x" * (codec.MAX_MESSAGE_BYTES + 1))
