Bound the objects that a body or query to poplarlbd is decoded into

Callers saw: nothing yet; found by looking for what a body becomes once it is read.

Cause: CherryPy decodes a body that is declared as a form, of up to 8 MB, into an object a field before any route sees it, and a query of up to 64 KB likewise; a job of 1 MB may hold hundreds of thousands of values, each of which takes tens of times its text, on each of 32 threads at once.

Change: bodies are never decoded as forms, so a job is read as JSON whatever its type says; a job has at most 5,000 values, an operator's change 100,000 (400 beyond); jobs being read take at most 16 MiB together (429 with Retry-After beyond); a query, but for services, has at most 4,096 characters (414). All far above what the API's own fields need.

Evidence: test_content_type_changes_nothing, test_query_is_limited, test_values_of_a_job_are_limited and test_memory_for_jobs_is_limited fail without it. The memory that it saves wasn't measured.

--- a/poplarlb/transport/bodies.py
+++ b/poplarlb/transport/bodies.py
@@ -114,11 +114,22 @@
 
     The memory is released at the end of the ``with`` block.
     """
-    size = (
-        MAX_BUFFERED_BODY_BYTES
-        if body.length < 0
-        else min(body.length, MAX_BUFFERED_BODY_BYTES)
-    )
+    with reserve_bytes(budget, body.length, MAX_BUFFERED_BODY_BYTES) as reserved:
+        yield reserved
+
+
+@contextlib.contextmanager
+def reserve_bytes(
+    budget: BufferBudget, length: int, limit_bytes: int
+) -> Iterator[bool]:
+    """Reserve memory for a body until the end of the ``with`` block.
+
+    Yields whether the budget allowed it.
+
+    :param length: that the client declares, or -1 for an unknown one.
+    :param limit_bytes: that are buffered at most.
+    """
+    size = limit_bytes if length < 0 else min(length, limit_bytes)
     if not budget.acquire(size):
         yield False
         return
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -15,12 +15,15 @@
 from poplarlb.transport.jobs import JobRoutes
 from poplarlb.transport.limits import BoundedServer, ServerLimits, limit_connections
 from poplarlb.transport.operators import (
+    CHERRYPY_CONFIG,
     OperatorRoutes,
     RateLimit,
     error_body,
 )
 from poplarlb.transport.runtime import Runtime, now_ms
 
+QUERY_LIMIT = 4_096  # characters, but for services; decoded into an object a field
+
 
 class CallerHandler:
     """The CherryPy request handlers of the callers' address.
@@ -85,6 +88,9 @@
     def application(environ: dict, start_response: Callable) -> Iterable[bytes]:
         if environ["PATH_INFO"].startswith(service_calls.PREFIX):
             return services(environ, start_response)
+        if len(environ["QUERY_STRING"]) > QUERY_LIMIT:
+            start_response("414 URI Too Long", [("Content-Length", "0")])
+            return []
         return others(environ, start_response)
 
     return application
@@ -110,7 +116,7 @@
         self.handler = CallerHandler(runtime)
         application = join_applications(
             ServiceGateway(runtime),
-            cherrypy.Application(self.handler, ""),
+            cherrypy.Application(self.handler, "", CHERRYPY_CONFIG),
         )
         limits = ServerLimits(
             settings.threads,
--- a/poplarlb/transport/jobs.py
+++ b/poplarlb/transport/jobs.py
@@ -12,14 +12,23 @@
     MethodNotAllowedError,
     NotFoundError,
     NotRunError,
+    RateLimitedError,
 )
 from poplarlb.protocol import api
 from poplarlb.transport import views
-from poplarlb.transport.operators import json_body, read_json_object
+from poplarlb.transport.bodies import BufferBudget, reserve_bytes
+from poplarlb.transport.operators import (
+    BODY_LIMIT_BYTES,
+    declared_length,
+    json_body,
+    read_json_object,
+)
 from poplarlb.transport.runtime import Runtime, now_ms
 
 DEFAULT_LIST_LIMIT = 100
 MAX_LIST_LIMIT = 1_000
+BODIES_BYTES = 16 << 20  # of all jobs that are being read
+ITEMS_LIMIT = 5_000  # in the JSON of one job
 
 
 class JobRoutes:
@@ -32,6 +41,7 @@
         """Store the runtime and read the shards from its settings."""
         self.runtime = runtime
         self.shards = ShardMap.from_settings(runtime.settings.shards)
+        self.bodies = BufferBudget(BODIES_BYTES)
 
     def route(self, method: str, path: tuple[str, ...], query: dict) -> bytes:
         """Return the JSON response to the current request.
@@ -54,7 +64,12 @@
     def _submit(self, team: str, job_id: str) -> bytes:
         key = views.parse_job_key(team, job_id)
         view = self._view()
-        spec = views.parse_job(key, read_json_object(), now_ms())
+        length = declared_length()
+        with reserve_bytes(self.bodies, length, BODY_LIMIT_BYTES) as reserved:
+            if not reserved:
+                detail = "the memory for jobs that are being read is used up"
+                raise RateLimitedError(detail)
+            spec = views.parse_job(key, read_json_object(ITEMS_LIMIT), now_ms())
         if view.team(team) is None:
             raise NotFoundError(f"no team {team}")
         unknown = set(spec.zones) - set(self.runtime.settings.shards.zones)
--- a/poplarlb/transport/operators.py
+++ b/poplarlb/transport/operators.py
@@ -33,7 +33,10 @@
 BODY_LIMIT_BYTES = 1 << 20
 # A body between the two limits gets a JSON error, a larger one the server's own text.
 SERVER_BODY_LIMIT_BYTES = 4 << 20
+ITEMS_LIMIT = 100_000  # in the JSON of one request
 TEAMS_LIMIT = 500  # in one change
+# CherryPy would decode forms of any size into one object for each field.
+CHERRYPY_CONFIG = {"/": {"request.body.processors": {}}}
 SUBJECT_LIMIT = 200  # characters
 CALLS_PER_S = 100.0  # of all operators together
 CALLS_BURST = 200.0
@@ -246,7 +249,7 @@
         host, _, port = settings.operator_listen.rpartition(":")
         handler = OperatorHandler(OperatorRoutes(runtime))
         cherrypy.config.update({"environment": "embedded", "log.screen": False})
-        application = cherrypy.Application(handler, "")
+        application = cherrypy.Application(handler, "", CHERRYPY_CONFIG)
         limits = ServerLimits(
             SERVER_THREADS,
             settings.header_limit_bytes,
@@ -288,11 +291,18 @@
         raise BadRequestError(f"operator: allowed: {OPERATOR_PATTERN.pattern}")
 
 
-def read_json_object() -> dict:
+def declared_length() -> int:
+    """Return the length of the current request's body; -1 if it isn't declared."""
+    text = cherrypy.request.headers.get("Content-Length", "")
+    return int(text) if text.isdigit() else -1
+
+
+def read_json_object(items_limit: int = ITEMS_LIMIT) -> dict:
     """Return the JSON object in the body of the current request.
 
+    :param items_limit: the most values in it, as each takes far more than its text.
     :raises TooLargeError: if the body exceeds the limit.
-    :raises BadRequestError: if the body is not a JSON object.
+    :raises BadRequestError: if the body is not a JSON object, or has too many values.
     """
     try:
         data = cherrypy.request.body.read(BODY_LIMIT_BYTES + 1)
@@ -300,6 +310,8 @@
         raise TooLargeError(f"request body exceeds {BODY_LIMIT_BYTES} bytes") from error
     if len(data) > BODY_LIMIT_BYTES:
         raise TooLargeError(f"request body exceeds {BODY_LIMIT_BYTES} bytes")
+    if sum(data.count(mark) for mark in (b"{", b"[", b",")) > items_limit:
+        raise BadRequestError(f"request body has more than {items_limit} values")
     try:
         table = json.loads(data)
         # A lone surrogate can be neither sent to another daemon nor stored.
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -304,6 +304,41 @@
                 self.assertEqual(self.call("PUT", path, body).status, status)
         self.assertEqual(self.runtime.jobs, {})
 
+    # Guards against a body whose every value takes far more memory than its text.
+    def test_values_of_a_job_are_limited(self) -> None:
+        """A job of legal length with very many values is refused unread."""
+        body = json.dumps({"size": {"cpu_millis": 1}, "zones": ["kochi"] * 20_000})
+        response = self.call("PUT", "/v1/jobs/dairy/j", body)
+        self.assertEqual(response.status, 400)
+        self.assertIn("values", json.loads(response.data)["detail"])
+
+    # Guards against forms, which were decoded into an object for each field.
+    def test_content_type_changes_nothing(self) -> None:
+        """A job declared as a form is read as JSON all the same."""
+        body = json.dumps({"size": {"cpu_millis": 1}})
+        for kind in ("application/x-www-form-urlencoded", "multipart/form-data"):
+            with self.subTest(kind=kind):
+                response = self.call("PUT", "/v1/jobs/dairy/j", body, Content_Type=kind)
+                self.assertEqual(response.status, 200)
+
+    def test_query_is_limited(self) -> None:
+        """A long query is refused before it is decoded."""
+        query = "&".join(f"{number:x}=" for number in range(5_000))
+        response = self.call("GET", f"/v1/jobs/dairy?{query}")
+        self.assertEqual(response.status, 414)
+
+    # Guards against bodies that together take more memory than there is.
+    def test_memory_for_jobs_is_limited(self) -> None:
+        """A job is refused while the bodies that are being read use it up."""
+        jobs = self.server.handler.jobs
+        self.assertTrue(jobs.bodies.acquire(jobs.bodies.limit_bytes))
+        body = json.dumps({"size": {"cpu_millis": 1}})
+        response = self.call("PUT", "/v1/jobs/dairy/j", body)
+        self.assertEqual((response.status, response.headers["Retry-After"]), (429, "1"))
+        jobs.bodies.release(jobs.bodies.limit_bytes)
+        response = self.call("PUT", "/v1/jobs/dairy/j", body)
+        self.assertEqual((response.status, jobs.bodies.used_bytes), (200, 0))
+
     def test_jobs_are_listed_in_pages(self) -> None:
         """The next page begins after the last id of the previous page."""
         for number in range(5):
