End connections with unread responses and an unfinished request

Cause: a connection that had requests waiting behind unread responses, and the beginning of another, was ended by no timeout once that one's had passed; only shedding ended it.

Change: the idle timeout runs whenever nothing is handled and the last request is given up. The target and kept headers of a request being handled count in its holding, too.

Evidence: test_unread_responses_before_an_unfinished_request fails without it.

--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import itertools
 import socket
 from collections import deque
 from collections.abc import Awaitable, Callable
@@ -196,7 +197,7 @@
         """Count the connection and start the idle timeout until the first request."""
         self.transport = transport
         self.server.connections.add(self)
-        self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+        self._start_idle_timer()
         self.holding = ClientHolding(self.shed, now_s(), CONNECTION_BYTES)
         self.server.budget.add(self.holding, now_s())
 
@@ -277,7 +278,7 @@
         """Reject a body whose declared length is too large before it arrives."""
         self.progressed = True
         self.message.headers_complete = True
-        if self.closing:
+        if self.closing or self.rejection:
             return
         headers = self.message.headers
         declared = headers.get("content-length", "0")
@@ -330,7 +331,10 @@
     def _handle(self, request: HttpRequest, keep_alive: bool) -> None:
         budget = self.server.budget
         self.handling = True
-        self.handled_bytes = REQUEST_BYTES + HANDLED_FACTOR * len(request.body)
+        text = itertools.chain((request.path,), request.headers.values())
+        self.handled_bytes = (
+            REQUEST_BYTES + HANDLED_FACTOR * len(request.body) + sum(map(len, text))
+        )
         self._update_holding()
         budget.enforce(now_s())
         exceeded = budget.find_exceeded()
@@ -377,8 +381,8 @@
         if not self.handling and not self.backlog and self.rejection:
             self._reject(self.rejection)
             return
-        if not self.handling and not self.receiving:
-            self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+        if not self.handling and (self.rejection or not self.receiving):
+            self._start_idle_timer()
         self._update_holding()
         self._update_reading()
 
@@ -424,6 +428,8 @@
             self.server.on_limit(limit)
         if self.handling or self.backlog:
             self.rejection = status
+            if not self.handling:
+                self._start_idle_timer()
             return
         rejection = self.server.answer_rejection(status)
         self.transport.write(format_response(rejection, keep_alive=False))
@@ -507,6 +513,9 @@
         elif not self.transport.is_reading():
             self.transport.resume_reading()
 
+    def _start_idle_timer(self) -> None:
+        self._start_timer(self.server.limits.idle_timeout_s, self._close_idle)
+
     def _start_timer(self, delay_s: float, action: Callable[[], None]) -> None:
         self._stop_timer()
         self.timer = asyncio.get_running_loop().call_later(delay_s, action)
--- a/tests/transport/test_http_server.py
+++ b/tests/transport/test_http_server.py
@@ -199,7 +199,7 @@
 class UnreadResponseTest(LimitTestCase):
     """Clients that don't read their responses."""
 
-    timeouts = HttpLimits(header_timeout_s=30, idle_timeout_s=0.5)
+    timeouts = HttpLimits(header_timeout_s=0.3, idle_timeout_s=0.5)
     limits = ClientLimits(memory_bytes=3_000_000)
 
     # Guards against responses that pile up, as nothing limited how long they stay.
@@ -212,6 +212,16 @@
         await self.wait_until(lambda: not self.server.connections)
         self.assertEqual(len(self.requests), 1)
 
+    # Guards against a connection that no timeout ends: its last request came too late.
+    async def test_unread_responses_before_an_unfinished_request(self) -> None:
+        """The connection ends, as it does without that request."""
+        self.answer_bytes = 8 << 20
+        request = HEAD.replace(b"POST", b"GET") + b"\r\n"
+        await self.connect(request * 2 + HEAD)
+        await self.wait_until(lambda: self.requests)
+        await self.wait_until(lambda: not self.server.connections)
+        self.assertEqual(len(self.requests), 1)
+
 
 class BudgetTest(LimitTestCase):
     """All connections together."""
