Count clients' holdings once a read and once a response

What callers saw: nothing; the job API's server took more processor time a request.

Cause: the holding was counted up to five times for each request, each header decoded before it was known whether it is kept, and a table of the message created twice.

Change: holdings are counted once after a read and once after a response, names of headers are compared as bytes, and the budget is only asked when it is exceeded. The metrics port gets a crowd test, as the readiness port has (it shares the server).

--- a/poplarlb/transport/client_budget.py
+++ b/poplarlb/transport/client_budget.py
@@ -112,12 +112,17 @@
             return "requests"
         return "memory_bytes" if self.used_bytes > self.limits.memory_bytes else ""
 
+    @property
+    def is_exceeded(self) -> bool:
+        """Whether there are too many connections, or they hold too much."""
+        return (
+            self.used_bytes > self.limits.memory_bytes
+            or len(self.holdings) > self.limits.connections
+        )
+
     def enforce(self, now_s: float) -> None:
         """Shed holdings until the limits are kept, as far as that is possible."""
-        if (
-            len(self.holdings) <= self.limits.connections
-            and self.used_bytes <= self.limits.memory_bytes
-        ):
+        if not self.is_exceeded:
             return
         for name, chosen in (
             ("connections", self.choose_by_count(now_s)),
--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -8,7 +8,6 @@
 import asyncio
 import itertools
 import socket
-from collections import deque
 from collections.abc import Awaitable, Callable
 
 import httptools
@@ -27,7 +26,7 @@
 HEADER_BYTES = 250  # for a header, besides its text
 REQUEST_BYTES = 1_000  # for a request, besides its text
 HANDLED_FACTOR = 8  # of a body that is decoded, stored and sent on
-FRAMING_HEADERS = frozenset({"content-length", "expect"})
+FRAMING_HEADERS = frozenset({b"content-length", b"expect"})
 
 PHRASES = {
     200: "OK",
@@ -104,8 +103,15 @@
     connections: set = Factory(set)
     listener: asyncio.Server | None = None
     turns: ReadTurns = Factory(ReadTurns)
+    kept_names: frozenset[bytes] | None = None
     read_buffer: memoryview = Factory(lambda: memoryview(bytearray(READ_BYTES)))
 
+    def __attrs_post_init__(self) -> None:
+        """Encode the names of the headers that requests keep, and that frame them."""
+        if self.kept_headers is not None:
+            names = (name.encode("latin-1") for name in self.kept_headers)
+            self.kept_names = FRAMING_HEADERS.union(names)
+
     async def start(self, address: str) -> None:
         """Listen on ``HOST:PORT``."""
         host, _, port = address.rpartition(":")
@@ -177,14 +183,15 @@
         self.task: asyncio.Task | None = None
         self.timer: asyncio.TimerHandle | None = None
         self.holding: ClientHolding | None = None
-        self.message = ReceivedMessage()
+        self.message: ReceivedMessage | None = None
         self.receiving = False
-        self.backlog: deque[tuple[HttpRequest, bool]] = deque()
+        self.backlog: list[tuple[HttpRequest, bool]] = []
         self.backlog_bytes = 0
         self.handling = False
         self.handled_bytes = 0
         self.rejection = 0
         self.writable = True
+        self.paused = False
         self.waits_for_turn = False
         self.unparsed_bytes = 0
         self.progressed = False
@@ -198,8 +205,9 @@
         self.transport = transport
         self.server.connections.add(self)
         self._start_idle_timer()
-        self.holding = ClientHolding(self.shed, now_s(), CONNECTION_BYTES)
-        self.server.budget.add(self.holding, now_s())
+        opened_s = now_s()
+        self.holding = ClientHolding(self.shed, opened_s, CONNECTION_BYTES)
+        self.server.budget.add(self.holding, opened_s)
 
     def connection_lost(self, error) -> None:
         """Unregister the connection; a running handler completes."""
@@ -233,7 +241,7 @@
             return
         self._count_unparsed(count)
         self._update_holding()
-        self.server.budget.enforce(now_s())
+        self._enforce_budget()
         if self.steps > MAX_READ_STEPS:
             self.waits_for_turn = True
             self.server.turns.wait(self._take_turn)
@@ -259,20 +267,25 @@
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the target."""
-        self.message.url += url
-        self._count_header(len(url))
+        message = self.message
+        message.url += url
+        message.header_size += len(url)
+        if message.header_size > self.server.limits.header_bytes:
+            self._reject(431, "header_bytes")
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store one header, unless it is a trailer or isn't kept."""
         self.steps += 1
-        self._count_header(len(name) + len(value))
-        message, kept = self.message, self.server.kept_headers
-        if message.headers_complete or self.closing or self.rejection:
-            return
-        key = name.decode("latin-1").lower()
-        if kept is None or key in kept or key in FRAMING_HEADERS:
-            message.headers[key] = value.decode("latin-1")
-            message.kept_bytes += HEADER_BYTES + len(name) + len(value)
+        message, kept = self.message, self.server.kept_names
+        size = len(name) + len(value)
+        message.header_size += size
+        if message.header_size > self.server.limits.header_bytes:
+            self._reject(431, "header_bytes")
+        elif not message.headers_complete:
+            name = name.lower()
+            if kept is None or name in kept:
+                message.headers[name.decode("latin-1")] = value.decode("latin-1")
+                message.kept_bytes += HEADER_BYTES + size
 
     def on_headers_complete(self) -> None:
         """Reject a body whose declared length is too large before it arrives."""
@@ -305,7 +318,7 @@
         if self.closing or self.rejection:
             return
         self._stop_timer()
-        message, self.message = self.message, ReceivedMessage()
+        message, self.message = self.message, None
         self.receiving = False
         request = HttpRequest(
             self.parser.get_method().decode("latin-1"),
@@ -315,28 +328,31 @@
         )
         self.backlog.append((request, self.parser.should_keep_alive()))
         self.backlog_bytes += REQUEST_BYTES + message.held_bytes
-        self._continue()
+        self._handle_next()
+        if not self.handling:
+            self._continue()
 
     # --- responses --------------------------------------------------------------------
 
     def _handle_next(self) -> None:
         """Handle waiting requests until one is in progress."""
         while self.backlog and self.writable and not self.handling and not self.closing:
-            request, keep_alive = self.backlog.popleft()
+            request, keep_alive = self.backlog.pop(0)
             self.backlog_bytes -= min(self.backlog_bytes, REQUEST_BYTES)
             if not self.backlog:
                 self.backlog_bytes = 0
             self._handle(request, keep_alive)
 
     def _handle(self, request: HttpRequest, keep_alive: bool) -> None:
-        budget = self.server.budget
         self.handling = True
         text = itertools.chain((request.path,), request.headers.values())
         self.handled_bytes = (
             REQUEST_BYTES + HANDLED_FACTOR * len(request.body) + sum(map(len, text))
         )
-        self._update_holding()
-        budget.enforce(now_s())
+        budget = self.server.budget
+        if budget.used_bytes + self.handled_bytes > budget.limits.memory_bytes:
+            self._update_holding()
+            self._enforce_budget()
         exceeded = budget.find_exceeded()
         if exceeded:
             self.server.on_limit(exceeded)
@@ -371,7 +387,7 @@
         self.transport.write(format_response(response, keep_alive))
         if not keep_alive:
             self._close()
-        self._update_holding()
+            self._update_holding()
 
     def _continue(self) -> None:
         """Go on after a response was sent or has been read."""
@@ -459,18 +475,13 @@
         """Drop all but the request in progress; the connection reads no others."""
         self.backlog.clear()
         self.backlog_bytes = 0
-        self.message = ReceivedMessage()
+        self.message = None
         self.receiving = False
         self.unparsed_bytes = 0
         self.parser = None
 
     # --- limits -----------------------------------------------------------------------
 
-    def _count_header(self, size: int) -> None:
-        self.message.header_size += size
-        if self.message.header_size > self.server.limits.header_bytes:
-            self._reject(431, "header_bytes")
-
     def _count_unparsed(self, count: int) -> None:
         """Reject a message of which the parser returns nothing for too long."""
         if self.progressed:
@@ -487,11 +498,12 @@
         if self.holding is None:
             return
         held_bytes = (
-            self.message.held_bytes
-            + self.backlog_bytes
+            self.backlog_bytes
             + self.unparsed_bytes
             + self.transport.get_write_buffer_size()
         )
+        if self.receiving:
+            held_bytes += self.message.held_bytes
         if self.handling:
             handled_bytes = CONNECTION_BYTES + self.handled_bytes
             self.server.budget.resize(self.holding, held_bytes, handled_bytes)
@@ -502,15 +514,25 @@
         self.waits_for_turn = False
         self._update_reading()
 
+    def _enforce_budget(self) -> None:
+        budget = self.server.budget
+        if budget.is_exceeded:
+            budget.enforce(now_s())
+
     def _update_reading(self) -> None:
         """Read, unless the connection has requests to handle or waits for its turn."""
-        if self.closing:
+        paused = bool(
+            self.waits_for_turn
+            or self.rejection
+            or not self.writable
+            or (self.handling and (self.backlog or self.receiving))
+        )
+        if paused == self.paused or self.closing:
             return
-        busy = self.handling and (self.backlog or self.receiving)
-        paused = busy or self.rejection or self.waits_for_turn or not self.writable
+        self.paused = paused
         if paused:
             self.transport.pause_reading()
-        elif not self.transport.is_reading():
+        else:
             self.transport.resume_reading()
 
     def _start_idle_timer(self) -> None:
--- a/tests/platform/test_odd_clients.py
+++ b/tests/platform/test_odd_clients.py
@@ -6,12 +6,15 @@
 
 import asyncio
 import json
+import os
 import pathlib
 import tempfile
 import unittest
+import unittest.mock
 
 from attrs import define
 
+from poplarlb.platform.settings import METRICS_PORT_VARIABLE
 from tests.harness.crowd import Crowd, ProcessWatch, ask, make_payloads
 from tests.platform.deployment import CONFIG, JOB, free_address
 from tests.soak.daemons import DaemonProcess
@@ -66,7 +69,10 @@
             "d0", pathlib.Path(self.folder.name), store_address
         )
         self.daemon.descriptors = self.descriptors
-        await self.daemon.start()
+        self.metrics_address = free_address()
+        port = self.metrics_address.rpartition(":")[2]
+        with unittest.mock.patch.dict(os.environ, {METRICS_PORT_VARIABLE: port}):
+            await self.daemon.start()
         async with asyncio.timeout(READY_TIMEOUT_S):
             while not await self.is_ready():
                 await asyncio.sleep(0.1)
@@ -159,6 +165,11 @@
         for kind in ("a header line without end", "large chunks"):
             await self.meet(kind, self.daemon.ready_address)
 
+    async def test_metrics_port(self) -> None:
+        """So has the address of the metrics."""
+        for kind in ("a header line without end", "large chunks"):
+            await self.meet(kind, self.metrics_address)
+
 
 class DescriptorTest(CrowdTestCase):
     """Guards against more open connections than the process has descriptors for."""
