Keep a response encrypted when the reading of its request is ended

Cause: SSLSocket.shutdown drops the encryption of the socket, whatever side it shuts down; the response then went out as it is.

Change: the reading side is shut down on the socket itself. test_ended_reading_changes_no_encryption fails without it.

--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -197,7 +197,6 @@
 
     count_waiting: Callable[[], int] = lambda: 0
     on_shed: Callable[[int], None] = lambda count: None
-
     watched: dict[int, WatchedSocket] = Factory(dict)
     lock: threading.Lock = Factory(threading.Lock)
     stopped: threading.Event = Factory(threading.Event)
@@ -261,7 +260,8 @@
 
 def _shut_down_reading(sock: socket.socket) -> None:
     try:
-        sock.shutdown(socket.SHUT_RD)
+        # SSLSocket.shutdown ends the encryption of the response, too.
+        socket.socket.shutdown(sock, socket.SHUT_RD)
     except OSError:
         # The client has closed the connection.
         return
@@ -270,27 +270,27 @@
 class BoundedServer(Server):
     """A server whose connections that wait for a thread are limited in number.
 
-    :param settings: the limits, TLS files and threads of the callers' address.
+    :param limits: of requests, threads and connections.
     :param metrics: counts the connections that are shed.
     """
 
-    def __init__(self, address, application, settings: ServerLimits, metrics: Metrics):
+    def __init__(self, address, application, limits: ServerLimits, metrics: Metrics):
         """Create a server that applies these limits to a WSGI application."""
         super().__init__(
             address,
             application,
-            numthreads=settings.threads,
-            max=settings.threads,
+            numthreads=limits.threads,
+            max=limits.threads,
             request_queue_size=LISTEN_BACKLOG,
             timeout=SOCKET_TIMEOUT_S,
             shutdown_timeout=BODY_TIMEOUT_S,
         )
         self.ConnectionClass = StrictConnection
         self.gateway = RequestGateway
-        self.max_request_header_size = settings.header_bytes
-        self.max_request_body_size = settings.body_bytes
+        self.max_request_header_size = limits.header_bytes
+        self.max_request_body_size = limits.body_bytes
         self.error_log = _log
-        self.connections_limit = settings.connections
+        self.connections_limit = limits.connections
         self.metrics = metrics
         self.errors = ErrorReporter()
         self.watchdog = SocketWatchdog(
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -2,19 +2,23 @@
 
 import concurrent.futures
 import json
+import pathlib
 import socket
+import ssl
 import threading
 import time
 import unittest
+import unittest.mock
 
 import urllib3
 
 from poplarlb.settings import ApiSettings, RequestSettings, Settings, ShardSettings
 from poplarlb.transport import limits
-from poplarlb.transport.callers import CallerServer
+from poplarlb.transport.callers import CallerHandler, CallerServer
 from tests.transport.owner import OwnerRuntime, ScriptedEndpoint
 
 SERVICE = "/v1/services/dairy"
+TLS_FOLDER = pathlib.Path(__file__).parent / "tls"
 STATUS_BY_CODE = {"not_run": 503, "outcome_unknown": 502, "conflict": 409}
 
 
@@ -24,6 +28,8 @@
     threads = 8
     requests_per_s = 100_000.0
     body_limit_bytes = 2 << 20
+    certificate = ""
+    key = ""
 
     def setUp(self) -> None:
         """Start the endpoints, the owner and the server."""
@@ -32,7 +38,12 @@
             "d0",
             "kochi",
             shards=ShardSettings(zones=("kochi",)),
-            api=ApiSettings(threads=self.threads, requests_per_s=self.requests_per_s),
+            api=ApiSettings(
+                threads=self.threads,
+                requests_per_s=self.requests_per_s,
+                tls_certificate=str(self.certificate),
+                tls_key=str(self.key),
+            ),
             requests=RequestSettings(body_limit_bytes=self.body_limit_bytes),
         )
         self.runtime = OwnerRuntime(settings, [e.address for e in self.endpoints])
@@ -375,6 +386,45 @@
         self.assertIn('poplarlb_shed_connections_total{limit="thread"}', text)
 
 
+class EncryptedServerTest(CallerServerTestCase):
+    """A server with TLS and few threads."""
+
+    threads = 3
+    certificate = TLS_FOLDER / "certificate.pem"
+    key = TLS_FOLDER / "key.pem"
+
+    def connect(self) -> socket.socket:
+        """Open a connection without TLS."""
+        host, _, port = self.server.address.partition(":")
+        connected = socket.create_connection((host, int(port)), timeout=20)
+        self.addCleanup(connected.close)
+        return connected
+
+    def exchange_encrypted(self, path: str) -> bytes:
+        """Return the answer to a request over TLS."""
+        context = ssl.create_default_context(cafile=self.certificate)
+        with context.wrap_socket(
+            self.connect(), server_hostname="127.0.0.1"
+        ) as encrypted:
+            head = f"GET {path} HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+            encrypted.sendall(head.encode())
+            return b"".join(iter(lambda: encrypted.recv(65_536), b""))
+
+    # Guards against a response that isn't encrypted, as the reading was ended before.
+    def test_ended_reading_changes_no_encryption(self) -> None:
+        """A request that takes long while others wait is answered over TLS."""
+        slow = threading.Event()
+        self.addCleanup(slow.set)
+        self.server.server.watchdog.count_waiting = lambda: 1
+        with unittest.mock.patch.object(
+            CallerHandler, "_route", lambda *_: slow.wait(2.5) or b"done"
+        ):
+            answer = self.exchange_encrypted("/v1/slow")
+        self.assertTrue(answer.endswith(b"done"))
+        text = self.runtime.metrics.render().decode()
+        self.assertIn('poplarlb_shed_connections_total{limit="thread"}', text)
+
+
 class WaitingConnectionTest(CallerServerTestCase):
     """More connections than may wait for a thread."""
 
