Leave the TLS handshake to the thread that reads a connection

Callers saw: with TLS, no answer beside a few clients that connect and send nothing.

Cause: cheroot does the handshake in the thread that accepts all connections, so each silent client kept all others out for 10 s.

Change: the handshake is done by the thread that reads the connection, within the time for a head, and is ended like any long read while others wait for a thread. A client that speaks plain HTTP there is closed without the text that cheroot sent it.

Evidence: test_silent_clients_keep_nobody_out ends with a timeout without it.

--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -4,6 +4,7 @@
 import re
 import resource
 import socket
+import ssl
 import threading
 import time
 from collections.abc import Callable
@@ -159,6 +160,25 @@
 
     RequestHandlerClass = StrictRequest
 
+    def communicate(self) -> bool:
+        """Handle a request, after the TLS handshake of a new connection.
+
+        Returns whether the connection is kept.
+        """
+        return self._secure() and super().communicate()
+
+    def _secure(self) -> bool:
+        """Do the handshake if it is due; return whether there is no error."""
+        if not isinstance(self.socket, ssl.SSLSocket) or self.socket.version():
+            return True
+        try:
+            with self.server.watchdog.limit(self.socket, HEADER_TIMEOUT_S):
+                self.socket.do_handshake()
+        except OSError as error:
+            _log(f"TLS handshake failed: {error}")
+            return False
+        return True
+
 
 class RequestGateway(Gateway_10):
     """Passes the server's request object to the WSGI application."""
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -410,6 +410,18 @@
             encrypted.sendall(head.encode())
             return b"".join(iter(lambda: encrypted.recv(65_536), b""))
 
+    # Guards against silent clients, each of which held up all others for ten seconds.
+    def test_silent_clients_keep_nobody_out(self) -> None:
+        """Their handshake is left to the threads, and ends while others wait."""
+        for number in range(6):
+            if number % 2:
+                self.connect().sendall(b"GET / HTTP/1.1\r\n")
+            else:
+                self.connect()
+        started_s = time.monotonic()
+        self.assertIn(b"200 OK", self.exchange_encrypted("/healthz"))
+        self.assertLess(time.monotonic() - started_s, limits.HEADER_TIMEOUT_S)
+
     # Guards against a response that isn't encrypted, as the reading was ended before.
     def test_ended_reading_changes_no_encryption(self) -> None:
         """A request that takes long while others wait is answered over TLS."""
