Count and log every limit of poplarlbd on clients

What operators saw: a query, a job or its values over their limit were refused without a counter or a line, while connections that are shed had both.

--- a/poplarlb/metrics.py
+++ b/poplarlb/metrics.py
@@ -107,8 +107,8 @@
         self.config_changes = self._counter(
             "config_changes", "Operators' changes through this daemon.", ("result",)
         )
-        self.shed_connections = self._counter(
-            "shed_connections", "Connections closed for others, by limit.", ("limit",)
+        self.client_limits = self._counter(
+            "client_limits", "Clients refused or shed, by limit.", ("limit",)
         )
         self.view_age = self._gauge(
             "view_age_seconds", "Time since the configuration was confirmed."
@@ -209,9 +209,9 @@
         """Count refused peer messages."""
         self.rejected_messages.labels(self.results.label_for(reason)).inc(count)
 
-    def count_shed(self, limit: str, count: int) -> None:
-        """Count connections that were closed because a limit was exceeded."""
-        self.shed_connections.labels(self.results.label_for(limit)).inc(count)
+    def count_client_limit(self, limit: str, count: int) -> None:
+        """Count clients that were refused or shed because of a limit."""
+        self.client_limits.labels(self.results.label_for(limit)).inc(count)
 
     def count_failed_event(self, kind: str) -> None:
         """Count an event whose handling raised an error."""
--- a/poplarlb/transport/callers.py
+++ b/poplarlb/transport/callers.py
@@ -13,6 +13,7 @@
 from poplarlb.transport import service_calls, tls
 from poplarlb.transport.gateway import ServiceGateway
 from poplarlb.transport.jobs import JobRoutes
+from poplarlb.transport.limit_reports import LimitReporter
 from poplarlb.transport.limits import BoundedServer, ServerLimits, limit_connections
 from poplarlb.transport.operators import (
     CHERRYPY_CONFIG,
@@ -29,14 +30,15 @@
     """The CherryPy request handlers of the callers' address.
 
     :param runtime: answers the calls.
+    :param reporter: reports the clients that exceed a limit.
     """
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, reporter: LimitReporter) -> None:
         """Create the routes for jobs, and for operators if they have no own address."""
         self.runtime = runtime
-        self.jobs = JobRoutes(runtime)
+        self.jobs = JobRoutes(runtime, reporter)
         separate = runtime.settings.api.operator_listen
-        self.operators = None if separate else OperatorRoutes(runtime)
+        self.operators = None if separate else OperatorRoutes(runtime, reporter)
         per_s = runtime.settings.api.requests_per_s
         self.rate_limit = RateLimit(per_s, per_s, per_s)
 
@@ -81,7 +83,7 @@
 
 
 def join_applications(
-    services: ServiceGateway, others: cherrypy.Application
+    services: ServiceGateway, others: cherrypy.Application, reporter: LimitReporter
 ) -> Callable:
     """Return a WSGI application that routes service paths to the gateway."""
 
@@ -89,6 +91,7 @@
         if environ["PATH_INFO"].startswith(service_calls.PREFIX):
             return services(environ, start_response)
         if len(environ["QUERY_STRING"]) > QUERY_LIMIT:
+            reporter.report("query", "request refused")
             start_response("414 URI Too Long", [("Content-Length", "0")])
             return []
         return others(environ, start_response)
@@ -113,10 +116,12 @@
                 "request.show_tracebacks": False,
             }
         )
-        self.handler = CallerHandler(runtime)
+        reporter = LimitReporter(runtime.metrics)
+        self.handler = CallerHandler(runtime, reporter)
         application = join_applications(
             ServiceGateway(runtime),
             cherrypy.Application(self.handler, "", CHERRYPY_CONFIG),
+            reporter,
         )
         limits = ServerLimits(
             settings.threads,
@@ -124,9 +129,7 @@
             runtime.settings.requests.body_limit_bytes,
             limit_connections(settings.connections),
         )
-        self.server = BoundedServer(
-            (host, int(port)), application, limits, runtime.metrics
-        )
+        self.server = BoundedServer((host, int(port)), application, limits, reporter)
         self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
         self.adapter = ServerAdapter(cherrypy.engine, self.server)
--- a/poplarlb/transport/jobs.py
+++ b/poplarlb/transport/jobs.py
@@ -17,6 +17,7 @@
 from poplarlb.protocol import api
 from poplarlb.transport import views
 from poplarlb.transport.bodies import BufferBudget, reserve_bytes
+from poplarlb.transport.limit_reports import LimitReporter
 from poplarlb.transport.operators import (
     BODY_LIMIT_BYTES,
     declared_length,
@@ -35,11 +36,13 @@
     """Handles the paths under ``/v1/jobs``.
 
     :param runtime: answers the calls.
+    :param reporter: reports the clients that exceed a limit.
     """
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, reporter: LimitReporter) -> None:
         """Store the runtime and read the shards from its settings."""
         self.runtime = runtime
+        self.reporter = reporter
         self.shards = ShardMap.from_settings(runtime.settings.shards)
         self.bodies = BufferBudget(BODIES_BYTES)
 
@@ -67,9 +70,11 @@
         length = declared_length()
         with reserve_bytes(self.bodies, length, BODY_LIMIT_BYTES) as reserved:
             if not reserved:
+                self.reporter.report("job_bodies", "request refused")
                 detail = "the memory for jobs that are being read is used up"
                 raise RateLimitedError(detail)
-            spec = views.parse_job(key, read_json_object(ITEMS_LIMIT), now_ms())
+            table = read_json_object(self.reporter, ITEMS_LIMIT)
+            spec = views.parse_job(key, table, now_ms())
         if view.team(team) is None:
             raise NotFoundError(f"no team {team}")
         unknown = set(spec.zones) - set(self.runtime.settings.shards.zones)
--- a/poplarlb/transport/limits.py
+++ b/poplarlb/transport/limits.py
@@ -14,9 +14,8 @@
 from cheroot.wsgi import Gateway_10, Server
 from loguru import logger
 
-from poplarlb.metrics import Metrics
 from poplarlb.transport.chunked_bodies import ChunkedBodyReader
-from poplarlb.transport.error_reports import ErrorReporter
+from poplarlb.transport.limit_reports import LimitReporter
 
 HEADERS_LIMIT = 100  # in one request
 HEADER_TIMEOUT_S = 10.0  # to read the request line and all headers
@@ -291,10 +290,12 @@
     """A server whose connections that wait for a thread are limited in number.
 
     :param limits: of requests, threads and connections.
-    :param metrics: counts the connections that are shed.
+    :param reporter: reports the connections that are shed.
     """
 
-    def __init__(self, address, application, limits: ServerLimits, metrics: Metrics):
+    def __init__(
+        self, address, application, limits: ServerLimits, reporter: LimitReporter
+    ) -> None:
         """Create a server that applies these limits to a WSGI application."""
         super().__init__(
             address,
@@ -311,11 +312,10 @@
         self.max_request_body_size = limits.body_bytes
         self.error_log = _log
         self.connections_limit = limits.connections
-        self.metrics = metrics
-        self.errors = ErrorReporter()
+        self.reporter = reporter
         self.watchdog = SocketWatchdog(
             count_waiting=lambda: self.requests.qsize,
-            on_shed=lambda count: self._report_shed("thread", count),
+            on_shed=lambda count: reporter.report("thread", "reading ended", count),
         )
 
     def process_conn(self, conn) -> None:
@@ -325,16 +325,9 @@
                 self.requests.get(block=False).close()
             except queue.Empty:
                 break
-            self._report_shed("connections", 1)
+            self.reporter.report("connections", "connection closed")
         super().process_conn(conn)
 
-    def _report_shed(self, limit: str, count: int) -> None:
-        """Count connections that were shed; log it at most once in a period."""
-        self.metrics.count_shed(limit, count)
-        if self.errors.is_due((limit,)):
-            line = logger.bind(limit=limit, waiting=self.requests.qsize, count=count)
-            line.warning("connections are closed for others that wait")
-
 
 def _log(message: str = "", level: int = 20, traceback: bool = False) -> None:
     """Log the server's messages at debug level; client disconnects are expected."""
--- a/poplarlb/transport/operators.py
+++ b/poplarlb/transport/operators.py
@@ -27,6 +27,7 @@
 from poplarlb.state.models import TaskKey, ZoneState
 from poplarlb.templates import check_team
 from poplarlb.transport import tls, views
+from poplarlb.transport.limit_reports import LimitReporter
 from poplarlb.transport.limits import BoundedServer, ServerLimits, limit_connections
 from poplarlb.transport.runtime import Runtime, now_ms
 
@@ -85,11 +86,13 @@
     """Handles the operators' paths under ``/v1``.
 
     :param runtime: answers the calls.
+    :param reporter: reports the clients that exceed a limit.
     """
 
-    def __init__(self, runtime: Runtime) -> None:
+    def __init__(self, runtime: Runtime, reporter: LimitReporter) -> None:
         """Store the runtime, read the shards and create the rate limit."""
         self.runtime = runtime
+        self.reporter = reporter
         self.shards = ShardMap.from_settings(runtime.settings.shards)
         self.rate_limit = RateLimit()
 
@@ -137,7 +140,8 @@
         return json_body(views.to_json(result))
 
     def _apply_templates(self) -> bytes:
-        change = structure(read_json_object(), api.ApplyTemplates)
+        table = read_json_object(self.reporter, ITEMS_LIMIT)
+        change = structure(table, api.ApplyTemplates)
         check_change_ids(change.change_id, change.operator)
         if len(change.teams) > TEAMS_LIMIT:
             raise BadRequestError(f"a change may contain at most {TEAMS_LIMIT} teams")
@@ -154,7 +158,8 @@
         return self._execute_change(change, summary)
 
     def _set_zone(self, zone: str) -> bytes:
-        zone_change = structure(read_json_object(), ZoneChange)
+        table = read_json_object(self.reporter, ITEMS_LIMIT)
+        zone_change = structure(table, ZoneChange)
         check_change_ids(zone_change.change_id, zone_change.operator)
         known = self.runtime.settings.shards.zones
         if zone not in known:
@@ -247,7 +252,8 @@
         """Bind the address."""
         settings = runtime.settings.api
         host, _, port = settings.operator_listen.rpartition(":")
-        handler = OperatorHandler(OperatorRoutes(runtime))
+        reporter = LimitReporter(runtime.metrics)
+        handler = OperatorHandler(OperatorRoutes(runtime, reporter))
         cherrypy.config.update({"environment": "embedded", "log.screen": False})
         application = cherrypy.Application(handler, "", CHERRYPY_CONFIG)
         limits = ServerLimits(
@@ -256,9 +262,7 @@
             SERVER_BODY_LIMIT_BYTES,
             limit_connections(CONNECTIONS_LIMIT),
         )
-        self.server = BoundedServer(
-            (host, int(port)), application, limits, runtime.metrics
-        )
+        self.server = BoundedServer((host, int(port)), application, limits, reporter)
         self.server.shutdown_timeout = SHUTDOWN_TIMEOUT_S
         self.server.ssl_adapter = tls.make_http_adapter(settings)
         self.server.prepare()
@@ -297,9 +301,10 @@
     return int(text) if text.isdigit() else -1
 
 
-def read_json_object(items_limit: int = ITEMS_LIMIT) -> dict:
+def read_json_object(reporter: LimitReporter, items_limit: int) -> dict:
     """Return the JSON object in the body of the current request.
 
+    :param reporter: reports a body with too many values.
     :param items_limit: the most values in it, as each takes far more than its text.
     :raises TooLargeError: if the body exceeds the limit.
     :raises BadRequestError: if the body is not a JSON object, or has too many values.
@@ -311,6 +316,7 @@
     if len(data) > BODY_LIMIT_BYTES:
         raise TooLargeError(f"request body exceeds {BODY_LIMIT_BYTES} bytes")
     if sum(data.count(mark) for mark in (b"{", b"[", b",")) > items_limit:
+        reporter.report("values", "request refused")
         raise BadRequestError(f"request body has more than {items_limit} values")
     try:
         table = json.loads(data)
--- a/tests/transport/test_callers.py
+++ b/tests/transport/test_callers.py
@@ -74,6 +74,11 @@
             self.assertIn("Retry-After", response.headers)
         return table
 
+    def check_counted(self, limit: str) -> None:
+        """Check that a client that exceeded a limit was counted."""
+        text = self.runtime.metrics.render().decode()
+        self.assertIn(f'poplarlb_client_limits_total{{limit="{limit}"}}', text)
+
     def received(self) -> list[tuple[str, str]]:
         """Return the requests that the endpoints received."""
         return [item for endpoint in self.endpoints for item in endpoint.received]
@@ -322,6 +327,7 @@
         response = self.call("PUT", "/v1/jobs/dairy/j", body)
         self.assertEqual(response.status, 400)
         self.assertIn("values", json.loads(response.data)["detail"])
+        self.check_counted("values")
 
     # Guards against forms, which were decoded into an object for each field.
     def test_content_type_changes_nothing(self) -> None:
@@ -337,6 +343,7 @@
         query = "&".join(f"{number:x}=" for number in range(5_000))
         response = self.call("GET", f"/v1/jobs/dairy?{query}")
         self.assertEqual(response.status, 414)
+        self.check_counted("query")
 
     # Guards against bodies that together take more memory than there is.
     def test_memory_for_jobs_is_limited(self) -> None:
@@ -346,6 +353,7 @@
         body = json.dumps({"size": {"cpu_millis": 1}})
         response = self.call("PUT", "/v1/jobs/dairy/j", body)
         self.assertEqual((response.status, response.headers["Retry-After"]), (429, "1"))
+        self.check_counted("job_bodies")
         jobs.bodies.release(jobs.bodies.limit_bytes)
         response = self.call("PUT", "/v1/jobs/dairy/j", body)
         self.assertEqual((response.status, jobs.bodies.used_bytes), (200, 0))
@@ -382,8 +390,7 @@
         started_s = time.monotonic()
         self.assertEqual(self.call("GET", "/healthz").status, 200)
         self.assertLess(time.monotonic() - started_s, limits.HEADER_TIMEOUT_S)
-        text = self.runtime.metrics.render().decode()
-        self.assertIn('poplarlb_shed_connections_total{limit="thread"}', text)
+        self.check_counted("thread")
 
 
 class EncryptedServerTest(CallerServerTestCase):
@@ -433,8 +440,7 @@
         ):
             answer = self.exchange_encrypted("/v1/slow")
         self.assertTrue(answer.endswith(b"done"))
-        text = self.runtime.metrics.render().decode()
-        self.assertIn('poplarlb_shed_connections_total{limit="thread"}', text)
+        self.check_counted("thread")
 
 
 class WaitingConnectionTest(CallerServerTestCase):
@@ -451,8 +457,7 @@
         self.addCleanup(lambda: [item.close() for item in waiting])
         self.assertEqual(self.call("GET", "/healthz").status, 200)
         self.assertLessEqual(self.server.server.requests.qsize, 2)
-        text = self.runtime.metrics.render().decode()
-        self.assertIn('poplarlb_shed_connections_total{limit="connections"}', text)
+        self.check_counted("connections")
 
 
 class OverloadTest(CallerServerTestCase):
