--- a/poplarlb/transport/http_server.py
+++ b/poplarlb/transport/http_server.py
@@ -11,7 +11,7 @@
 from collections.abc import Awaitable, Callable
 
 import httptools
-from attrs import Factory, define, frozen
+from attrs import Factory, define, field, frozen
 
 from poplarlb.transport.client_budget import ClientBudget, ClientHolding
 from poplarlb.transport.read_turns import ReadTurns
@@ -89,8 +89,9 @@
     ``answer_rejection`` returns the response to a request that is malformed, exceeds
     a limit or finds no room, from the status that this has by itself. ``budget`` may
     be shared with other servers. ``kept_headers`` names the headers, in lower case,
-    that requests keep; ``None`` for all. ``on_limit`` is called with the name of a
-    limit that a request exceeds.
+    that requests keep; ``None`` for all, and ``kept_names`` are these and those that
+    frame a message, as they are received. ``on_limit`` is called with the name of a
+    limit that a request exceeds. All connections are read into ``read_buffer``.
     """
 
     handler: Handler
@@ -103,7 +104,7 @@
     connections: set = Factory(set)
     listener: asyncio.Server | None = None
     turns: ReadTurns = Factory(ReadTurns)
-    kept_names: frozenset[bytes] | None = None
+    kept_names: frozenset[bytes] | None = field(init=False, default=None)
     read_buffer: memoryview = Factory(lambda: memoryview(bytearray(READ_BYTES)))
 
     def __attrs_post_init__(self) -> None:
