--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -148,13 +148,19 @@
 
 @frozen
 class StartAnswered:
-    """A start was answered or has failed."""
+    """A start was answered or has failed.
+
+    ``clock_ms`` is what the clock of the worker that answered showed, whatever the
+    outcome. An answer that it was sent to another worker (status 421) bears that
+    other one's.
+    """
 
     worker_id: str
     task: str
     run: int
     sent_ms: int
     outcome: CallOutcome
+    clock_ms: int | None = None  # the worker's clock in its answer; None without one
 
 
 @frozen
--- a/poplarlb/platform/wire.py
+++ b/poplarlb/platform/wire.py
@@ -429,6 +429,14 @@
         return ""
 
 
+def decode_clock(body: bytes) -> int | None:
+    """Return the worker's clock in any of its answers; None if it can't be read."""
+    try:
+        return parse_body(body, "answer").integer("clockMs", required=True)
+    except BadRequestError:
+        return None
+
+
 def decode_advice(body: bytes) -> tuple[tuple[tuple[str, str], ...], int]:
     """Return the workers that may run a step with their tickets, and how long in ms.
 
--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -23,7 +23,7 @@
     CallUnansweredError,
     OldEpochError,
 )
-from poplarlb.platform.wire import decode_answer, decode_reason
+from poplarlb.platform.wire import decode_answer, decode_clock, decode_reason
 from poplarlb.transport.http_client import HttpClient
 
 CALL_TIMEOUT_S = 1.0  # workers answer at once; the call is retried after this
@@ -57,15 +57,20 @@
             body["saved"] = command.checkpoint
         if command.ticket:
             body["ticket"] = command.ticket
-        outcome = await self._send(command, "/v1/run-start", body)
+        outcome, answer = await self._send(command, "/v1/run-start", body)
         return StartAnswered(
-            command.worker_id, command.task, command.run, sent_ms, outcome
+            command.worker_id,
+            command.task,
+            command.run,
+            sent_ms,
+            outcome,
+            decode_clock(answer),
         )
 
     async def stop_run(self, command: StopRun, sent_ms: int) -> StopAnswered:
         """Ask a worker to stop a run."""
         body = {"task": command.task, "run": command.run, "fence": command.epoch}
-        outcome = await self._send(command, "/v1/run-stop", body)
+        outcome, _ = await self._send(command, "/v1/run-stop", body)
         return StopAnswered(
             command.worker_id, command.task, command.run, sent_ms, outcome
         )
@@ -78,7 +83,7 @@
             "percent": command.percent,
             "fence": command.epoch,
         }
-        outcome = await self._send(command, "/v1/pace", body)
+        outcome, _ = await self._send(command, "/v1/pace", body)
         return ThrottleAnswered(
             command.worker_id, command.task, command.run, command.percent, outcome
         )
@@ -128,7 +133,8 @@
 
     async def _send(
         self, command: StartRun | StopRun | ThrottleRun, path: str, body: dict
-    ) -> CallOutcome:
+    ) -> tuple[CallOutcome, bytes]:
+        """Send a call; return its outcome and the answer's body, empty without one."""
         try:
             response = await self.client.call(
                 command.address,
@@ -139,15 +145,15 @@
                 headers=(f"{INSTANCE_HEADER}: {command.worker_id}",),
             )
         except CallNotSentError:
-            return CallOutcome.NOT_SENT
+            return CallOutcome.NOT_SENT, b""
         except CallUnansweredError:
-            return CallOutcome.UNANSWERED
+            return CallOutcome.UNANSWERED, b""
+        outcome = CallOutcome.UNANSWERED
         if response.status == 200:
-            return CallOutcome.DONE
-        if response.status == 409:
-            return REFUSAL_OUTCOMES.get(
-                decode_reason(response.body), CallOutcome.REFUSED
-            )
-        if response.status in (400, 421, 429, 503):
-            return CallOutcome.REFUSED
-        return CallOutcome.UNANSWERED
+            outcome = CallOutcome.DONE
+        elif response.status == 409:
+            reason = decode_reason(response.body)
+            outcome = REFUSAL_OUTCOMES.get(reason, CallOutcome.REFUSED)
+        elif response.status in (400, 421, 429, 503):
+            outcome = CallOutcome.REFUSED
+        return outcome, response.body
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -211,6 +211,32 @@
                 self.assertLess(len(raised.exception.detail), 200)
 
 
+class ClockTest(unittest.TestCase):
+    """The worker's clock in an answer, which needs no other field."""
+
+    # Guards against a clock that is lost because the answer is a refusal.
+    def test_sound(self) -> None:
+        """A whole number of at least 0 is the clock, also if written with a point."""
+        for text, expected in (
+            (b'{"clockMs": 482113}', 482_113),
+            (b'{"clockMs": 482113.0, "reason": "room"}', 482_113),
+            (b'{"clockMs": 0, "running": 5}', 0),
+        ):
+            with self.subTest(text):
+                self.assertEqual(wire.decode_clock(text), expected)
+
+    # Guards against an answer to a start that is lost because its clock is odd.
+    def test_odd_clocks_count_as_none(self) -> None:
+        """An odd clock, or none, is None, and never 0."""
+        for value in ("5", True, None, -1, 5.5, 1e300, 2**53 + 1, [5], {}):
+            with self.subTest(value):
+                body = json.dumps({"clockMs": value}).encode()
+                self.assertIsNone(wire.decode_clock(body))
+        for body in (b"", b"{}", b"x", b"[]", b"5", b'{"clockMs": 5', b"\xff"):
+            with self.subTest(body):
+                self.assertIsNone(wire.decode_clock(body))
+
+
 class BoundaryTest(unittest.TestCase):
     """The names of the wire format are used in one folder only."""
 
