--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -21,6 +21,8 @@
 
 STALL_CHECK_PERIOD_MS = 250  # between checks for runs without progress
 MAX_START_SENDS = 3  # how often a start is sent in all if it gets no answer
+# By more than this the clock in an answer isn't that of the incarnation known here.
+MAX_CLOCK_DIFFERENCE_MS = 500
 # Outcomes after which it is certain that the worker did not carry out the start.
 NOT_STARTED = frozenset(
     (
@@ -168,6 +170,8 @@
                 state.now_ms,
             )
             state.late_call_workers[worker.worker_id] = worker
+        if event.clock_ms is not None:
+            self._log_other_clock(worker, event)
         if run is None:
             return
         if event.outcome is CallOutcome.DONE:
@@ -214,6 +218,25 @@
         run.phase = RunPhase.AMBIGUOUS
         state.stop(run, "start unanswered")
 
+    def _log_other_clock(self, worker: WorkerState, event: StartAnswered) -> None:
+        """Log that another incarnation than the known one has answered a start."""
+        state = self.state
+        expected_ms = worker.clock_now_ms(state.now_ms)
+        if abs(expected_ms - event.clock_ms) > MAX_CLOCK_DIFFERENCE_MS:
+            state.log(
+                "start_clock_differs",
+                task=event.task,
+                run=event.run,
+                worker=event.worker_id,
+                life=worker.incarnation,
+                outcome=str(event.outcome),
+                clock_ms=event.clock_ms,
+                expected_clock_ms=expected_ms,
+                lease_end_ms=worker.lease_end_ms,
+                sent_ms_ago=state.now_ms - event.sent_ms,
+                answered_ms_ago=state.now_ms - worker.answered_ms,
+            )
+
     # --- stops ------------------------------------------------------------------------
 
     def stop_due(self) -> None:
--- a/poplarlb/coordination/jobs/late_calls.py
+++ b/poplarlb/coordination/jobs/late_calls.py
@@ -14,6 +14,8 @@
 from poplarlb.coordination.jobs.fleet import WorkerState
 from poplarlb.state.job_records import LateCall
 
+MAX_LOGGED_CALLS = 20  # of one record
+
 
 @define(eq=False)
 class LateCalls:
@@ -42,6 +44,8 @@
                 worker.add_unanswered_start((call.task, call.run), until_ms, 0)
             state.late_call_workers[worker.worker_id] = worker
         self.recorded = frozenset(map(identify, late_calls))
+        if late_calls:
+            self._log("late_calls_taken_over", late_calls)
 
     def due_record(self) -> tuple[LateCall, ...] | None:
         """Return the record to store; None if none is due."""
@@ -58,10 +62,23 @@
         named = frozenset(map(identify, late_calls))
         if named <= self.recorded and (not self.recorded or now_ms < self.next_ms):
             return None
+        if named != self.recorded:
+            self._log("late_calls_changed", late_calls)
         self.recorded = named
         self.next_ms = now_ms + state.policy.lease_record_period_ms
         return late_calls
 
+    def _log(self, event: str, late_calls: tuple[LateCall, ...]) -> None:
+        """Log how long the calls of a record may still be carried out."""
+        self.state.log(
+            event,
+            count=len(late_calls),
+            remaining_ms={
+                f"{call.worker_id} {call.task} run {call.run}": call.remaining_ms
+                for call in late_calls[:MAX_LOGGED_CALLS]
+            },
+        )
+
 
 def list_late_calls(worker: WorkerState, now_ms: int) -> Iterator[LateCall]:
     """Yield the calls to a worker that may be carried out after ``now_ms``."""
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -82,7 +82,13 @@
             clock_ms=poll.clock_ms,
             former_lease_end_ms=former_lease_end_ms,
             misdirected_ms=max(worker.misdirected_until_ms - state.now_ms, 0),
+            poll_sent_ms_ago=state.now_ms - poll.sent_ms,
             kept_runs=[f"{task} run {run}" for task, run in listed][:MAX_LOGGED_RUNS],
+            confirmed_ms_ago={
+                f"{run.task.name} run {run.number}": state.now_ms - run.confirmed_ms
+                for run in lost[:MAX_LOGGED_RUNS]
+                if run.confirmed_ms
+            },
         )
         unanswered_starts = {
             key
