--- a/tests/coordination/jobs/advice_world.py
+++ b/tests/coordination/jobs/advice_world.py
@@ -92,5 +92,6 @@
                     command.run,
                     sent_ms,
                     events.CallOutcome.NO_TICKET,
+                    int(worker.clock_ms),
                 )
         return super()._execute(command, worker, sent_ms)
--- a/tests/coordination/jobs/fake_worker.py
+++ b/tests/coordination/jobs/fake_worker.py
@@ -1,5 +1,7 @@
 """A fake worker that runs tasks under leases and fences, on a simulated clock."""
 
+import random
+
 from attrs import Factory, define, frozen
 
 from poplarlb.coordination.jobs.events import (
@@ -14,6 +16,10 @@
 LEASE_LIMIT_MS = 10_000
 STOP_MS = 100
 JUST_BEGUN_MS = 1_000
+FIRST_CLOCK_MS = 1_000.0  # of a clock that has begun anew
+CLOCKS_MS = (1_000, 9_000_000)  # of workers before their first restart
+# Between the clocks of two incarnations; the next one's may be further behind.
+CLOCK_OFFSET_MS = (1_000_000, 9_000_000)
 
 
 @define
@@ -68,7 +74,7 @@
     capacity: Resources = Resources(16_000, 64_000, 0)
     service: str = "desk"
     clock_rate: float = 1.0
-    clock_ms: float = 1_000.0
+    clock_ms: float = FIRST_CLOCK_MS
     fence: int = 0
     lease_end_ms: float = 0.0
     runs: dict[tuple[str, int], LiveRun] = Factory(dict)
@@ -155,11 +161,14 @@
         self.crashes.append(Crash(self.incarnation, cause, tasks, just_begun))
         self.alive = False
 
-    def restart(self, incarnation: int) -> None:
-        """Crash, unless it is down, and start an incarnation without any state."""
+    def restart(self, incarnation: int, clock_ms: float = FIRST_CLOCK_MS) -> None:
+        """Crash, unless it is down, and start an incarnation without any state.
+
+        :param clock_ms: what the new incarnation's clock shows.
+        """
         self.crash()
         self.incarnation = incarnation
-        self.clock_ms = 1_000.0
+        self.clock_ms = clock_ms
         self.fence = 0
         self.lease_end_ms = 0.0
         self.runs.clear()
@@ -237,3 +246,11 @@
             for run in self.runs.values()
         )
         return running, tuple(self.ends)
+
+
+def draw_clock_ms(rng: random.Random, former_ms: float) -> float:
+    """Return a next incarnation's clock: begun anew, far ahead or far behind."""
+    ahead_ms = former_ms + rng.uniform(*CLOCK_OFFSET_MS)
+    latest_ms = max(former_ms - CLOCK_OFFSET_MS[0], FIRST_CLOCK_MS)
+    behind_ms = rng.uniform(FIRST_CLOCK_MS, latest_ms)
+    return rng.choice((FIRST_CLOCK_MS, ahead_ms, behind_ms))
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -514,7 +514,12 @@
                     if command.task in self.deadly:
                         self._crash_soon(worker, command.task)
                 return events.StartAnswered(
-                    worker.worker_id, name, command.run, sent_ms, outcome
+                    worker.worker_id,
+                    name,
+                    command.run,
+                    sent_ms,
+                    outcome,
+                    int(worker.clock_ms),
                 )
             case events.StopRun():
                 outcome = worker.stop(command)
--- a/tests/coordination/jobs/test_late_calls.py
+++ b/tests/coordination/jobs/test_late_calls.py
@@ -14,7 +14,7 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.state.jobs import StepSpec
 from poplarlb.state.models import Resources
-from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.coordination.jobs.fake_worker import CLOCKS_MS, FakeWorker, draw_clock_ms
 from tests.coordination.jobs.job_world import JobWorld, fail, make_job
 
 WALKS = 20  # ``python -m tests.coordination.jobs.test_late_calls FIRST COUNT``
@@ -42,6 +42,8 @@
 class LateCallWorld(JobWorld):
     """A world in which a worker's present incarnation carries out late calls.
 
+    ``clock_rng`` draws the clocks of the workers' incarnations.
+
     :ivar misdirected_calls: how many calls another incarnation than the one meant has
         carried out.
     :ivar over: the highest run of a task that was stopped or had ended at a worker
@@ -52,6 +54,7 @@
     late: LateKinds = LateKinds()
     late_rate: float = 0.0
     late_rng: random.Random = Factory(random.Random)
+    clock_rng: random.Random = Factory(random.Random)
     misdirected_calls: int = 0
     over: dict[tuple[str, str], int] = Factory(dict)
     fences: dict[str, list[tuple[int, frozenset]]] = Factory(dict)
@@ -113,7 +116,8 @@
         def come_back(worker=worker) -> None:
             if worker.alive:
                 return
-            worker.restart(worker.incarnation + 1_000)
+            clock_ms = draw_clock_ms(world.clock_rng, worker.clock_ms)
+            worker.restart(worker.incarnation + 1_000, clock_ms)
             listed_ms = rng.uniform(*LISTED_MS)
             world.later(listed_ms, lambda: world.relist(worker.worker_id))
 
@@ -134,9 +138,12 @@
         work_ms=rng.choice((8_000.0, 20_000.0, 60_000.0)),
         late=late,
         late_rng=random.Random(f"late {seed}"),
+        clock_rng=random.Random(f"clocks {seed}"),
     )
     world.new_owner()
     world.add_workers(6, clock_rate=rng.choice((1.0, 0.98)))
+    for worker in world.workers.values():
+        worker.clock_ms = world.clock_rng.uniform(*CLOCKS_MS)
     world.run(rng.uniform(300, 15_000))
     for number in range(ROUNDS):
         steps = StepSpec(rng.randint(1, 6), SIZE, estimate_ms=8_000)
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -9,7 +9,7 @@
 from attrs import Factory, define
 
 from poplarlb.state.models import Resources
-from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.coordination.jobs.fake_worker import CLOCKS_MS, FakeWorker, draw_clock_ms
 from tests.platform.deployment import CONFIG, free_address
 from tests.soak.daemons import DaemonProcess
 from tests.soak.invariants import InvariantChecker
@@ -92,7 +92,9 @@
         store_address = free_address()
         await self.store.start(store_address)
         self.workers = WorkerService(
-            self.store.table, work_ms=self.rng.choice((300, 800, 2_000))
+            self.store.table,
+            work_ms=self.rng.choice((300, 800, 2_000)),
+            clock_rng=random.Random(f"clocks {self.seed}"),
         )
         self.invariants = InvariantChecker(self.workers)
         deadly_rng = random.Random(f"deadly {self.seed}")
@@ -105,6 +107,7 @@
                 incarnation=1_000 + number,
                 zone=ZONES[number % len(ZONES)],
                 clock_rate=self.rng.choice((1.0, 0.98)),
+                clock_ms=self.workers.clock_rng.uniform(*CLOCKS_MS),
             )
             link = Link(free_address(), free_address())
             await link.start()
@@ -308,7 +311,8 @@
         link.reset()
         await asyncio.sleep(2 * CHECK_PERIOD_S)
         link.stalled = False
-        worker.restart(worker.incarnation + RESTART_STEP)
+        clock_ms = draw_clock_ms(self.workers.clock_rng, worker.clock_ms)
+        worker.restart(worker.incarnation + RESTART_STEP, clock_ms)
         self.workers.list(worker)
 
     async def _drain_worker(self, duration_s: float) -> None:
--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -8,6 +8,7 @@
 import base64
 import itertools
 import json
+import random
 from collections.abc import Callable
 from urllib.parse import parse_qs, urlsplit
 
@@ -16,7 +17,7 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.state.models import Resources
 from poplarlb.transport.http_server import HttpRequest, HttpResponse, HttpServer
-from tests.coordination.jobs.fake_worker import FakeWorker
+from tests.coordination.jobs.fake_worker import FakeWorker, draw_clock_ms
 
 MAX_PAGE_ITEMS = 500
 MAX_TRANSACTION_ENTRIES = 32
@@ -289,7 +290,8 @@
     ``work_ms`` is the run time of every run; ``starts`` holds the started tasks. A
     worker that starts one of ``deadly_tasks`` crashes as ``next_crash`` tells.
     ``on_started`` is called after each start of a run. ``capacities`` holds, by worker,
-    each capacity that was written to the store and when.
+    each capacity that was written to the store and when. ``clock_rng`` draws the clocks
+    of the workers that are back after a crash.
     """
 
     table: KvTable
@@ -307,6 +309,7 @@
     crash_tasks: set[asyncio.Task] = Factory(set)
     on_started: Callable[[], None] = lambda: None
     capacities: dict[str, list[tuple[float, Resources]]] = Factory(dict)
+    clock_rng: random.Random = Factory(lambda: random.Random("clocks"))
 
     async def add(self, worker: FakeWorker, address: str) -> None:
         """Start a worker's server and list the worker in the store."""
@@ -409,6 +412,7 @@
         listen = self.listen_addresses[worker.worker_id]
         listed = self.addresses[worker.worker_id]
         incarnation = worker.incarnation + RESTART_STEP
+        clock_ms = draw_clock_ms(self.clock_rng, worker.clock_ms)
         if renamed:
             worker = FakeWorker(
                 f"{host}-{incarnation}",
@@ -418,10 +422,11 @@
                 capacity=worker.capacity,
                 service=worker.service,
                 clock_rate=worker.clock_rate,
+                clock_ms=clock_ms,
             )
             self.hosts[host] = worker
         else:
-            worker.restart(incarnation)
+            worker.restart(incarnation, clock_ms)
         await self._serve(worker, listen, listed)
 
     def _disconnect(self, worker: FakeWorker) -> None:
