--- a/tests/coordination/jobs/test_late_calls.py
+++ b/tests/coordination/jobs/test_late_calls.py
@@ -27,6 +27,7 @@
 CUT_MS = (3_000, 14_000)
 LISTED_MS = (0, 1_500)  # from the restart until its entry is read
 OVERTAKEN_MS = 300
+AWAITED_LATE_MS = 9_000
 LATE_RATES = (0.0, 0.1, 0.5)
 SIZE = Resources(2_000, 1_000)
 
@@ -197,6 +198,49 @@
             super()._call(command, owner, action, sent_ms)
 
 
+@define(eq=False)
+class AwaitedStartWorld(JobWorld):
+    """A world in which the first start finds its worker crashing.
+
+    The worker is back behind a cut, and carries the start out ``AWAITED_LATE_MS`` late.
+    """
+
+    sent_to: str = ""
+
+    def _call(self, command, owner, action, sent_ms: int) -> None:
+        if self.sent_to or not isinstance(command, events.StartRun):
+            super()._call(command, owner, action, sent_ms)
+            return
+        worker = self.workers[command.worker_id]
+        self.sent_to = worker.worker_id
+        self.partitioned.add(worker.worker_id)
+        worker.restart(worker.incarnation + 1_000)
+        self._fail_later(command, owner, sent_ms)
+        self.later(AWAITED_LATE_MS, lambda: action(command, worker, sent_ms))
+
+
+class AwaitedStartTest(unittest.TestCase):
+    """An owner dies while it awaits the answer to a start."""
+
+    # Guards against a late start that the record for the next owner doesn't name.
+    def test_start_awaited_at_a_takeover(self) -> None:
+        """The task isn't started elsewhere while the late start's lease lasts."""
+        world = AwaitedStartWorld(work_ms=60_000)
+        world.new_owner()
+        world.add_workers(1)
+        world.run(20_000)
+        world.submit(make_job("a" * 16, StepSpec(1, SIZE, estimate_ms=8_000)))
+        while not world.sent_to:
+            world.run(20)
+        world.new_owner()
+        world.add_workers(1)
+        world.run(AWAITED_LATE_MS + 100)
+        self.assertEqual(len(world.workers["w0"].runs), 1)
+        world.run(20_000)
+        self.assertEqual(find_overlaps(world), [])
+        self.assertEqual(len(world.workers["w1"].runs), 1)
+
+
 class UnnoticedRestartTest(unittest.TestCase):
     """A worker restarts, is sent a start, and is cut off before it answers a poll."""
 
