--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -8,6 +8,7 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import (
     CallOutcome,
+    PollFailed,
     PollWorker,
     StartAnswered,
     StartRun,
@@ -21,8 +22,6 @@
 
 STALL_CHECK_PERIOD_MS = 250  # between checks for runs without progress
 MAX_START_SENDS = 3  # how often a start is sent in all if it gets no answer
-# By more than this the clock in an answer isn't that of the incarnation known here.
-MAX_CLOCK_DIFFERENCE_MS = 500
 # Outcomes after which it is certain that the worker did not carry out the start.
 NOT_STARTED = frozenset(
     (
@@ -34,6 +33,15 @@
         CallOutcome.NOT_SENT,
     )
 )
+# Outcomes of starts by whose answer the worker may have prolonged its leases.
+MAY_RENEW = frozenset(
+    (
+        CallOutcome.DONE,
+        CallOutcome.NO_ROOM,
+        CallOutcome.OLD_RUN,
+        CallOutcome.NO_TICKET,
+    )
+)
 
 
 @define(eq=False)
@@ -115,13 +123,19 @@
             )
         )
 
-    def on_poll_ended(self, worker: WorkerState, answered: bool) -> None:
+    def on_poll_failed(self, event: PollFailed) -> None:
+        """Handle that a poll got no answer."""
+        worker = self.state.worker(event.worker_id)
+        if event.renewed:
+            until_ms = event.sent_ms + self.state.policy.max_call_delay_ms
+            worker.late_renewals_until_ms = max(worker.late_renewals_until_ms, until_ms)
+        self.schedule_poll(worker, answered=False)
+
+    def schedule_poll(self, worker: WorkerState, answered: bool) -> None:
         """Schedule the next poll after one was answered or has failed."""
         policy = self.state.policy
-        if worker.poll_renews and not answered:
-            until_ms = worker.poll_sent_ms + policy.max_call_delay_ms
-            worker.late_renewals_until_ms = until_ms
         worker.poll_sent_ms = 0
+        worker.poll_renews = False
         pause_ms = 0
         worker.missed_polls += not answered
         if not answered or worker.applied_end > worker.stored_end:
@@ -170,11 +184,16 @@
                 state.now_ms,
             )
             state.late_call_workers[worker.worker_id] = worker
-        if event.clock_ms is not None:
+        known = event.outcome not in MAY_RENEW or worker.note_start_clock(
+            event.clock_ms, event.sent_ms, state.policy, state.now_ms
+        )
+        if not known:
             self._log_other_clock(worker, event)
         if run is None:
             return
         if event.outcome is CallOutcome.DONE:
+            if not known:
+                run.answered_elsewhere_ms = state.now_ms
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
                 run.phase = RunPhase.RUNNING
                 run.confirmed_ms = state.now_ms
@@ -221,21 +240,19 @@
     def _log_other_clock(self, worker: WorkerState, event: StartAnswered) -> None:
         """Log that another incarnation than the known one has answered a start."""
         state = self.state
-        expected_ms = worker.clock_now_ms(state.now_ms)
-        if abs(expected_ms - event.clock_ms) > MAX_CLOCK_DIFFERENCE_MS:
-            state.log(
-                "start_clock_differs",
-                task=event.task,
-                run=event.run,
-                worker=event.worker_id,
-                life=worker.incarnation,
-                outcome=str(event.outcome),
-                clock_ms=event.clock_ms,
-                expected_clock_ms=expected_ms,
-                lease_end_ms=worker.lease_end_ms,
-                sent_ms_ago=state.now_ms - event.sent_ms,
-                answered_ms_ago=state.now_ms - worker.answered_ms,
-            )
+        state.log(
+            "start_clock_differs",
+            task=event.task,
+            run=event.run,
+            worker=event.worker_id,
+            life=worker.incarnation,
+            outcome=str(event.outcome),
+            clock_ms=event.clock_ms,
+            expected_clock_ms=worker.clock_now_ms(state.now_ms),
+            lease_end_ms=worker.lease_end_ms,
+            sent_ms_ago=state.now_ms - event.sent_ms,
+            answered_ms_ago=state.now_ms - worker.answered_ms,
+        )
 
     # --- stops ------------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -163,8 +163,8 @@
         match event:
             case PollAnswered():
                 self._handle_poll_answered(event)
-            case PollFailed(worker_id=worker_id):
-                self.calls.on_poll_ended(state.worker(worker_id), answered=False)
+            case PollFailed():
+                self.calls.on_poll_failed(event)
             case StartAnswered():
                 self._handle_start_answered(event)
             case AdviceAnswered():
@@ -207,7 +207,7 @@
     def _handle_poll_answered(self, poll: PollAnswered) -> None:
         worker = self.state.worker(poll.worker_id)
         self.poll_reader.read(worker, poll)
-        self.calls.on_poll_ended(worker, answered=True)
+        self.calls.schedule_poll(worker, answered=True)
         self.throttler.update(worker)
 
     def _handle_start_answered(self, event: StartAnswered) -> None:
--- a/poplarlb/coordination/jobs/events.py
+++ b/poplarlb/coordination/jobs/events.py
@@ -126,10 +126,14 @@
 
 @frozen
 class PollFailed:
-    """A poll got no answer."""
+    """A poll got no answer.
+
+    ``renewed``: it would have renewed the worker's leases, and may still do so.
+    """
 
     worker_id: str
     sent_ms: int
+    renewed: bool = False
 
 
 class CallOutcome(enum.StrEnum):
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -44,6 +44,9 @@
     last_resort: bool = False
     ticket: str = ""  # by which the advice service permits the start; empty: not needed
     confirmed_ms: int = 0  # when the worker confirmed the start
+    # When another incarnation than the known one answered the start; 0: none has, or a
+    # poll has listed the run since.
+    answered_elsewhere_ms: int = 0
     stopping: str = ""  # why it is to be stopped; empty: it is not
     stop_sent_ms: int = 0  # when the stop was last sent; 0: never
     stop_confirmed_ms: int = 0  # when the worker first answered a stop; 0: not yet
@@ -92,6 +95,7 @@
     # the present one, and grant a lease by the earlier one's clock.
     misdirected_until_ms: int = 0
     answered_ms: int = 0  # when it last answered a poll
+    polled_ms: int = 0  # when the last poll was sent that it answered
     missed_polls: int = 0  # polls in a row that got no answer
     poll_sent_ms: int = 0  # 0: no poll is in flight
     next_poll_ms: int = 0
@@ -125,7 +129,8 @@
     orphan_stops: dict[tuple[str, int], int] = Factory(dict)
     # By run key: until when the worker may still carry out a start that got no answer.
     unanswered_starts: dict[tuple[str, int], int] = Factory(dict)
-    # Until then the worker may still carry out a renewal that got no answer.
+    # Until then another incarnation may carry out, or has carried out, a call that
+    # renews its leases.
     late_renewals_until_ms: int = 0
     poll_renews: bool = False  # the poll in flight renews the leases
 
@@ -224,6 +229,27 @@
         self.lease_end_ms = max(self.lease_end_ms, end_ms)
         return end_ms
 
+    def note_start_clock(
+        self, clock_ms: int | None, sent_ms: int, policy: JobPolicy, now_ms: int
+    ) -> bool:
+        """Return whether the known incarnation may have answered a start.
+
+        If it may, its leases cover the run. Otherwise another one has granted a lease
+        of up to the workers' limit, by a clock of its own, and prolonged all others.
+
+        :param clock_ms: the worker's clock in the answer; None without one.
+        """
+        if clock_ms is not None:
+            # How much longer leases last by this answer than by that to the last poll.
+            longer_ms = now_ms - self.clock_at_ms
+            longer_ms += policy.max_duration_ms(self.clock_ms - clock_ms)
+            longer_ms -= policy.max_duration_ms(0)
+            if longer_ms <= now_ms - sent_ms + policy.lease_margin_ms:
+                self.lease_end_ms += max(longer_ms, 0)
+                return True
+        self.late_renewals_until_ms = max(self.late_renewals_until_ms, now_ms)
+        return False
+
     def lease_remaining_ms(self, policy: JobPolicy, now_ms: int) -> int:
         """Return how long a run may go on at most if its lease isn't renewed."""
         if not self.fenced:
@@ -250,32 +276,38 @@
     def restarted_run_ms(self, run: Run, policy: JobPolicy, now_ms: int) -> int:
         """Return how long a run at a silent worker may go on if that has restarted.
 
-        The next incarnation may carry out a start of the run that got no answer, and
-        later calls for the earlier one that renew its lease.
+        The next incarnation may have answered the run's start, or may carry out one
+        that got no answer, and later calls for the earlier one that renew its lease.
         """
         until_ms = 0
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
             until_ms = run.sent_ms + policy.max_call_delay_ms
         if self.listed:
             until_ms = max(until_ms, self.unanswered_starts.get(run.key, 0))
-        if until_ms <= self.clock_at_ms:
+        if until_ms <= self.polled_ms:
+            until_ms = 0
+        until_ms = max(until_ms, run.answered_elsewhere_ms)
+        if not until_ms:
             return 0
-        if self.listed:  # otherwise no incarnation is up
+        # Without an entry no incarnation is up, unless one has just answered.
+        if self.listed or run.answered_elsewhere_ms:
             until_ms = max(until_ms, self.late_calls_until_ms(policy))
             until_ms += policy.max_duration_ms(policy.lease_limit_ms)
         return max(until_ms - now_ms, 0)
 
     def late_calls_until_ms(self, policy: JobPolicy) -> int:
         """Return until when calls without an answer may grant leases at the worker."""
-        in_flight_until_ms = (
-            run.sent_ms + policy.max_call_delay_ms
+        sent_ms = [
+            run.sent_ms
             for run in self.runs.values()
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS)
-        )
+        ]
+        if self.poll_renews:
+            sent_ms.append(self.poll_sent_ms)
         return max(
             chain(
                 (self.late_renewals_until_ms,),
-                in_flight_until_ms,
+                (call_ms + policy.max_call_delay_ms for call_ms in sent_ms),
                 self.unanswered_starts.values(),
             )
         )
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -36,6 +36,7 @@
             self._handle_new_incarnation(worker, poll, listed)
         first = not worker.fenced
         worker.update_clock(poll.clock_ms, state.policy, state.now_ms)
+        worker.polled_ms = poll.sent_ms
         if first:
             state.capacity_changed = True
             self._resolve_inherited(worker, poll, listed)
@@ -50,7 +51,7 @@
                 worker.applied_end,
             )
         for key, row in listed.items():
-            self._handle_running(worker, key, row)
+            self._handle_running(worker, key, row, poll.sent_ms)
         if len(poll.ended) < MAX_ENDS_PER_POLL:
             self._release_missing(worker, poll, listed, ended)
 
@@ -72,6 +73,7 @@
         lost = [run for run in worker.runs.values() if run.key not in listed]
         self.crashes.on_worker_lost(worker, lost, restarted=True)
         former_lease_end_ms = worker.lease_end_ms
+        worker.poll_renews = False  # it has been answered
         worker.note_misdirected_calls(state.policy)
         state.late_call_workers[worker.worker_id] = worker
         worker.begin_incarnation(poll.incarnation)
@@ -252,7 +254,7 @@
     # --- running ----------------------------------------------------------------------
 
     def _handle_running(
-        self, worker: WorkerState, key: tuple[str, int], row: RunningRow
+        self, worker: WorkerState, key: tuple[str, int], row: RunningRow, sent_ms: int
     ) -> None:
         state = self.state
         run = worker.runs.get(key)
@@ -264,6 +266,8 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = state.now_ms
             self.crashes.on_start_confirmed(run)
+        if run.answered_elsewhere_ms <= sent_ms:
+            run.answered_elsewhere_ms = 0
         if row.percent != run.percent_done or run.throttle_percent < 100:
             run.percent_done = row.percent
             run.progress_ms = state.now_ms
--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -106,6 +106,9 @@
             command = attrs.evolve(
                 command, acknowledged_end=None, lease_end_ms=None, wait_ms=0
             )
+        failed = PollFailed(
+            command.worker_id, sent_ms, renewed=command.lease_end_ms is not None
+        )
         body: dict[str, Any] = {"fence": command.epoch}
         if command.acknowledged_end is not None:
             body["lastSeen"] = command.acknowledged_end
@@ -123,12 +126,14 @@
                 headers=(f"{INSTANCE_HEADER}: {command.worker_id}",),
                 verifies=True,
             )
-        except (CallNotSentError, CallUnansweredError):
-            return PollFailed(command.worker_id, sent_ms)
+        except CallNotSentError:
+            return attrs.evolve(failed, renewed=False)
+        except CallUnansweredError:
+            return failed
         if response.status == 409:
             raise OldEpochError(command.worker_id)
         if response.status != 200:
-            return PollFailed(command.worker_id, sent_ms)
+            return failed
         return decode_answer(command.worker_id, sent_ms, response.body)
 
     async def _send(
--- a/tests/coordination/jobs/job_world.py
+++ b/tests/coordination/jobs/job_world.py
@@ -505,6 +505,11 @@
         return self.overtaken_rng.uniform(0, self.overtaken_ms)
 
     def _fail_later(self, command, owner: Dispatcher, sent_ms: int) -> None:
+        known = owner.state.worker(command.worker_id).incarnation
+        is_poll = isinstance(command, events.PollWorker)
+        if is_poll and self.workers[command.worker_id].incarnation != known:
+            # On a new connection the adapter first polls without renewing leases.
+            command = attrs.evolve(command, lease_end_ms=None)
         answer = fail(command, sent_ms)
         self.later(UNANSWERED_MS, lambda: self._answer(owner, answer))
 
@@ -693,7 +698,8 @@
     outcome = events.CallOutcome.UNANSWERED
     match command:
         case events.PollWorker():
-            return events.PollFailed(command.worker_id, sent_ms)
+            renewed = command.lease_end_ms is not None
+            return events.PollFailed(command.worker_id, sent_ms, renewed)
         case events.StartRun():
             return events.StartAnswered(
                 command.worker_id, command.task, command.run, sent_ms, outcome
