--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -64,13 +64,18 @@
         """Release runs of the earlier incarnation.
 
         Starts that got no answer may still reach the new incarnation; their runs are
-        stopped there. Runs that the new incarnation lists are kept.
+        stopped there. Runs that the new incarnation lists are kept, and those whose
+        start it may have carried out after it listed its runs.
         """
         state = self.state
         if not worker.incarnation:
             worker.begin_incarnation(poll.incarnation)
             return
-        lost = [run for run in worker.runs.values() if run.key not in listed]
+        lost = [
+            run
+            for run in worker.runs.values()
+            if run.key not in listed and not is_confirmed_since(run, poll)
+        ]
         self.crashes.on_worker_lost(worker, lost, restarted=True)
         former_lease_end_ms = worker.lease_end_ms
         worker.poll_renews = False  # it has been answered
@@ -108,7 +113,7 @@
                 run.phase = RunPhase.AMBIGUOUS
                 state.stop(run, "start unanswered by an earlier life")
                 run.stop_sent_ms = run.stop_confirmed_ms = 0
-            else:
+            elif not is_confirmed_since(run, poll):
                 state.release(worker, run, "worker restarted")
 
     def _resolve_inherited(
@@ -320,3 +325,11 @@
                 continue
             if resolved_ms and poll.sent_ms > resolved_ms:
                 self.state.release(worker, run, "not at its worker")
+
+
+def is_confirmed_since(run: Run, poll: PollAnswered) -> bool:
+    """Return whether a start was confirmed after a poll was sent.
+
+    Answers may overtake each other, so the poll's lists may be older than the start.
+    """
+    return run.phase is RunPhase.RUNNING and run.confirmed_ms >= poll.sent_ms
