--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -181,6 +181,7 @@
             worker.add_unanswered_start(
                 (event.task, event.run),
                 event.sent_ms + state.policy.max_call_delay_ms,
+                state.policy,
                 state.now_ms,
             )
             state.late_call_workers[worker.worker_id] = worker
@@ -194,6 +195,7 @@
         if event.outcome is CallOutcome.DONE:
             if not known:
                 run.answered_elsewhere_ms = state.now_ms
+                state.late_call_workers[worker.worker_id] = worker
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
                 run.phase = RunPhase.RUNNING
                 run.confirmed_ms = state.now_ms
@@ -217,7 +219,12 @@
             return
         # Starts are idempotent, so an unanswered one is sent again. If that isn't
         # allowed, its run is stopped.
-        resend = event.outcome is CallOutcome.UNANSWERED and may_renew(state, worker)
+        confirmed_ms_ago = state.now_ms - self.ownership_confirmed_ms
+        resend = (
+            event.outcome is CallOutcome.UNANSWERED
+            and may_renew(state, worker)
+            and confirmed_ms_ago <= state.policy.max_view_age_ms
+        )
         if resend and run.times_sent < MAX_START_SENDS:
             reason = self.reason_not_to_start(worker, run)
             if not reason:
--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -371,6 +371,7 @@
         due = (waiting, lease_remainders, late_calls)
         if not changed and all(record is None for record in due):
             return
+        self.late_calls.refresh_jobs()
         self.committing = True
         self.in_commit_starts, state.to_start = state.to_start, []
         self.in_commit_acknowledged, state.to_acknowledge = state.to_acknowledge, {}
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -53,6 +53,8 @@
     :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
     :ivar isolating: the workers with an isolated run.
     :ivar late_call_workers: the workers at which calls may be carried out late, by id.
+    :ivar starting_jobs: the jobs whose stored records name tasks whose start may be yet
+        to be sent or answered, by id.
     :ivar shortened: the ids of jobs whose records were last stored without all their
         checkpoints.
     :ivar refused_workers: how many workers best-effort tasks were not placed at, by
@@ -84,6 +86,7 @@
     suspects: dict[Task, None] = Factory(dict)
     isolating: set[WorkerState] = Factory(set)
     late_call_workers: dict[str, WorkerState] = Factory(dict)
+    starting_jobs: dict[str, Job] = Factory(dict)
     shortened: set[str] = Factory(set)
     refused_workers: Counter[str] = Factory(Counter)
     owned_since_ms: int = 0
@@ -287,12 +290,22 @@
                 if task.spec.fills:
                     run.sent_throttle_percent = UNKNOWN_THROTTLE
                 worker.add(run)
+                if task.starting:
+                    self._expect_start(worker, run)
                 if task.isolated_run == run.number:
                     worker.isolated_run = run
                     self.isolating.add(worker)
                 if job.final:
                     self.stop(run, f"job {job.state}")
 
+    def _expect_start(self, worker: WorkerState, run: Run) -> None:
+        """Note a start that the last owner may yet send, so that it arrives late."""
+        policy = self.policy
+        until_ms = self.now_ms + policy.max_view_age_ms + policy.max_call_delay_ms
+        worker.add_unanswered_start(run.key, until_ms, policy, self.now_ms)
+        self.late_call_workers[worker.worker_id] = worker
+        self.starting_jobs[run.task.job.spec.job_id] = run.task.job
+
     def set_aside(self, job: Job, reason: str) -> None:
         """Fail a job that can't be handled, and forget its tasks.
 
@@ -321,7 +334,12 @@
         The store refuses a value over its limit, and with it the whole commit.
         """
         job_id = job.spec.job_id
-        value = job_records.encode_progress(job)
+        starting = find_starting(job)
+        if starting:
+            self.starting_jobs[job_id] = job
+        else:
+            self.starting_jobs.pop(job_id, None)
+        value = job_records.encode_progress(job, starting=starting)
         excess_bytes = len(value) - self.policy.record_limit_bytes
         if excess_bytes <= 0:
             self.shortened.discard(job_id)
@@ -336,4 +354,14 @@
                 limit_bytes=self.policy.record_limit_bytes,
                 tasks=len(left_out),
             )
-        return ProgressRecord(job_id, job_records.encode_progress(job, left_out))
+        value = job_records.encode_progress(job, left_out, starting)
+        return ProgressRecord(job_id, value)
+
+
+def find_starting(job: Job) -> list[Task]:
+    """Return the tasks whose start may be yet to be sent or answered."""
+    return [
+        run.task
+        for run in job.reserved_runs()
+        if run.current and run.phase in (RunPhase.COMMITTING, RunPhase.SENT)
+    ]
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -312,15 +312,6 @@
             )
         )
 
-    def longest_run_ms(self, policy: JobPolicy, now_ms: int) -> int:
-        """Return how long any run at a silent worker may go on at most."""
-        restarted_ms = (
-            self.restarted_run_ms(run, policy, now_ms) for run in self.runs.values()
-        )
-        return max(
-            self.lease_remaining_ms(policy, now_ms), max(restarted_ms, default=0)
-        )
-
     def is_unresponsive(self, policy: JobPolicy, now_ms: int) -> bool:
         """Return whether the worker has not answered for ``unresponsive_ms``.
 
@@ -348,13 +339,19 @@
         )
 
     def add_unanswered_start(
-        self, key: tuple[str, int], until_ms: int, now_ms: int
+        self, key: tuple[str, int], until_ms: int, policy: JobPolicy, now_ms: int
     ) -> None:
-        """Record a start without an answer, which may be carried out until a time."""
+        """Record a start without an answer, which may be carried out until a time.
+
+        It is kept while the lease may last that it has granted then.
+        """
+        oldest_ms = now_ms - policy.max_duration_ms(policy.lease_limit_ms)
         self.unanswered_starts = {
-            item: end for item, end in self.unanswered_starts.items() if end > now_ms
+            item: end for item, end in self.unanswered_starts.items() if end > oldest_ms
         }
-        self.unanswered_starts[key] = until_ms
+        self.unanswered_starts[key] = max(
+            self.unanswered_starts.get(key, until_ms), until_ms
+        )
 
     @property
     def is_reachable(self) -> bool:
--- a/poplarlb/coordination/jobs/late_calls.py
+++ b/poplarlb/coordination/jobs/late_calls.py
@@ -1,17 +1,22 @@
 """Records for the next owner which calls may still be carried out late.
 
 A start that got no answer may be carried out seconds later, also by the next
-incarnation of its worker, which then runs the task by a lease of its own. Other calls
-for an earlier incarnation may renew that lease. The owner doesn't start the task
-elsewhere while that may be so, and neither must the next owner.
+incarnation of its worker, which then runs the task by a lease of its own; that
+incarnation may also have answered it already. Other calls for an earlier incarnation
+may renew that lease. The owner doesn't start the task elsewhere while that may be so,
+and neither must the next owner.
+
+Starts that may be yet to be sent or answered are named in the records of their jobs,
+which are stored before the starts are sent.
 """
 
 from collections.abc import Iterator
 
 from attrs import define
 
-from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
+from poplarlb.coordination.jobs.dispatcher_state import DispatcherState, find_starting
 from poplarlb.coordination.jobs.fleet import WorkerState
+from poplarlb.coordination.jobs.policy import JobPolicy
 from poplarlb.state.job_records import LateCall
 
 MAX_LOGGED_CALLS = 20  # of one record
@@ -23,11 +28,13 @@
 
     :ivar recorded: the workers and runs that the record last stored names.
     :ivar next_ms: when the remaining times are stored again.
+    :ivar next_refresh_ms: when the records of jobs are next reviewed.
     """
 
     state: DispatcherState
     recorded: frozenset[tuple[str, str, int]] = frozenset()
     next_ms: int = 0
+    next_refresh_ms: int = 0
 
     def restore(self, late_calls: tuple[LateCall, ...]) -> None:
         """Apply the record of the last owner."""
@@ -38,15 +45,32 @@
                 continue
             remaining_ms = min(call.remaining_ms, state.policy.max_call_delay_ms)
             until_ms = state.now_ms + remaining_ms
+            run = worker.runs.get((call.task, call.run))
             if not call.task:
                 worker.misdirected_until_ms = until_ms
-            elif (call.task, call.run) in worker.runs:
-                worker.add_unanswered_start((call.task, call.run), until_ms, 0)
+            elif run is not None and call.answered:
+                run.answered_elsewhere_ms = until_ms
+            elif run is not None:
+                worker.add_unanswered_start(
+                    run.key, until_ms, state.policy, state.now_ms
+                )
             state.late_call_workers[worker.worker_id] = worker
         self.recorded = frozenset(map(identify, late_calls))
         if late_calls:
             self._log("late_calls_taken_over", late_calls)
 
+    def refresh_jobs(self) -> None:
+        """Have a commit write the records of jobs whose starts were answered since."""
+        state = self.state
+        if state.now_ms < self.next_refresh_ms:
+            return
+        self.next_refresh_ms = state.now_ms + state.policy.lease_record_period_ms
+        for job in list(state.starting_jobs.values()):
+            if job.spec.job_id not in state.jobs:
+                del state.starting_jobs[job.spec.job_id]
+            elif not find_starting(job):
+                state.mark_dirty(job)
+
     def due_record(self) -> tuple[LateCall, ...] | None:
         """Return the record to store; None if none is due."""
         state = self.state
@@ -54,7 +78,7 @@
         late_calls = tuple(
             call
             for worker in state.late_call_workers.values()
-            for call in list_late_calls(worker, now_ms)
+            for call in list_late_calls(worker, state.policy, now_ms)
         )
         workers = {call.worker_id for call in late_calls}
         for worker_id in state.late_call_workers.keys() - workers:
@@ -80,13 +104,25 @@
         )
 
 
-def list_late_calls(worker: WorkerState, now_ms: int) -> Iterator[LateCall]:
-    """Yield the calls to a worker that may be carried out after ``now_ms``."""
+def list_late_calls(
+    worker: WorkerState, policy: JobPolicy, now_ms: int
+) -> Iterator[LateCall]:
+    """Yield the calls to a worker that may be carried out after ``now_ms``.
+
+    Also those by which a run may still be alive then.
+    """
     if worker.misdirected_until_ms > now_ms:
         yield LateCall(worker.worker_id, "", 0, worker.misdirected_until_ms - now_ms)
-    for key, until_ms in worker.unanswered_starts.items():
-        if until_ms > now_ms and key in worker.runs:
-            yield LateCall(worker.worker_id, *key, until_ms - now_ms)
+    prolonged_until_ms = worker.late_calls_until_ms(policy)
+    oldest_ms = now_ms - policy.max_duration_ms(policy.lease_limit_ms)
+    for run in worker.runs.values():
+        start_ms = worker.unanswered_starts.get(run.key, 0)
+        answered = start_ms <= worker.polled_ms
+        if answered:
+            start_ms = run.answered_elsewhere_ms
+        until_ms = max(start_ms, prolonged_until_ms)
+        if start_ms and until_ms > oldest_ms:
+            yield LateCall(worker.worker_id, *run.key, until_ms - now_ms, answered)
 
 
 def identify(call: LateCall) -> tuple[str, str, int]:
--- a/poplarlb/coordination/jobs/unresponsive.py
+++ b/poplarlb/coordination/jobs/unresponsive.py
@@ -2,8 +2,9 @@
 
 An unresponsive worker may run its tasks until its lease expires, so the owner waits
 that long. The owner stores the remaining time, so that a takeover doesn't start the
-wait again. While the stored record may name a worker, no lease is renewed there: the
-next owner would wait too short a time.
+wait again. Runs that may be alive for longer are in the record of :mod:`late_calls`,
+each with its own time. While the stored record may name a worker, no lease is renewed
+there: the next owner would wait too short a time.
 """
 
 from attrs import define
@@ -64,7 +65,7 @@
             LeaseRemainder(worker.worker_id, remaining_ms)
             for worker in state.workers.values()
             if worker.runs and worker.is_unresponsive(state.policy, state.now_ms)
-            if (remaining_ms := worker.longest_run_ms(state.policy, state.now_ms)) > 0
+            if (remaining_ms := worker.lease_remaining_ms(state.policy, state.now_ms))
         )
         unresponsive = frozenset(remainder.worker_id for remainder in lease_remainders)
         if unresponsive >= state.recorded_unresponsive and (
--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -107,13 +107,16 @@
 class LateCall:
     """How much longer a start of a run that got no answer may be carried out.
 
-    Without a task: any call that was meant for an earlier incarnation of the worker.
+    Less than 0: it can't any more, but the run may be alive by its lease. ``answered``:
+    the start was answered by another incarnation than the owner knew. Without a task:
+    any call that was meant for an earlier incarnation of the worker.
     """
 
     worker_id: str
     task: str
     run: int
     remaining_ms: int
+    answered: bool = False
 
 
 def encode_late_calls(late_calls: tuple[LateCall, ...]) -> bytes:
@@ -128,8 +131,10 @@
     """
     try:
         return tuple(
-            LateCall(str(worker_id), str(task), int(run), int(remaining_ms))
-            for worker_id, task, run, remaining_ms in orjson.loads(value)
+            LateCall(
+                str(worker_id), str(task), int(run), int(remaining_ms), any(answered)
+            )
+            for worker_id, task, run, remaining_ms, *answered in orjson.loads(value)
         )
     except UNREADABLE_ERRORS as error:
         raise BadAnswerError(f"record of late calls: {error}") from error
@@ -192,10 +197,13 @@
     return StepSpec(size=size, after=after, **row)
 
 
-def encode_progress(job: Job, left_out: Collection[Task] = ()) -> bytes:
+def encode_progress(
+    job: Job, left_out: Collection[Task] = (), starting: Collection[Task] = ()
+) -> bytes:
     """Return the progress record of a job.
 
     :param left_out: the tasks that are stored without their checkpoints.
+    :param starting: the placed tasks whose start may be yet to be sent or answered.
     """
     row = {"state": job.state, "reason": job.reason, "next": job.next_occurrence}
     if job.final:
@@ -207,6 +215,10 @@
             str(number): encode_occurrence(occurrence, left_out)
             for number, occurrence in job.occurrences.items()
         }
+        if starting:
+            row["starting"] = [
+                (task.occurrence, task.step, task.index) for task in starting
+            ]
         if job.crashed_tasks:
             row["crashes"] = [encode_crashes(task) for task in job.crashed_tasks]
     return orjson.dumps(row)
@@ -292,8 +304,8 @@
 def restore_progress(job: Job, value: bytes) -> None:
     """Restore a job's state and occurrences from its progress record.
 
-    :raises BadAnswerError: the record is not in this format; all of it but its crashes
-        has been restored if only these aren't.
+    :raises BadAnswerError: the record is not in this format; all of it but its starts
+        and crashes has been restored if only these aren't.
     """
     try:
         row = orjson.loads(value)
@@ -311,10 +323,22 @@
         raise BadAnswerError(f"progress record: {error}") from error
     job.stored = True
     try:
+        for numbers in row.get("starting", ()):
+            restore_starting(job, numbers)
         for crashes in row.get("crashes", ()):
             restore_crashes(job, crashes)
     except UNREADABLE_ERRORS as error:
-        raise BadAnswerError(f"crashes in a progress record: {error}") from error
+        raise BadAnswerError(
+            f"starts or crashes in a progress record: {error}"
+        ) from error
+
+
+def restore_starting(job: Job, numbers: list[int]) -> None:
+    """Note that the start of a task's run may be yet to be sent or answered."""
+    occurrence, step, index = numbers
+    task = job.find_task(occurrence, step, index)
+    if task is not None:
+        task.starting = True
 
 
 def restore_occurrence(occurrence: Occurrence, steps: list | None) -> None:
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -267,7 +267,8 @@
     ``failed_runs`` are the numbers of those that failed. ``checkpoint`` is its latest
     one. ``worker_id`` and ``incarnation`` name the worker of a placed task and that
     worker's incarnation, its start time (UTC ms). ``reserved_runs`` are its runs
-    that hold a reservation, as the owner of the jobs tracks them.
+    that hold a reservation, as the owner of the jobs tracks them. ``starting``: as its
+    record was stored, the start of its run may have been yet to be sent or answered.
 
     ``crashed_runs`` are the runs under which their worker crashed. ``isolated_run`` is
     the number of the run that no other one at its worker disturbs; 0: none.
@@ -290,6 +291,7 @@
     worker_id: str = ""
     incarnation: int = 0
     reserved_runs: tuple = ()
+    starting: bool = False
     waiting_since_ms: int = 0  # since when no worker had free capacity for it; 0: none
     crashed_runs: tuple[CrashedRun, ...] = ()
     isolated_run: int = 0
--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -341,7 +341,12 @@
         self.feed(answer)
 
     async def _commit(self, command: events.Commit) -> None:
-        puts = [
+        puts = []
+        # Before the records of jobs: what these no longer say of starts, it says.
+        if command.late_calls is not None:
+            late_calls = job_records.encode_late_calls(command.late_calls)
+            puts.append(Put(LATE_CALLS, late_calls))
+        puts += [
             Put(PROGRESS + record.job_id, record.value) for record in command.records
         ]
         if command.waiting is not None:
@@ -354,9 +359,6 @@
                     job_records.encode_lease_remainders(command.lease_remainders),
                 )
             )
-        if command.late_calls is not None:
-            late_calls = job_records.encode_late_calls(command.late_calls)
-            puts.append(Put(LATE_CALLS, late_calls))
         if command.learned:
             puts.append(Put(LEARNED, command.learned))
         # The job goes before its progress: without that, it would be run again.
--- a/tests/coordination/jobs/test_takeover_of_starts.py
+++ b/tests/coordination/jobs/test_takeover_of_starts.py
@@ -80,6 +80,7 @@
             world.run(20)
         world.run(860)
         world.store_up = False
+        world.partitioned.add("w0")
         world.new_owner(keep_former=True)
         world.run(100)
         self.assertEqual(len(world.sent_ms), 2)
--- a/tests/state/test_job_records.py
+++ b/tests/state/test_job_records.py
@@ -6,6 +6,7 @@
 
 from poplarlb.exceptions import BadAnswerError
 from poplarlb.state import job_records
+from poplarlb.state.job_records import LateCall
 from poplarlb.state.jobs import CrashedRun, Job, JobSpec, JobState, StepSpec, TaskStatus
 from poplarlb.state.models import Resources
 
@@ -43,6 +44,40 @@
         self.assertIs(restored.find_task(0, 0, 0).status, TaskStatus.DONE)
         self.assertTrue(restored.stored)
 
+    # Guards against a next owner that isn't told of a start in flight.
+    def test_starting_tasks(self) -> None:
+        """The tasks whose start may be yet to be sent or answered are restored."""
+        job = make_job()
+        tasks = job.open_occurrence(0).steps[0]
+        for task in tasks:
+            task.status, task.run, task.worker_id = TaskStatus.PLACED, 1, "w0"
+        restored = make_job()
+        value = job_records.encode_progress(job, starting=tasks[1:])
+        job_records.restore_progress(restored, value)
+        self.assertFalse(restored.find_task(0, 0, 0).starting)
+        self.assertTrue(restored.find_task(0, 0, 1).starting)
+
+
+class LateCallsTest(unittest.TestCase):
+    """The record of calls that may be carried out late."""
+
+    def test_round_trip(self) -> None:
+        """Each call is restored as it was."""
+        calls = (
+            LateCall("w0", "t", 1, 500),
+            LateCall("w1", "t", 2, -500, answered=True),
+            LateCall("w2", "", 0, 7),
+        )
+        value = job_records.encode_late_calls(calls)
+        self.assertEqual(job_records.decode_late_calls(value), calls)
+
+    # Guards against an upgrade after which the calls of the last owner are unknown.
+    def test_record_of_an_earlier_version(self) -> None:
+        """It doesn't tell whether a start was answered."""
+        value = orjson.dumps([["w0", "t", 1, 500]])
+        expected = (LateCall("w0", "t", 1, 500),)
+        self.assertEqual(job_records.decode_late_calls(value), expected)
+
 
 if __name__ == "__main__":
     unittest.main()
