--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -43,7 +43,7 @@
 from poplarlb.coordination.jobs.slow_workers import SlowWorkers
 from poplarlb.coordination.jobs.throttling import Throttler
 from poplarlb.coordination.jobs.tickets import TicketCache
-from poplarlb.coordination.jobs.unresponsive import UnresponsiveWorkers
+from poplarlb.coordination.jobs.unresponsive import UnresponsiveWorkers, may_renew
 from poplarlb.state.job_records import LateCall, LeaseRemainder
 from poplarlb.state.jobs import Job, JobSpec, JobState
 
@@ -345,6 +345,8 @@
             return "worker restarted, by its entry"
         if not worker.reserved.fits_in(worker.listing.capacity):
             return "capacity has shrunk"
+        if not may_renew(self.state, worker):
+            return "worker is stored as unresponsive"
         return ""
 
     def _is_view_fresh(self) -> bool:
--- a/poplarlb/coordination/jobs/unresponsive.py
+++ b/poplarlb/coordination/jobs/unresponsive.py
@@ -3,8 +3,8 @@
 An unresponsive worker may run its tasks until its lease expires, so the owner waits
 that long. The owner stores the remaining time, so that a takeover doesn't start the
 wait again. Runs that may be alive for longer are in the record of :mod:`late_calls`,
-each with its own time. While the stored record may name a worker, no lease is renewed
-there: the next owner would wait too short a time.
+each with its own time. While the stored record may name a worker, no lease is granted
+or renewed there: the next owner would wait too short a time.
 """
 
 from attrs import define
@@ -38,6 +38,8 @@
             if remainder.worker_id in state.workers:
                 worker = state.workers[remainder.worker_id]
                 worker.inherited_leases_until_ms = state.now_ms + remainder.remaining_ms
+                # No start is sent there before the record can be written again.
+                worker.paused_until_ms = state.now_ms + FIRST_POLLS_MS
 
     def on_incarnation_listed(self, worker: WorkerState) -> None:
         """Wait longer for a worker that has restarted and hasn't answered this owner.
