--- a/tests/coordination/jobs/test_restarted_runs.py
+++ b/tests/coordination/jobs/test_restarted_runs.py
@@ -13,16 +13,20 @@
 from poplarlb.coordination.jobs import events
 from poplarlb.coordination.jobs.crashes import SETTLED_MS, is_settled
 from poplarlb.coordination.jobs.fleet import Run, RunPhase
+from poplarlb.coordination.jobs.interference import Estimate
 from poplarlb.state.jobs import CrashedRun, JobState, StepSpec
 from poplarlb.state.models import Resources
 from tests.coordination.jobs.fake_worker import FakeWorker
-from tests.coordination.jobs.job_world import JobWorld, make_job
+from tests.coordination.jobs.job_world import UNANSWERED_MS, JobWorld, make_job
 from tests.coordination.jobs.test_late_calls import SilentPollWorld
 
 JOB = "a" * 16
 TASK = f"{JOB}.0.0.0"
 SIZE = Resources(1_000, 1_000)
 STEP = StepSpec(1, SIZE, estimate_ms=30_000, checkpoints=True)
+SERVING = "b" * 16
+SERVING_STEP = StepSpec(1, SIZE, long_running=True, image="web", target_ms=40)
+FILLING_STEP = StepSpec(1, SIZE, image="sum", fills=True)
 DARK_MS = 140  # from a crash until the worker is back
 
 
@@ -69,6 +73,32 @@
     return world
 
 
+class ThrottleTest(unittest.TestCase):
+    """A best-effort run beside a serving one; both are begun again."""
+
+    # Guards against HARM by a best-effort run that begins at 100 percent at the next
+    # incarnation, while the owner counts on the throttle that it had sent before.
+    def test_throttle_after_a_restart(self) -> None:
+        """The new incarnation's run gets the throttle that the owner decides by."""
+        world = make_world()
+        world.submit(make_job(SERVING, SERVING_STEP))
+        world.submit(make_job(JOB, FILLING_STEP))
+        worker = world.workers["w0"]
+        worker.measurements = {f"{SERVING}.0.0.0": 33.4, TASK: 400.0}
+        model = world.owner.state.interference
+        model.slopes = {"web": {"sum": Estimate(8.2, 0.01, 0)}}
+        model.margins[(SERVING, 0, 0)] = Estimate(1.4, 0.01, 0)
+        world.run(UNANSWERED_MS + 3_000)
+        run = world.find_run(TASK)
+        self.assertEqual(worker.runs[run.key].throttle_percent, 40)
+        world.restart(worker)
+        world.carry_out_late()
+        world.run(2_000)
+        self.assertIs(world.find_run(TASK), run)
+        self.assertEqual(run.throttle_percent, 40)
+        self.assertEqual(worker.runs[run.key].throttle_percent, 40)
+
+
 class SecondRestartTest(unittest.TestCase):
     """A worker restarts twice while a start to it is in flight."""
 
