--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -206,7 +206,10 @@
 
     def _handle_poll_answered(self, poll: PollAnswered) -> None:
         worker = self.state.worker(poll.worker_id)
+        restarted = 0 < worker.incarnation < poll.incarnation
         self.poll_reader.read(worker, poll)
+        if restarted:
+            self.throttler.forget_sent(worker)
         self.calls.on_poll_ended(worker, answered=True)
         self.throttler.update(worker)
 
--- a/poplarlb/coordination/jobs/throttling.py
+++ b/poplarlb/coordination/jobs/throttling.py
@@ -10,7 +10,12 @@
 
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import ThrottleRun
-from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.fleet import (
+    UNKNOWN_THROTTLE,
+    Run,
+    RunPhase,
+    WorkerState,
+)
 from poplarlb.coordination.jobs.interference import margin_of
 
 # Targets are met down to 1; measurements lag half a second.
@@ -71,6 +76,15 @@
         mix = self._recent_mix(worker, best_effort)
         self._set_throttles(worker, serving, best_effort, mix)
 
+    def forget_sent(self, worker: WorkerState) -> None:
+        """Have the throttles sent again to a worker that has restarted.
+
+        The runs that it has begun again are not throttled.
+        """
+        for run in worker.runs.values():
+            if run.task.spec.fills and run.phase is RunPhase.RUNNING:
+                run.sent_throttle_percent = UNKNOWN_THROTTLE
+
     def _list_runs(self, worker: WorkerState) -> tuple[list[Run], list[Run]]:
         """Return the measured serving runs and the best-effort runs of a worker."""
         runs = worker.runs.values()
