--- a/tests/coordination/jobs/test_restarted_runs.py
+++ b/tests/coordination/jobs/test_restarted_runs.py
@@ -28,6 +28,7 @@
 SERVING_STEP = StepSpec(1, SIZE, long_running=True, image="web", target_ms=40)
 FILLING_STEP = StepSpec(1, SIZE, image="sum", fills=True)
 DARK_MS = 140  # from a crash until the worker is back
+MOVED_MS = 7_200  # from a crash until the task runs elsewhere
 
 
 @define(eq=False)
@@ -73,6 +74,30 @@
     return world
 
 
+class RemovedEntryTest(unittest.TestCase):
+    """A worker whose entry was removed, and that is back under its id."""
+
+    # Guards against TWICE by a start that a worker without an entry may still carry
+    # out, and that was forgotten with the worker.
+    def test_late_start_after_the_entry_was_removed(self) -> None:
+        """The task runs elsewhere when the late start arrives."""
+        world = make_world()
+        world.submit(make_job(JOB, STEP))
+        world.run(UNANSWERED_MS + 500)
+        worker = world.workers["w0"]
+        self.assertIn(TASK, worker.runs_by_task())
+        world.add_workers(1)
+        worker.crash()
+        world.later(3_000, lambda: world.unlist("w0"))
+        world.run(MOVED_MS)
+        self.assertEqual(world.running(), {TASK: "w1"})
+        world.restart(worker)
+        world.run(500)
+        world.carry_out_late()
+        world.run(1_000)
+        self.assertEqual(world.violations, [])
+
+
 class ThrottleTest(unittest.TestCase):
     """A best-effort run beside a serving one; both are begun again."""
 
