--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -430,11 +430,20 @@
                 state.capacity_changed = True
 
     def _drop_workers(self) -> None:
-        """Forget unlisted workers that hold no reservations."""
+        """Set unlisted workers aside that hold no reservations.
+
+        They are forgotten once no call to them can be carried out late any more.
+        """
         state = self.state
         for worker in list(state.workers.values()):
             if not worker.listed and not worker.runs:
-                del state.workers[worker.worker_id]
+                state.departed[worker.worker_id] = state.workers.pop(worker.worker_id)
+        for worker in list(state.departed.values()):
+            late_calls_until_ms = max(
+                worker.misdirected_until_ms, worker.late_calls_until_ms(state.policy)
+            )
+            if late_calls_until_ms <= state.now_ms:
+                del state.departed[worker.worker_id]
 
     def _forget_old(self) -> None:
         """Forget jobs without runs that have been final for twice their retention time.
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -53,6 +53,8 @@
     :ivar suspects: tasks that are to run isolated, as a worker has crashed under them.
     :ivar isolating: the workers with an isolated run.
     :ivar late_call_workers: the workers at which calls may be carried out late, by id.
+    :ivar departed: unlisted workers without runs at which calls may be carried out late
+        if they come back, by id.
     :ivar shortened: the ids of jobs whose records were last stored without all their
         checkpoints.
     :ivar refused_workers: how many workers best-effort tasks were not placed at, by
@@ -84,6 +86,7 @@
     suspects: dict[Task, None] = Factory(dict)
     isolating: set[WorkerState] = Factory(set)
     late_call_workers: dict[str, WorkerState] = Factory(dict)
+    departed: dict[str, WorkerState] = Factory(dict)
     shortened: set[str] = Factory(set)
     refused_workers: Counter[str] = Factory(Counter)
     owned_since_ms: int = 0
@@ -110,7 +113,8 @@
     def worker(self, worker_id: str) -> WorkerState:
         """Return a worker's state, created if there is none."""
         if worker_id not in self.workers:
-            self.workers[worker_id] = WorkerState(worker_id)
+            departed = self.departed.pop(worker_id, None)
+            self.workers[worker_id] = departed or WorkerState(worker_id)
         return self.workers[worker_id]
 
     def queue_of(self, job: Job) -> QueueConfig:
