--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -55,6 +55,8 @@
     :ivar late_call_workers: the workers at which calls may be carried out late, by id.
     :ivar starting_jobs: the jobs whose stored records name tasks whose start may be yet
         to be sent or answered, by id.
+    :ivar departed: unlisted workers without runs at which calls may be carried out late
+        if they come back, by id.
     :ivar shortened: the ids of jobs whose records were last stored without all their
         checkpoints.
     :ivar refused_workers: how many workers best-effort tasks were not placed at, by
@@ -87,6 +89,7 @@
     isolating: set[WorkerState] = Factory(set)
     late_call_workers: dict[str, WorkerState] = Factory(dict)
     starting_jobs: dict[str, Job] = Factory(dict)
+    departed: dict[str, WorkerState] = Factory(dict)
     shortened: set[str] = Factory(set)
     refused_workers: Counter[str] = Factory(Counter)
     owned_since_ms: int = 0
@@ -113,7 +116,8 @@
     def worker(self, worker_id: str) -> WorkerState:
         """Return a worker's state, created if there is none."""
         if worker_id not in self.workers:
-            self.workers[worker_id] = WorkerState(worker_id)
+            departed = self.departed.pop(worker_id, None)
+            self.workers[worker_id] = departed or WorkerState(worker_id)
         return self.workers[worker_id]
 
     def queue_of(self, job: Job) -> QueueConfig:
