--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -111,6 +111,10 @@
                 )
             elif run.phase is RunPhase.SENT or run.key in unanswered_starts:
                 run.phase = RunPhase.AMBIGUOUS
+                until_ms = run.sent_ms + state.policy.max_call_delay_ms
+                worker.add_unanswered_start(
+                    run.key, until_ms, state.policy, state.now_ms
+                )
                 state.stop(run, "start unanswered by an earlier life")
                 run.stop_sent_ms = run.stop_confirmed_ms = 0
             elif not is_confirmed_since(run, poll):
