--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -64,17 +64,18 @@
         """Release runs of the earlier incarnation.
 
         Starts that got no answer may still reach the new incarnation; their runs are
-        stopped there. Runs that the new incarnation lists are kept, and those whose
-        start it may have carried out after it listed its runs.
+        stopped there. Runs that the new incarnation lists, also as ended, are kept, and
+        those whose start it may have carried out after it listed its runs.
         """
         state = self.state
         if not worker.incarnation:
             worker.begin_incarnation(poll.incarnation)
             return
+        kept = listed.keys() | {(row.task, row.run) for row in poll.ended}
         lost = [
             run
             for run in worker.runs.values()
-            if run.key not in listed and not is_confirmed_since(run, poll)
+            if run.key not in kept and not is_confirmed_since(run, poll)
         ]
         self.crashes.on_worker_lost(worker, lost, restarted=True)
         former_lease_end_ms = worker.lease_end_ms
@@ -105,7 +106,7 @@
         for key in unanswered_starts - worker.runs.keys():
             worker.orphan_stops[key] = 0
         for run in list(worker.runs.values()):
-            if run.key in listed or run.phase is RunPhase.COMMITTING:
+            if run.key in kept or run.phase is RunPhase.COMMITTING:
                 run.task.incarnation = (
                     poll.incarnation if run.current else run.task.incarnation
                 )
