--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -110,6 +110,8 @@
                 run.task.incarnation = (
                     poll.incarnation if run.current else run.task.incarnation
                 )
+                if run.confirmed_ms:  # it has begun again
+                    run.confirmed_ms = run.progress_ms = state.now_ms
             elif run.phase is RunPhase.SENT or run.key in unanswered_starts:
                 run.phase = RunPhase.AMBIGUOUS
                 until_ms = run.sent_ms + state.policy.max_call_delay_ms
