--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -16,6 +16,7 @@
     StopRun,
 )
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.progress import has_stalled, is_step_slow
 from poplarlb.coordination.jobs.unresponsive import may_renew
 from poplarlb.state.jobs import TaskStatus
 
@@ -316,6 +317,7 @@
     def stop_stalled(self) -> None:
         """Stop runs that make no progress, and pause their workers.
 
+        A worker isn't paused if the run's step makes no progress elsewhere either.
         Long-running and best-effort runs are left out; only the latter are throttled.
         """
         state = self.state
@@ -333,8 +335,11 @@
                     or run.task.status is TaskStatus.DONE
                 ):
                     continue
-                if worker.answered_ms - run.progress_ms > state.policy.stall_ms:
-                    state.stop(run, "no progress")
+                if not has_stalled(run, worker, state.policy):
+                    continue
+                state.stop(run, "no progress")
+                run.task.stalled_runs += 1
+                if not is_step_slow(run, state.now_ms):
                     worker.failures += 1
                     worker.paused_until_ms = (
                         state.now_ms + state.policy.failing_pause_ms
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -54,8 +54,13 @@
     low_throttle_since_ms: int = 0  # 0: not throttled below LOW_THROTTLE_PERCENT
     learned_ms: int = 0  # when the interference model last used its measurement
     over_target_since_ms: int = 0  # of a serving task's tail latency; 0: within target
-    # When percent_done last changed, or was listed while the run was throttled.
+    # When percent_done or the checkpoint last changed, or the run was listed while it
+    # was throttled.
     progress_ms: int = 0
+    percent_changes: int = 0  # of percent_done, as listed
+    percent_changed_ms: int = 0
+    longest_percent_ms: float = 0.0  # that one of its percents took; 0: not known
+    listed_checkpoint: str = ""
     throttle_percent: int = 100  # in force
     sent_throttle_percent: int = 100  # last sent; or UNKNOWN_THROTTLE
     # The lowest that a serving task at the worker requires, of those considered so far.
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -42,9 +42,12 @@
     max_view_age_ms: int = 1_500
     stop_retry_ms: int = 500  # until a stop is sent again
     refused_pause_ms: int = 700  # without new runs, after a worker refused a start
-    # A run without progress for this long that isn't throttled is stopped; longer than
-    # the mean run time of a task.
+    # A run that isn't throttled is stopped after this long without progress, or the
+    # time for this many of its percents if that is longer: by the longest that one
+    # took, or by the task's estimate as long as that isn't known.
     stall_ms: int = 2_500
+    stall_percents: int = 4
+    stall_estimated_percents: int = 10  # more, as estimates are rough
     # Without new runs, after failures in a row or a run without progress.
     failing_pause_ms: int = 4_000
     failing_limit: int = 3  # failures in a row before the pause
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -6,6 +6,7 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.events import EndedRow, PollAnswered, RunningRow
 from poplarlb.coordination.jobs.fleet import Run, RunPhase, WorkerState
+from poplarlb.coordination.jobs.progress import note_progress
 from poplarlb.state.job_records import restore_occurrence
 from poplarlb.state.jobs import (
     JobState,
@@ -258,9 +259,7 @@
             run.phase = RunPhase.RUNNING
             run.confirmed_ms = state.now_ms
             self.crashes.on_start_confirmed(run)
-        if row.percent != run.percent_done or run.throttle_percent < 100:
-            run.percent_done = row.percent
-            run.progress_ms = state.now_ms
+        note_progress(run, row, state.now_ms)
         run.measurement = row.measurement
         if row.checkpoint and run.current:
             run.task.checkpoint = row.checkpoint
--- a/poplarlb/state/jobs.py
+++ b/poplarlb/state/jobs.py
@@ -276,7 +276,8 @@
 
     ``first_placed_ms``, ``placed_ms`` (of the latest run), ``done_ms`` and
     ``throttled_ms`` (how much run time its throttles have cost) are for the log; 0 if
-    the present owner of the jobs hasn't seen the event.
+    the present owner of the jobs hasn't seen the event. ``stalled_runs`` counts the
+    runs that this owner stopped for want of progress.
     """
 
     job: "Job"
@@ -299,6 +300,7 @@
     placed_ms: int = 0
     done_ms: int = 0
     throttled_ms: float = 0.0
+    stalled_runs: int = 0
 
     @property
     def name(self) -> str:
