--- a/tests/coordination/jobs/test_slow_progress.py
+++ b/tests/coordination/jobs/test_slow_progress.py
@@ -214,6 +214,20 @@
         self.assertGreater(len(self.list_runs()), 1)
         self.assertEqual(self.list_paused(), ["w0"])
 
+    # A run that is too young for its first percent was stopped as slow, for good.
+    def test_later_runs_of_a_slow_step_are_not_stopped(self) -> None:
+        """Others of its step, which began earlier, have shown a percent."""
+        self.world.unlist("w3")
+        size = Resources(8_000, 1_000)
+        step = StepSpec(2 * WORKERS, size, estimate_ms=LONG_MS)
+        self.world.submit(make_job(JOB, step))
+        self.world.run(2.5 * PERCENT_MS)
+        self.world.relist("w3")
+        with mock.patch.object(FakeWorker, "checkpoint", lambda *_: ""):
+            self.world.run(10 * PERCENT_MS)
+        self.assertEqual(len(self.list_runs()), 2 * WORKERS)
+        self.assertEqual(set(self.world.starts.values()), {1})
+
     # A task that stands still wherever it runs must be tried again and again.
     def test_task_that_always_stalls_is_stopped_again(self) -> None:
         """The time without progress grows with each of its runs, but is bounded."""
