--- a/poplarlb/coordination/jobs/slow_workers.py
+++ b/poplarlb/coordination/jobs/slow_workers.py
@@ -67,11 +67,16 @@
         age_ms = worker.answered_ms - run.confirmed_ms
         return run.percent_done / age_ms if age_ms >= MIN_AGE_MS else None
 
+    def _highest_rate(self, worker: WorkerState, run: Run) -> float:
+        """Return the highest rate of progress that a run's whole percents allow."""
+        return (run.percent_done + 1) / (worker.answered_ms - run.confirmed_ms)
+
     def _compare(self, runs: list[tuple[WorkerState, Run, float]]) -> None:
         median = statistics.median(rate for _, _, rate in runs)
         if not median:
             return
-        for worker, run, rate in runs:
+        for worker, run, _ in runs:
+            rate = self._highest_rate(worker, run)
             if rate * SLOW_FACTOR > median:
                 continue
             slow_runs = self.slow_runs.setdefault(worker.worker_id, set())
--- a/tests/coordination/jobs/test_slow_progress.py
+++ b/tests/coordination/jobs/test_slow_progress.py
@@ -228,6 +228,20 @@
         self.assertEqual(len(self.list_runs()), 2 * WORKERS)
         self.assertEqual(set(self.world.starts.values()), {1})
 
+    # A worker that is far slower than others must still lose its runs to them.
+    def test_runs_of_a_slow_worker_are_stopped(self) -> None:
+        """It works at a tenth of the others' speed."""
+        self.world.workers["w0"].speed = 0.1
+        step = StepSpec(2 * WORKERS, Resources(8_000, 1_000), estimate_ms=LONG_MS)
+        self.world.submit(make_job(JOB, step))
+        self.world.run(10 * PERCENT_MS)
+        reasons = [
+            line.fields["reason"]
+            for line in self.world.logged
+            if line.event == "run_stopped"
+        ]
+        self.assertEqual(reasons[:2], ["worker is slow"] * 2)
+
     # A task that stands still wherever it runs must be tried again and again.
     def test_task_that_always_stalls_is_stopped_again(self) -> None:
         """The time without progress grows with each of its runs, but is bounded."""
