--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -6,6 +6,7 @@
 from attrs import Factory, define
 
 from poplarlb.coordination.jobs.events import PollWorker, StartRun
+from poplarlb.exceptions import BadAnswerError
 from poplarlb.platform.workers import PlatformWorkers
 from poplarlb.transport.http_client import HttpClient
 from poplarlb.transport.http_server import HttpRequest, HttpResponse, HttpServer
@@ -19,12 +20,13 @@
     """Answers every call and records the bodies of polls."""
 
     polls: list[dict] = Factory(list)
+    lists: dict = Factory(LISTS.copy)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one call."""
         if request.path == "/v1/hold":
             self.polls.append(json.loads(request.body))
-        return HttpResponse(200, json.dumps(LISTS).encode())
+        return HttpResponse(200, json.dumps(self.lists).encode())
 
 
 class PollTest(unittest.IsolatedAsyncioTestCase):
@@ -61,6 +63,20 @@
         )
         self.assertEqual(self.client.connects, 1)
 
+    # The same by an answer that doesn't tell which incarnation has sent it, and that
+    # the owner therefore doesn't apply.
+    async def test_unreadable_answer_verifies_no_connection(self) -> None:
+        """A connection gets none until an answer on it could be read."""
+        del self.worker.lists["clockMs"]
+        with self.assertRaises(BadAnswerError):
+            await self.poll()
+        self.worker.lists = LISTS
+        self.assertEqual(await self.poll(), {"fence": 3})
+        self.assertEqual(
+            await self.poll(), {"fence": 3, "lastSeen": 60, "untilMs": 9_000}
+        )
+        self.assertEqual(self.client.connects, 1)
+
 
 if __name__ == "__main__":
     unittest.main()
