--- a/poplarlb/platform/workers.py
+++ b/poplarlb/platform/workers.py
@@ -89,9 +89,9 @@
         """Poll a worker for its active and ended runs.
 
         A new connection may reach a later incarnation of the worker, for which an
-        acknowledgement or a lease of the earlier one would be wrong. The first poll on
-        a connection therefore carries neither, whichever call opened it, and the worker
-        answers it at once.
+        acknowledgement or a lease of the earlier one would be wrong. A connection gets
+        neither, whichever call opened it, until an answer on it could be read; the
+        worker answers such polls at once.
 
         :raises OldEpochError: the worker has seen a higher epoch.
         :raises BadAnswerError: the answer is malformed.
@@ -116,7 +116,6 @@
                 orjson.dumps(body),
                 timeout_s=command.wait_ms / 1000 + POLL_GRACE_S,
                 headers=(f"{INSTANCE_HEADER}: {command.worker_id}",),
-                verifies=True,
             )
         except (CallNotSentError, CallUnansweredError):
             return PollFailed(command.worker_id, sent_ms)
@@ -124,7 +123,9 @@
             raise OldEpochError(command.worker_id)
         if response.status != 200:
             return PollFailed(command.worker_id, sent_ms)
-        return decode_answer(command.worker_id, sent_ms, response.body)
+        answer = decode_answer(command.worker_id, sent_ms, response.body)
+        response.connection.verified = True
+        return answer
 
     async def _send(
         self, command: StartRun | StopRun | ThrottleRun, path: str, body: dict
--- a/poplarlb/transport/http_client.py
+++ b/poplarlb/transport/http_client.py
@@ -25,17 +25,18 @@
 
 @frozen
 class ClientResponse:
-    """The status and the complete body of a response."""
+    """The status and the complete body of a response, and the connection it came on."""
 
     status: int
     body: bytes
+    connection: "ClientConnection | None" = field(default=None, eq=False, repr=False)
 
 
 class ClientConnection(asyncio.Protocol):
     """A connection that carries one call at a time.
 
     ``answered_s`` is when its last call was answered, on the event loop's clock.
-    ``verified`` is set after a call whose answer told the caller which process the
+    ``verified`` is set by a caller to which an answer has told which process the
     connection reaches.
     """
 
@@ -91,7 +92,8 @@
         parser = self.parser
         self.keep_alive = parser.should_keep_alive()
         self.answered_s = asyncio.get_running_loop().time()
-        response = ClientResponse(parser.get_status_code(), b"".join(self.chunks))
+        body = b"".join(self.chunks)
+        response = ClientResponse(parser.get_status_code(), body, self)
         if self.waiter is not None and not self.waiter.done():
             self.waiter.set_result(response)
 
@@ -155,14 +157,12 @@
         *,
         timeout_s: float,
         headers: tuple[str, ...] = (),
-        verifies: bool = False,
         stall_timeout_s: float = 0.0,
         on_progress: Callable[[], None] | None = None,
     ) -> ClientResponse:
         """Return the response to one request.
 
         :param timeout_s: from the call to the end of the response.
-        :param verifies: whether a response with status 200 verifies the connection.
         :param stall_timeout_s: how long the response may go on after each part of its
             body that arrives, even beyond ``timeout_s``.
         :param on_progress: called when a part of the body has arrived.
@@ -191,8 +191,6 @@
         finally:
             connection.on_progress = None
             self.active.discard(connection)
-        if verifies and response.status == 200:
-            connection.verified = True
         if connection.usable and len(self.idle[address]) < MAX_IDLE_PER_ADDRESS:
             self.idle[address].append(connection)
         else:
