--- a/poplarlb/coordination/membership/context.py
+++ b/poplarlb/coordination/membership/context.py
@@ -40,7 +40,8 @@
     ``staged`` holds the latest changes of shard state that this daemon staged for
     the journals of its shards, for the metrics. ``workers_by_shard`` holds workers
     of an unknown zone under an empty name. ``call_ids`` numbers the calls of
-    all state machines; any other field is changed by one class only.
+    all state machines, from a higher number on than in earlier processes of the
+    daemon; any other field is changed by one class only.
     """
 
     settings: Settings
--- a/poplarlb/coordination/shards/node.py
+++ b/poplarlb/coordination/shards/node.py
@@ -1,6 +1,7 @@
 """The state machine of a whole daemon: routes events to parts and calls to owners."""
 
 import collections
+import itertools
 
 from attrs import define
 
@@ -32,6 +33,10 @@
 from poplarlb.settings import Settings
 from poplarlb.state.models import Reason
 
+# A process makes fewer calls than this in each ms, so none has the number of a call of
+# an earlier process of this daemon, whose answer may arrive late.
+CALLS_PER_MS = 1 << 11
+
 
 @define
 class Node:
@@ -59,7 +64,10 @@
 
     def __attrs_post_init__(self) -> None:
         """Build the parts."""
-        self.context = NodeContext(self.settings)
+        first_call = self.own.incarnation * CALLS_PER_MS
+        self.context = NodeContext(
+            self.settings, call_ids=itertools.count(first_call + 1)
+        )
         self.shards = ShardMap.from_settings(self.settings.shards)
         self.membership = Membership(self.context, self.own)
         self.ownership = Ownership(self.context, self.membership, self.shards)
