--- a/tests/coordination/jobs/test_gang_start.py
+++ b/tests/coordination/jobs/test_gang_start.py
@@ -1,9 +1,14 @@
 """Gangs of which a member can't be started after all."""
 
 import unittest
+from unittest import mock
 
+from attrs import Factory, define
+
+from poplarlb.coordination.jobs import events
 from poplarlb.state.jobs import JobState, StepSpec
 from poplarlb.state.models import Resources
+from tests.coordination.jobs.fake_worker import FakeWorker
 from tests.coordination.jobs.job_world import JobWorld, make_job
 
 GANG = "a" * 16
@@ -11,6 +16,18 @@
 SMALL = Resources(4_000, 64_000)
 
 
+@define(eq=False)
+class RecordingWorld(JobWorld):
+    """A world that records the checkpoints of starts, by run."""
+
+    checkpoints: dict[int, set[str]] = Factory(dict)
+
+    def _call(self, command, owner, action, sent_ms: int) -> None:
+        if isinstance(command, events.StartRun):
+            self.checkpoints.setdefault(command.run, set()).add(command.checkpoint)
+        super()._call(command, owner, action, sent_ms)
+
+
 class GangStartTest(unittest.TestCase):
     """A gang's members are started together or not at all."""
 
@@ -50,6 +67,29 @@
             world.run(3_000)
             self.assertIs(world.state(job_id), JobState.DONE)
 
+    # Guards against members that carry different checkpoints; by the pages, any one is
+    # valid for the gang, and all must carry the same.
+    def test_members_resume_from_one_checkpoint(self) -> None:
+        """The workers of all members restart at once, so none lists its run's end."""
+
+        def save(worker: FakeWorker, run) -> str:
+            return f"{worker.worker_id} {run.percent}"
+
+        world = RecordingWorld(work_ms=30_000)
+        world.new_owner()
+        world.add_workers(2, capacity=Resources(8_000, 64_000))
+        world.run(200)
+        spec = StepSpec(2, SIZE, estimate_ms=8_000, checkpoints=True, gang=True)
+        with mock.patch.object(FakeWorker, "checkpoint", save):
+            world.submit(make_job(GANG, spec))
+            world.run(8_000)
+            for worker in world.workers.values():
+                worker.restart(worker.incarnation + 1_000)
+                world.relist(worker.worker_id)
+            world.run(6_000)
+        self.assertIn(2, world.checkpoints)
+        self.assertEqual(len(world.checkpoints[2]), 1)
+
 
 if __name__ == "__main__":
     unittest.main()
