--- a/tests/platform/test_workers.py
+++ b/tests/platform/test_workers.py
@@ -11,6 +11,7 @@
     StartAnswered,
     StartRun,
 )
+from poplarlb.exceptions import BadAnswerError
 from poplarlb.platform.workers import PlatformWorkers
 from poplarlb.transport.http_client import HttpClient
 from poplarlb.transport.http_server import HttpRequest, HttpResponse, HttpServer
@@ -29,12 +30,13 @@
     polls: list[dict] = Factory(list)
     status: int = 200
     body: bytes = json.dumps(LISTS).encode()
+    lists: dict = Factory(LISTS.copy)
 
     async def handle(self, request: HttpRequest) -> HttpResponse:
         """Handle one call."""
         if request.path == "/v1/hold":
             self.polls.append(json.loads(request.body))
-            return HttpResponse(200, json.dumps(LISTS).encode())
+            return HttpResponse(200, json.dumps(self.lists).encode())
         return HttpResponse(self.status, self.body)
 
 
@@ -80,6 +82,20 @@
         )
         self.assertEqual(self.client.connects, 1)
 
+    # The same by an answer that doesn't tell which incarnation has sent it, and that
+    # the owner therefore doesn't apply.
+    async def test_unreadable_answer_verifies_no_connection(self) -> None:
+        """A connection gets none until an answer on it could be read."""
+        del self.worker.lists["clockMs"]
+        with self.assertRaises(BadAnswerError):
+            await self.poll()
+        self.worker.lists = LISTS
+        self.assertEqual(await self.poll(), {"fence": 3})
+        self.assertEqual(
+            await self.poll(), {"fence": 3, "lastSeen": 60, "untilMs": 9_000}
+        )
+        self.assertEqual(self.client.connects, 1)
+
 
 class StartAnswerTest(WorkerCase):
     """What the answer to a start tells of the worker's clock."""
