--- a/poplarlb/coordination/jobs/schedule.py
+++ b/poplarlb/coordination/jobs/schedule.py
@@ -449,6 +449,7 @@
         if len(tasks) < spec.count:
             return False
         number = max(task.run for task in tasks)
+        share_checkpoint(tasks)
         racks = [""]
         if spec.same_rack:
             racks = list_racks(self.chooser.workers.get(queue.service, ()))
@@ -479,6 +480,13 @@
             run.task.worker_id, run.task.incarnation = "", 0
 
 
+def share_checkpoint(tasks: list[Task]) -> None:
+    """Let a gang's tasks resume from one checkpoint; any member's is valid for all."""
+    saved = next((task.checkpoint for task in tasks if task.checkpoint), "")
+    for task in tasks:
+        task.checkpoint = saved
+
+
 def objective_duration_ms(
     job: Job, critical_path_factor: float, allowance_ms: int
 ) -> float:
