--- a/tests/transport/test_job_owner.py
+++ b/tests/transport/test_job_owner.py
@@ -106,6 +106,15 @@
         await self.poll(BadAnswerError("fault"))
         self.assertEqual(self.read_workers(), ["w0"])
 
+    # Guards against a lease that a worker was granted by a poll whose answer can't be
+    # read, and that isn't counted if the worker has restarted (TWICE).
+    async def test_renewal_counts(self) -> None:
+        """The poll renewed the leases, whatever the answer."""
+        self.next_answer = BadAnswerError("fault")
+        await self.owner._poll(PollWorker("w0", "127.0.0.1:1", 1, None, 9_000, 0))
+        worker = self.owner.dispatcher.state.worker("w0")
+        self.assertGreater(worker.late_renewals_until_ms, 0)
+
     def read_workers(self) -> list[str]:
         """Return the workers in the lines logged since the last call."""
         lines = [orjson.loads(line) for line in self.log.lines]
