--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -94,6 +94,9 @@
     fenced: bool = False  # has answered a poll of this epoch, so refuses earlier ones
     clock_ms: int = 0  # the worker's clock at clock_at_ms
     clock_at_ms: int = 0
+    # How much longer leases last by the answers to starts, and when that was read.
+    answer_delay_ms: int = 0
+    answer_delayed_ms: int = 0
     # Latest end, on the worker's clock, of a lease that was or may have been granted.
     lease_end_ms: int = 0
     # Until then a start that was sent to an earlier incarnation may be carried out by
@@ -250,7 +253,8 @@
             longer_ms += policy.max_duration_ms(self.clock_ms - clock_ms)
             longer_ms -= policy.max_duration_ms(0)
             if longer_ms <= now_ms - sent_ms + policy.lease_margin_ms:
-                self.lease_end_ms += max(longer_ms, 0)
+                if longer_ms > self.answer_delay_ms:
+                    self.answer_delay_ms, self.answer_delayed_ms = longer_ms, now_ms
                 return True
         self.late_renewals_until_ms = max(self.late_renewals_until_ms, now_ms)
         return False
@@ -266,6 +270,7 @@
         end_ms = self.clock_at_ms + policy.max_duration_ms(
             self.lease_end_ms - self.clock_ms
         )
+        end_ms += self.answer_delay_ms
         if self.misdirected_until_ms > self.clock_at_ms:
             # Such a start prolongs the leases only if it arrives before their end.
             latest_ms = min(self.misdirected_until_ms, end_ms)
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -38,6 +38,8 @@
         first = not worker.fenced
         worker.update_clock(poll.clock_ms, state.policy, state.now_ms)
         worker.polled_ms = poll.sent_ms
+        if worker.answer_delayed_ms < poll.sent_ms:
+            worker.answer_delay_ms = 0
         if first:
             state.capacity_changed = True
             self._resolve_inherited(worker, poll, listed)
