--- a/poplarlb/transport/job_owner.py
+++ b/poplarlb/transport/job_owner.py
@@ -334,7 +334,9 @@
                 self.log.write(
                     "answer_unreadable", worker=worker_id, error=error.detail
                 )
-            self.feed(events.PollFailed(worker_id, sent_ms))
+            # The worker has carried the poll out.
+            renewed = command.lease_end_ms is not None
+            self.feed(events.PollFailed(worker_id, sent_ms, renewed))
             return
         if isinstance(answer, events.PollAnswered):
             self.unreadable.discard(worker_id)
