--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -328,7 +328,10 @@
             if not reason and run.task.step_key in incomplete_gangs:
                 reason = "another member of its gang isn't started"
             if reason:
-                state.release(state.workers[run.worker_id], run, reason)
+                worker = state.workers[run.worker_id]
+                if not may_renew(state, worker):
+                    self.unresponsive_workers.pause(worker)
+                state.release(worker, run, reason)
             else:
                 self.calls.start(run)
 
--- a/poplarlb/coordination/jobs/unresponsive.py
+++ b/poplarlb/coordination/jobs/unresponsive.py
@@ -38,8 +38,6 @@
             if remainder.worker_id in state.workers:
                 worker = state.workers[remainder.worker_id]
                 worker.inherited_leases_until_ms = state.now_ms + remainder.remaining_ms
-                # No start is sent there before the record can be written again.
-                worker.paused_until_ms = state.now_ms + FIRST_POLLS_MS
 
     def on_incarnation_listed(self, worker: WorkerState) -> None:
         """Wait longer for a worker that has restarted and hasn't answered this owner.
@@ -58,6 +56,11 @@
             self.owned_since_ms + state.policy.max_inherited_misdirected_lease_ms
         )
 
+    def pause(self, worker: WorkerState) -> None:
+        """Place no runs at a recorded worker before the record can be written again."""
+        until_ms = self.owned_since_ms + FIRST_POLLS_MS
+        worker.paused_until_ms = max(worker.paused_until_ms, until_ms)
+
     def due_record(self) -> tuple[LeaseRemainder, ...] | None:
         """Return the record to store; None if none is due."""
         state = self.state
