--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -272,11 +272,9 @@
         )
         end_ms += self.answer_delay_ms
         if self.misdirected_until_ms > self.clock_at_ms:
-            # Such a start prolongs the leases only if it arrives before their end.
-            latest_ms = min(self.misdirected_until_ms, end_ms)
-            end_ms = max(
-                end_ms, latest_ms + policy.max_duration_ms(policy.lease_limit_ms)
-            )
+            # Several such calls may prolong the leases, each before their end.
+            limit_ms = policy.max_duration_ms(policy.lease_limit_ms)
+            end_ms = max(end_ms, self.misdirected_until_ms + limit_ms)
         return max(end_ms - now_ms, 0)
 
     def lease_expired(self, policy: JobPolicy, now_ms: int) -> bool:
