--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -305,7 +305,7 @@
     def _expect_start(self, worker: WorkerState, run: Run) -> None:
         """Note a start that the last owner may yet send, so that it arrives late."""
         policy = self.policy
-        until_ms = self.now_ms + policy.max_view_age_ms + policy.max_call_delay_ms
+        until_ms = self.now_ms + policy.max_inherited_delay_ms
         worker.add_unanswered_start(run.key, until_ms, policy, self.now_ms)
         self.late_call_workers[worker.worker_id] = worker
         self.starting_jobs[run.task.job.spec.job_id] = run.task.job
--- a/poplarlb/coordination/jobs/late_calls.py
+++ b/poplarlb/coordination/jobs/late_calls.py
@@ -43,17 +43,17 @@
             worker = state.workers.get(call.worker_id)
             if worker is None:
                 continue
-            remaining_ms = min(call.remaining_ms, state.policy.max_call_delay_ms)
+            remaining_ms = min(call.remaining_ms, state.policy.max_inherited_delay_ms)
             until_ms = state.now_ms + remaining_ms
             run = worker.runs.get((call.task, call.run))
             if not call.task:
                 worker.misdirected_until_ms = until_ms
-            elif run is not None and call.answered:
-                run.answered_elsewhere_ms = until_ms
             elif run is not None:
                 worker.add_unanswered_start(
                     run.key, until_ms, state.policy, state.now_ms
                 )
+                if call.answered:
+                    run.answered_elsewhere_ms = min(until_ms, state.now_ms)
             state.late_call_workers[worker.worker_id] = worker
         self.recorded = frozenset(map(identify, late_calls))
         if late_calls:
@@ -117,11 +117,12 @@
     oldest_ms = now_ms - policy.max_duration_ms(policy.lease_limit_ms)
     for run in worker.runs.values():
         start_ms = worker.unanswered_starts.get(run.key, 0)
-        answered = start_ms <= worker.polled_ms
-        if answered:
-            start_ms = run.answered_elsewhere_ms
+        if start_ms <= worker.polled_ms:
+            start_ms = 0
+        start_ms = max(start_ms, run.answered_elsewhere_ms)
         until_ms = max(start_ms, prolonged_until_ms)
         if start_ms and until_ms > oldest_ms:
+            answered = bool(run.answered_elsewhere_ms)
             yield LateCall(worker.worker_id, *run.key, until_ms - now_ms, answered)
 
 
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -70,6 +70,14 @@
         """How long after a takeover a lease of the earlier owner may last."""
         return self.max_unconfirmed_ms + self.max_duration_ms(self.lease_ms)
 
+    @property
+    def max_inherited_delay_ms(self) -> int:
+        """How long after a takeover a start of the earlier owner may be carried out.
+
+        It sends none once its view is out of date.
+        """
+        return self.max_view_age_ms + self.max_call_delay_ms
+
     @property
     def max_inherited_misdirected_lease_ms(self) -> int:
         """The same at a worker that has restarted since its runs were placed.
