--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -185,7 +185,7 @@
                 state.policy,
                 state.now_ms,
             )
-            state.late_call_workers[worker.worker_id] = worker
+            state.note_late_call(worker)
         known = event.outcome not in MAY_RENEW or worker.note_start_clock(
             event.clock_ms, event.sent_ms, state.policy, state.now_ms
         )
@@ -196,7 +196,7 @@
         if event.outcome is CallOutcome.DONE:
             if not known:
                 run.answered_elsewhere_ms = state.now_ms
-                state.late_call_workers[worker.worker_id] = worker
+                state.note_late_call(worker)
             if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
                 run.phase = RunPhase.RUNNING
                 run.confirmed_ms = state.now_ms
--- a/poplarlb/coordination/jobs/dispatcher_state.py
+++ b/poplarlb/coordination/jobs/dispatcher_state.py
@@ -55,6 +55,7 @@
     :ivar late_call_workers: the workers at which calls may be carried out late, by id.
     :ivar starting_jobs: the jobs whose stored records name tasks whose start may be yet
         to be sent or answered, by id.
+    :ivar late_calls_added: one has been noted since these were last listed.
     :ivar departed: unlisted workers without runs at which calls may be carried out late
         if they come back, by id.
     :ivar shortened: the ids of jobs whose records were last stored without all their
@@ -89,6 +90,7 @@
     isolating: set[WorkerState] = Factory(set)
     late_call_workers: dict[str, WorkerState] = Factory(dict)
     starting_jobs: dict[str, Job] = Factory(dict)
+    late_calls_added: bool = False
     departed: dict[str, WorkerState] = Factory(dict)
     shortened: set[str] = Factory(set)
     refused_workers: Counter[str] = Factory(Counter)
@@ -202,6 +204,11 @@
         )
         job.trail = []
 
+    def note_late_call(self, worker: WorkerState) -> None:
+        """Note that a call to a worker may be carried out late."""
+        self.late_call_workers[worker.worker_id] = worker
+        self.late_calls_added = True
+
     def note_freed(self, worker: WorkerState) -> None:
         """Note that a worker's capacity was released, so that tasks may fit there."""
         self.freed_workers[worker.worker_id] = worker
@@ -307,7 +314,7 @@
         policy = self.policy
         until_ms = self.now_ms + policy.max_inherited_delay_ms
         worker.add_unanswered_start(run.key, until_ms, policy, self.now_ms)
-        self.late_call_workers[worker.worker_id] = worker
+        self.note_late_call(worker)
         self.starting_jobs[run.task.job.spec.job_id] = run.task.job
 
     def set_aside(self, job: Job, reason: str) -> None:
--- a/poplarlb/coordination/jobs/late_calls.py
+++ b/poplarlb/coordination/jobs/late_calls.py
@@ -54,7 +54,7 @@
                 )
                 if call.answered:
                     run.answered_elsewhere_ms = min(until_ms, state.now_ms)
-            state.late_call_workers[worker.worker_id] = worker
+            state.note_late_call(worker)
         self.recorded = frozenset(map(identify, late_calls))
         if late_calls:
             self._log("late_calls_taken_over", late_calls)
@@ -75,6 +75,12 @@
         """Return the record to store; None if none is due."""
         state = self.state
         now_ms = state.now_ms
+        is_time = now_ms >= self.next_ms
+        if not (state.late_calls_added or is_time):
+            return None
+        state.late_calls_added = False
+        if is_time:
+            self.next_ms = now_ms + state.policy.lease_record_period_ms
         late_calls = tuple(
             call
             for worker in state.late_call_workers.values()
@@ -84,12 +90,11 @@
         for worker_id in state.late_call_workers.keys() - workers:
             del state.late_call_workers[worker_id]
         named = frozenset(map(identify, late_calls))
-        if named <= self.recorded and (not self.recorded or now_ms < self.next_ms):
+        if named <= self.recorded and not (self.recorded and is_time):
             return None
         if named != self.recorded:
             self._log("late_calls_changed", late_calls)
         self.recorded = named
-        self.next_ms = now_ms + state.policy.lease_record_period_ms
         return late_calls
 
     def _log(self, event: str, late_calls: tuple[LateCall, ...]) -> None:
--- a/poplarlb/coordination/jobs/poll_reader.py
+++ b/poplarlb/coordination/jobs/poll_reader.py
@@ -84,7 +84,7 @@
         former_lease_end_ms = worker.lease_end_ms
         worker.poll_renews = False  # it has been answered
         worker.note_misdirected_calls(state.policy)
-        state.late_call_workers[worker.worker_id] = worker
+        state.note_late_call(worker)
         worker.begin_incarnation(poll.incarnation)
         state.log(
             "worker_restarted",
