--- a/poplarlb/coordination/jobs/dispatcher.py
+++ b/poplarlb/coordination/jobs/dispatcher.py
@@ -291,6 +291,7 @@
         # The worker may still run behind a network partition: its runs are released
         # only when their leases have expired.
         worker.listed = False
+        worker.unlisted_ms = self.state.now_ms
 
     # --- commits ----------------------------------------------------------------------
 
--- a/poplarlb/coordination/jobs/fleet.py
+++ b/poplarlb/coordination/jobs/fleet.py
@@ -90,6 +90,7 @@
     inherited_leases_until_ms: int = 0  # leases of earlier owners have expired by then
     listing: WorkerListing | None = None  # the last one; kept when it is removed
     listed: bool = False
+    unlisted_ms: int = 0  # when its entry was removed; 0: never
     incarnation: int = 0  # when it started, UTC ms; 0: not known yet
     fenced: bool = False  # has answered a poll of this epoch, so refuses earlier ones
     clock_ms: int = 0  # the worker's clock at clock_at_ms
@@ -290,7 +291,8 @@
         until_ms = 0
         if run.phase in (RunPhase.SENT, RunPhase.AMBIGUOUS):
             until_ms = run.sent_ms + policy.max_call_delay_ms
-        if self.listed:
+        may_be_up = self.may_be_up(policy, now_ms)
+        if may_be_up:
             until_ms = max(until_ms, self.unanswered_starts.get(run.key, 0))
         if until_ms <= self.polled_ms:
             until_ms = 0
@@ -298,11 +300,18 @@
         if not until_ms:
             return 0
         # Without an entry no incarnation is up, unless one has just answered.
-        if self.listed or run.answered_elsewhere_ms:
+        if may_be_up or run.answered_elsewhere_ms:
             until_ms = max(until_ms, self.late_calls_until_ms(policy))
             until_ms += policy.max_duration_ms(policy.lease_limit_ms)
         return max(until_ms - now_ms, 0)
 
+    def may_be_up(self, policy: JobPolicy, now_ms: int) -> bool:
+        """Return whether the worker has an entry, or may get it back.
+
+        An entry that expired while the store was down is back soon if the worker is up.
+        """
+        return self.listed or now_ms < self.unlisted_ms + policy.entry_return_ms
+
     def late_calls_until_ms(self, policy: JobPolicy) -> int:
         """Return until when calls without an answer may grant leases at the worker."""
         sent_ms = [
--- a/poplarlb/coordination/jobs/policy.py
+++ b/poplarlb/coordination/jobs/policy.py
@@ -34,6 +34,8 @@
     lease_margin_ms: int = 200  # rounding, and the time that a kill takes
     # A call without an answer may be carried out up to 12 s late; 1 s is margin.
     max_call_delay_ms: int = 13_000
+    # Until the entry of a worker that is up is back, if it expired with the store down.
+    entry_return_ms: int = 2_500
     min_commit_interval_ms: int = 12  # at most 80 commits a second
     # A commit whose last call took longer starts none of its runs.
     max_commit_before_start_ms: int = 1_500
