--- a/poplarlb/state/job_records.py
+++ b/poplarlb/state/job_records.py
@@ -120,8 +120,15 @@
 
 
 def encode_late_calls(late_calls: tuple[LateCall, ...]) -> bytes:
-    """Return the record of the calls that may be carried out late."""
-    return orjson.dumps([attrs.astuple(item) for item in late_calls])
+    """Return the record of the calls that may be carried out late.
+
+    Rows of starts that weren't answered are in the format of earlier versions.
+    """
+    rows = (
+        attrs.astuple(item) if item.answered else attrs.astuple(item)[:-1]
+        for item in late_calls
+    )
+    return orjson.dumps(list(rows))
 
 
 def decode_late_calls(value: bytes) -> tuple[LateCall, ...]:
--- a/tests/state/test_job_records.py
+++ b/tests/state/test_job_records.py
@@ -78,6 +78,12 @@
         expected = (LateCall("w0", "t", 1, 500),)
         self.assertEqual(job_records.decode_late_calls(value), expected)
 
+    # Guards against a daemon of an earlier version that can't read the record.
+    def test_record_for_an_earlier_version(self) -> None:
+        """A start that wasn't answered has four fields."""
+        value = job_records.encode_late_calls((LateCall("w0", "t", 1, 500),))
+        self.assertEqual(orjson.loads(value), [["w0", "t", 1, 500]])
+
 
 if __name__ == "__main__":
     unittest.main()
