--- a/poplarlb/coordination/jobs/calls.py
+++ b/poplarlb/coordination/jobs/calls.py
@@ -35,7 +35,7 @@
     )
 )
 # Outcomes of starts by whose answer the worker may have prolonged its leases.
-MAY_RENEW = frozenset(
+RENEWING_OUTCOMES = frozenset(
     (
         CallOutcome.DONE,
         CallOutcome.NO_ROOM,
@@ -186,7 +186,7 @@
                 state.now_ms,
             )
             state.note_late_call(worker)
-        known = event.outcome not in MAY_RENEW or worker.note_start_clock(
+        known = event.outcome not in RENEWING_OUTCOMES or worker.note_start_clock(
             event.clock_ms, event.sent_ms, state.policy, state.now_ms
         )
         if not known:
