--- a/tests/standins/users_platform.py
+++ b/tests/standins/users_platform.py
@@ -431,9 +431,12 @@
 
     def _disconnect(self, worker: FakeWorker) -> None:
         """Stop listening, abort every connection and drop the calls in progress."""
-        server = self.servers[worker.worker_id]
-        server.listener.close()
-        for connection in list(server.connections):
+        self.servers[worker.worker_id].listener.close()
+        self._reset_connections(worker)
+
+    def _reset_connections(self, worker: FakeWorker) -> None:
+        """Abort every connection and drop the calls in progress."""
+        for connection in list(self.servers[worker.worker_id].connections):
             if connection.task is not None:
                 connection.task.cancel()
             if connection.transport is not None:
