--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """One soak seed: a deployment, a random sequence of faults, then recovery."""
 
 import asyncio
+import base64
 import json
 import pathlib
 import random
@@ -15,12 +16,8 @@
 from tests.soak.invariants import InvariantChecker
 from tests.soak.link import Link
 from tests.soak.submitters import Submitters
-from tests.standins.users_platform import (
-    RESTART_STEP,
-    CrashSettings,
-    StoreService,
-    WorkerService,
-)
+from tests.standins.unseen_workers import UnseenWorkers
+from tests.standins.users_platform import RESTART_STEP, CrashSettings, StoreService
 
 WORKERS = 4
 ZONES = ("z1", "z2")
@@ -35,6 +32,15 @@
 WATCH_FAULT_S = (0.5, 4.0)
 RESIZE_GAP_S = (0.3, 2.5)
 CAPACITY_SHARES = (0.1, 0.3, 0.6, 1.0)
+RESTART_GAP_S = (1.0, 5.0)  # between series of unseen restarts
+RESTART_COUNTS = (1, 1, 2)  # of one series
+MAX_RESTARTED = 2  # workers at once, so that the others go on
+KILL_SHARE = 0.3  # of the cuts, those during which the owner is killed
+CUT_AFTER_S = (0.1, 4.0)  # after an unseen restart its worker is cut off
+CUT_S = (1.0, 3.0, 12.0)  # calls are carried out at most 12 s late
+KILL_AFTER_S = (0.5, 4.0)  # after the cut the owner is killed
+IDLE_WAIT_S = 3.0  # for a worker that isn't polled
+LONG_WORK_MS = 14_000.0  # more than any lease
 
 
 @define(eq=False)
@@ -51,7 +57,7 @@
     daemon_count: int = 3
     fault_phase_s: float = FAULT_PHASE_S
     store: StoreService = Factory(StoreService)
-    workers: WorkerService = None
+    workers: UnseenWorkers = None
     worker_links: dict[str, Link] = Factory(dict)
     daemons: list[DaemonProcess] = Factory(list)
     invariants: InvariantChecker = None
@@ -60,6 +66,7 @@
     version: int = 3
     longest_stall_s: float = 0.0
     running_faults: set[asyncio.Task] = Factory(set)
+    restarted_hosts: set[str] = Factory(set)  # with a series of unseen restarts
 
     async def run(self) -> list[str]:
         """Run the seed and return the violated invariants."""
@@ -71,6 +78,7 @@
             submitting = asyncio.ensure_future(self.submitters.run(SUBMIT_PERIOD_S))
             background_faults = [
                 asyncio.ensure_future(self._inject_watch_faults()),
+                asyncio.ensure_future(self._restart_workers()),
                 asyncio.ensure_future(self._resize_workers()),
             ]
             await self._inject_faults()
@@ -91,7 +99,7 @@
     async def _start(self) -> None:
         store_address = free_address()
         await self.store.start(store_address)
-        self.workers = WorkerService(
+        self.workers = UnseenWorkers(
             self.store.table,
             work_ms=self.rng.choice((300, 800, 2_000)),
             clock_rng=random.Random(f"clocks {self.seed}"),
@@ -179,9 +187,13 @@
             await asyncio.sleep(gap * scale)
             fault = self.rng.choice(faults)
             self._log_plan(fault.__name__.removeprefix("_"))
-            task = asyncio.ensure_future(self._run_fault(fault))
-            self.running_faults.add(task)
-            task.add_done_callback(self.running_faults.discard)
+            self._run_beside(self._run_fault(fault))
+
+    def _run_beside(self, fault) -> None:
+        """Run a fault to its end while others begin."""
+        task = asyncio.ensure_future(fault)
+        self.running_faults.add(task)
+        task.add_done_callback(self.running_faults.discard)
 
     async def _inject_watch_faults(self) -> None:
         """Have watches get no answer, or answers that leave out changes.
@@ -222,6 +234,91 @@
         capacity = Resources(int(full.cpu_millis * share), int(full.memory_mb * share))
         self.workers.resize(self.workers.hosts[host], capacity)
 
+    async def _restart_workers(self) -> None:
+        """Have workers restart unseen and be cut off, by separate random numbers."""
+        rng = random.Random(f"restarts {self.seed}")
+        while True:
+            await asyncio.sleep(rng.uniform(*RESTART_GAP_S))
+            self._run_beside(self._restart_in_series(random.Random(rng.random())))
+
+    async def _restart_in_series(self, rng: random.Random) -> None:
+        """Restart a worker and cut it off, once or more, if one is there to restart."""
+        host = await self._find_idle(rng)
+        if not host or len(self.restarted_hosts) == MAX_RESTARTED:
+            return
+        self.restarted_hosts.add(host)
+        try:
+            for _ in range(rng.choice(RESTART_COUNTS)):
+                await self._restart_and_cut(host, rng)
+        finally:
+            self.restarted_hosts.discard(host)
+
+    async def _find_idle(self, rng: random.Random) -> str:
+        """Wait for a host whose worker runs nothing, for which it isn't polled.
+
+        A start may then be the first call after its restart. After some time any host
+        will do; return an empty name if there is none.
+        """
+        hosts = rng.sample(list(self.worker_links), WORKERS)
+        for _ in range(int(IDLE_WAIT_S / CHECK_PERIOD_S)):
+            for host in hosts:
+                worker = self.workers.hosts[host]
+                if host not in self.restarted_hosts and self._is_idle(worker):
+                    return host
+            await asyncio.sleep(CHECK_PERIOD_S)
+        return next((host for host in hosts if host not in self.restarted_hosts), "")
+
+    def _is_idle(self, worker: FakeWorker) -> bool:
+        """Return whether an owner knows a worker and neither uses nor polls it."""
+        is_polled = worker.runs or self.workers.polls[worker.worker_id]
+        return worker.alive and worker.fence > 0 and not is_polled
+
+    async def _restart_and_cut(self, host: str, rng: random.Random) -> None:
+        """Restart a worker under its id and cut it off soon after.
+
+        The restart of an idle worker, which isn't polled, stays unseen until then. What
+        starts there goes on for longer than its lease. The owner may be killed during
+        the cut. Calls that were sent during the cut may be carried out after it.
+        """
+        worker, link = self.workers.hosts[host], self.worker_links[host]
+        if not worker.alive or worker.draining:
+            return
+        loop = asyncio.get_running_loop()
+        self.invariants.check(loop.time())
+        is_idle = self._is_idle(worker)
+        self.workers.record_crash(worker)
+        clock_ms = draw_clock_ms(rng, worker.clock_ms)
+        self._log_plan(f"restart {host}, idle {is_idle}")
+        self.workers.restart(worker, clock_ms)
+        self.workers.least_work_ms[worker.worker_id] = LONG_WORK_MS
+        if not is_idle:
+            self.workers.unseen.discard(worker.worker_id)
+        await asyncio.sleep(rng.uniform(*CUT_AFTER_S))
+        link.stalled = True
+        self._log_plan(f"cut {host}, which runs {list(worker.runs)}")
+        if rng.random() < 0.5:
+            self.workers.reveal(worker)
+        events = [asyncio.sleep(rng.choice(CUT_S))]
+        if rng.random() < KILL_SHARE:
+            events.append(self._kill_owner(rng.uniform(*KILL_AFTER_S)))
+        await asyncio.gather(*events)
+        if rng.random() < 0.5:
+            link.reset()
+        link.stalled = False
+        del self.workers.least_work_ms[worker.worker_id]
+        self.workers.reveal(worker)
+        self.invariants.last_fault_end_s = loop.time()
+
+    async def _kill_owner(self, after_s: float) -> None:
+        """Kill the daemon that owns the jobs after some time, and start it again."""
+        await asyncio.sleep(after_s)
+        holder = self.store.table.items.get("holder")
+        owner = json.loads(base64.b64decode(holder.value))["daemon"] if holder else ""
+        for daemon in self.daemons:
+            if daemon.name == owner:
+                self._log_plan(f"kill the owner {owner}")
+                await daemon.restart(signal.SIGKILL, 0.5)
+
     async def _run_fault(self, fault) -> None:
         try:
             await fault(self.rng.choice((0.2, 1.0, 3.0, 6.0)))
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,15 @@
 SHORT_FAULT_PHASE_S = 10.0
 SHORT_SEEDS = (1, 2)
 LIVELOCK = "stops repeated in each poll kept an unanswered start's reservation for ever"
-PREVIOUSLY_FAILED = {108: LIVELOCK, 116: LIVELOCK}  # seed: cause
+UNSEEN_RESTART = (
+    "a lease by the clock of an incarnation that no poll had met was too short"
+)
+PREVIOUSLY_FAILED = {  # seed: cause
+    108: LIVELOCK,
+    116: LIVELOCK,
+    73005: UNSEEN_RESTART,
+    73008: UNSEEN_RESTART,
+}
 
 
 class SoakTest(unittest.TestCase):
