--- a/tests/platform/test_bad_jobs.py
+++ b/tests/platform/test_bad_jobs.py
@@ -6,12 +6,13 @@
 from poplarlb.coordination.jobs.dispatcher_state import DispatcherState
 from poplarlb.coordination.jobs.poll_reader import PollReader
 from poplarlb.coordination.jobs.schedule import Scheduler
-from poplarlb.coordination.jobs.slow_workers import SlowWorkers
+from poplarlb.coordination.jobs.slow_workers import PERIOD_MS, SlowWorkers
 from poplarlb.platform.workers import PlatformWorkers
 from tests.platform.deployment import JOB, Deployment
 
 BAD = "bad0000000000000"
 OTHERS = [f"{number:016x}" for number in range(1, 5)]
+COMPARED_WORK_MS = 4 * PERIOD_MS  # tasks are compared while they run
 ERRORS = (KeyError("i1"), ZeroDivisionError(), AttributeError("x"), RecursionError())
 
 
@@ -100,6 +101,7 @@
     # Guards against a job that is compared with others, or called for, with an error.
     async def test_tick_and_call(self) -> None:
         """A periodic comparison of running tasks raises, and so do all starts."""
+        self.deployment.workers.work_ms = COMPARED_WORK_MS
         with raise_in_rate(ValueError("x")):
             await self.play()
 
