Review: a job fails for workers that crashed before its task began (LOST)

A script on loopback: the only one of 24 workers that may run a job's task is dark for 4.4 s, five times, 13 s apart, each time while a start is sent to it. The task never begins, no run ends, and the job is shown as failed after 65 s.

--- a/review/bed3/deployment.py
+++ b/review/bed3/deployment.py
@@ -1,6 +1,7 @@
 """A small deployment on loopback: a store, workers, and daemons as processes."""
 
 import asyncio
+import base64
 import json
 import os
 import pathlib
@@ -232,6 +233,32 @@
         await asyncio.sleep(2.0)
         self.record.note("ready", daemons=len(self.daemons), workers=len(workers))
 
+    async def replace(self, worker: Worker, labels: tuple[str, ...]) -> None:
+        """Start a new worker, under another id, at the address of one that is gone."""
+        worker.server.close()
+        other = Worker(
+            worker.name + "n",
+            worker.address,
+            self.store,
+            self.record.note,
+            worker.work_ms,
+            service=worker.service,
+            zone=worker.zone,
+            labels=labels,
+            cpu=worker.cpu,
+            hold_max_ms=worker.hold_max_ms,
+        )
+        self.workers.append(other)
+        await other.start()
+
+    def find_owner(self) -> Daemon | None:
+        """Return the daemon that the store's key of the owner names."""
+        item = self.store.items.get("holder")
+        if item is None:
+            return None
+        name = json.loads(base64.b64decode(item["value"]))["daemon"]
+        return next(daemon for daemon in self.daemons if daemon.name == name)
+
     async def submit(self, job: str, body: dict, daemon: int = 0) -> int:
         """Hand in a job; return the status of the answer."""
         front = self.daemons[daemon].front
--- a/review/bed3/workers.py
+++ b/review/bed3/workers.py
@@ -12,13 +12,16 @@
 SILENT_HEARTBEATS = 3  # then the entry of a worker is removed
 STEP_S = 0.02
 ENDS_LISTED = 500
+STARTUP_MS = 320  # until a task that lasts is at work
 
 
 class Run:
     """One run of a task at a worker."""
 
-    def __init__(self, task: str, number: int, work_ms: float, saved: str) -> None:
-        """Create a run that has done none of its work."""
+    def __init__(
+        self, task: str, number: int, work_ms: float | None, saved: str
+    ) -> None:
+        """Create a run that has done none of its work; None: of a task that lasts."""
         self.task = task
         self.number = number
         self.work_ms = work_ms
@@ -28,15 +31,17 @@
     @property
     def percent(self) -> int:
         """The share of its work that is done."""
+        if self.work_ms is None:
+            return min(int(100 * self.done_ms / STARTUP_MS), 100)
         return min(int(100 * self.done_ms / self.work_ms), 99)
 
 
 class Worker:
     """A worker that starts, runs, lists and stops tasks as the platform's pages say.
 
-    ``work_ms`` gives the work of a task by its name. ``note`` records what begins and
-    what ends here. A worker that is ``up`` answers calls; one that is ``dark`` doesn't,
-    and its connections stay open without a word.
+    ``work_ms`` gives the work of a task by its name, and None for one that lasts.
+    ``note`` records what begins and what ends here. A worker that is ``up`` answers
+    calls; one that is ``dark`` doesn't, and its connections stay open without a word.
     """
 
     def __init__(
@@ -45,7 +50,7 @@
         address: str,
         store: Store,
         note: Callable[..., None],
-        work_ms: Callable[[str], float],
+        work_ms: Callable[[str], float | None],
         *,
         service: str,
         zone: str,
@@ -158,7 +163,7 @@
             run.done_ms += elapsed_ms
             if lapsed:
                 self._end(run, "lapsed")
-            elif run.done_ms >= run.work_ms:
+            elif run.work_ms is not None and run.done_ms >= run.work_ms:
                 self._end(run, "done")
 
     def _end(self, run: Run, how: str) -> None:
